--- /dev/null
+++ b/cmd/ryerill/main.go
@@ -0,0 +1,12 @@
+// Command ryerill is a balancing proxy for services that call services.
+package main
+
+import (
+	"os"
+
+	"silverhitch/internal/command"
+)
+
+func main() {
+	os.Exit(command.Run(os.Args[1:], os.Getenv, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,189 @@
+// Package config is the one place where a proxy's configuration is read,
+// checked and given defaults. Its errors name the faulty key and its value.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"silverhitch/directory"
+)
+
+// The environment variables that a proxy reads. What they set goes before what
+// the file says.
+const (
+	EnvFile      = "ROUTER_CONFIG"
+	EnvName      = "ROUTER_NAME"
+	EnvListen    = "ROUTER_LISTEN"
+	EnvDirectory = "ROUTER_DISCOVERY"
+)
+
+// Defaults of what a configuration may leave out.
+const (
+	defaultCores     = 1.0
+	defaultMemoryMB  = 192
+	defaultSockets   = 1024
+	leastSockets     = 32
+	leastMemoryMB    = 16
+	defaultIdleClose = 5 * time.Second
+	defaultConnect   = 100 * time.Millisecond
+	defaultSlack     = 20 * time.Millisecond
+)
+
+// Config is all that a proxy is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // address for consumers
+	Directory string // address of the directory
+	Seed      uint64
+	Limits    Limits
+	Known     directory.List // the providers as last heard of, perhaps long ago
+	Settings  Settings
+}
+
+// Limits is what the machine allows the program.
+type Limits struct {
+	Cores   float64
+	Memory  int64 // bytes
+	Sockets int
+}
+
+// Load reads the configuration that the environment names.
+func Load(getenv func(string) string) (Config, error) {
+	file := getenv(EnvFile)
+	if file == "" {
+		return Config{}, fmt.Errorf("%s: not set", EnvFile)
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Config{}, fmt.Errorf("%s: %w", EnvFile, err)
+	}
+	return Parse(text, getenv)
+}
+
+// Parse reads a configuration from its JSON text and the environment.
+func Parse(text []byte, getenv func(string) string) (Config, error) {
+	var file struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			Cores    *float64
+			MemoryMB *float64 `json:"memory_mb"`
+			Sockets  *int
+		}
+		Known, Settings json.RawMessage
+	}
+	if err := json.Unmarshal(text, &file); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) {
+			return Config{}, fmt.Errorf("%s: unexpected value of type %s", wrong.Field, wrong.Value)
+		}
+		return Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	cfg := Config{
+		Name:      orElse(getenv(EnvName), file.Name),
+		Listen:    orElse(getenv(EnvListen), file.Listen),
+		Directory: orElse(getenv(EnvDirectory), file.Discovery),
+	}
+	var problems []error
+	bad := func(key string, value any, want string) {
+		problems = append(problems, fmt.Errorf("%s: unexpected value %q, want %s", key, fmt.Sprint(value), want))
+	}
+	address := func(key, value string) {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			bad(key, value, "an IP address and a port")
+		}
+	}
+	address("listen", cfg.Listen)
+	address("discovery", cfg.Directory)
+	var err error
+	if file.Seed != "" {
+		if cfg.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+			bad("seed", file.Seed, "at most 16 hexadecimal digits")
+		}
+	}
+	cores, memory := valueOr(file.Limits.Cores, defaultCores), valueOr(file.Limits.MemoryMB, defaultMemoryMB)
+	if !(cores > 0 && cores <= 1024) {
+		bad("limits.cores", cores, "a number above 0")
+	}
+	if !(memory >= leastMemoryMB && memory < 1<<30) {
+		bad("limits.memory_mb", memory, fmt.Sprintf("%d or more", leastMemoryMB))
+	}
+	cfg.Limits = Limits{Cores: cores, Memory: int64(memory * (1 << 20)), Sockets: valueOr(file.Limits.Sockets, defaultSockets)}
+	if cfg.Limits.Sockets < leastSockets {
+		bad("limits.sockets", cfg.Limits.Sockets, fmt.Sprintf("%d or more", leastSockets))
+	}
+	if len(file.Known) > 0 && string(file.Known) != "null" {
+		if cfg.Known, err = directory.Parse(file.Known); err != nil {
+			problems = append(problems, fmt.Errorf("known: %w", err))
+		}
+	}
+	if len(file.Settings) == 0 {
+		problems = append(problems, errors.New("settings: missing"))
+	} else if cfg.Settings, err = SettingsFromJSON(file.Settings); err != nil {
+		problems = append(problems, err)
+	} else {
+		cfg.Settings.complete(bad)
+	}
+	return cfg, errors.Join(problems...)
+}
+
+// complete checks what the settings say and fills in what they leave out.
+func (s *Settings) complete(bad func(key string, value any, want string)) {
+	b := &s.Balancer
+	if len(b.Classes) == 0 {
+		bad("settings.Classes", "", "one class or more")
+	}
+	for i, c := range b.Classes {
+		at := "settings.Classes." + strconv.Itoa(i)
+		if c.Name == "" {
+			bad(at+".Name", c.Name, "a name")
+		}
+		if c.Deadline <= 0 {
+			bad(at+".Deadline", c.Deadline, "a time above 0")
+		}
+	}
+	if b.Tier < 0 || b.Tiers > 0 && b.Tier >= b.Tiers {
+		bad("settings.Tier", b.Tier, "an index in Tiers")
+	}
+	if b.Zone < 0 || len(s.Zones) > 0 && b.Zone >= len(s.Zones) {
+		bad("settings.Zone", b.Zone, "an index in Areas")
+	}
+	if b.Self < 0 || b.GroupSize < 0 || b.GroupSize > 0 && b.Self >= b.GroupSize {
+		bad("settings.Me", b.Self, "a number below GroupSize")
+	}
+	for _, d := range []struct {
+		key   string
+		value *time.Duration
+		other time.Duration
+	}{
+		{"settings.Limits.IdleClose", &s.IdleClose, defaultIdleClose},
+		{"settings.Limits.ConnectTimeout", &b.Limits.ConnectTimeout, defaultConnect},
+		{"settings.Contract.AnswerSlack", &b.Contract.AnswerSlack, defaultSlack},
+	} {
+		if *d.value < 0 {
+			bad(d.key, *d.value, "a time")
+		}
+		if *d.value == 0 {
+			*d.value = d.other
+		}
+	}
+}
+
+func orElse(value, other string) string {
+	if value == "" {
+		return other
+	}
+	return value
+}
+
+func valueOr[T any](value *T, other T) T {
+	if value == nil {
+		return other
+	}
+	return *value
+}
--- /dev/null
+++ b/config/settings.go
@@ -0,0 +1,223 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	ryerill "silverhitch"
+)
+
+// maxItems bounds the length that a list of objects may claim.
+const maxItems = 1 << 16
+
+// Settings is what a deployment states about itself: what the Balancer is told
+// and what only a host on sockets needs.
+type Settings struct {
+	Balancer  ryerill.Config
+	Zones     []string
+	Kinds     []string
+	IdleClose time.Duration // a provider's machine closes idle connections after this
+}
+
+// SettingsFromPairs reads settings in the form of the simulator's wire, a
+// path=value pair a line. Unknown keys are skipped and absent ones leave the
+// zero value; a value of the wrong form is an error.
+func SettingsFromPairs(text string) (Settings, error) {
+	v := values{one: make(map[string]string), many: make(map[string][]string)}
+	for line := range strings.Lines(text) {
+		if path, value, ok := strings.Cut(strings.TrimRight(line, "\r\n"), "="); ok {
+			v.one[path] = value
+			if value != "" {
+				v.many[path] = strings.Split(value, ",")
+			}
+		}
+	}
+	return v.settings()
+}
+
+// SettingsFromJSON reads the same settings as nested JSON.
+func SettingsFromJSON(text []byte) (Settings, error) {
+	v := values{one: make(map[string]string), many: make(map[string][]string)}
+	d := json.NewDecoder(strings.NewReader(string(text)))
+	d.UseNumber()
+	var tree map[string]any
+	if err := d.Decode(&tree); err != nil {
+		return Settings{}, fmt.Errorf("setting: %w", err)
+	}
+	v.flatten("", tree)
+	return v.settings()
+}
+
+// values holds settings by path and keeps the first error.
+type values struct {
+	one  map[string]string
+	many map[string][]string // lists of plain values
+	err  error
+}
+
+func (v *values) flatten(path string, node any) {
+	switch node := node.(type) {
+	case map[string]any:
+		if path != "" {
+			path += "."
+		}
+		for key, child := range node {
+			v.flatten(path+key, child)
+		}
+	case []any:
+		v.one[path+".count"] = strconv.Itoa(len(node))
+		for i, child := range node {
+			v.flatten(path+"."+strconv.Itoa(i), child)
+			if text, ok := v.one[path+"."+strconv.Itoa(i)]; ok {
+				v.many[path] = append(v.many[path], text)
+			}
+		}
+	case nil:
+	default:
+		v.one[path] = fmt.Sprint(node)
+	}
+}
+
+// settings is the one mapping of names to fields.
+func (v *values) settings() (Settings, error) {
+	s := Settings{Zones: v.many["Areas"], Kinds: v.many["Kinds"], IdleClose: v.micros("Limits.IdleClose")}
+	s.Balancer = ryerill.Config{
+		Tier:           v.int("Tier"),
+		Tiers:          len(v.many["Tiers"]),
+		Zone:           v.int("Zone"),
+		Self:           v.int("Me"),
+		GroupSize:      v.int("GroupSize"),
+		Subscribe:      v.is("Discovery", "subscribe"),
+		ValueByWork:    v.is("ValueBy", "work"),
+		OverShareWorth: v.float("OverShareWorth"),
+		LoadNames:      v.many["LoadInfo.Names"],
+		Limits: ryerill.Limits{
+			Attempts:       v.int("Limits.TryLimit"),
+			Open:           v.int("Limits.MostHeld"),
+			MaxRetryAfter:  v.micros("Limits.MaxRetryAfter"),
+			ConnectTimeout: v.micros("Limits.ConnectTimeout"),
+			RetryAfter:     v.bool("Limits.RetryAfter"),
+			SecondCopies:   v.bool("Limits.SecondCopies"),
+			Cancel:         v.bool("Limits.MayCancel"),
+			Probes:         v.bool("Limits.Probes"),
+			Peers:          v.bool("Limits.Peers"),
+		},
+		Contract: ryerill.Contract{
+			AnswerSlack:  v.micros("Contract.AnswerSlack"),
+			DrainGrace:   v.micros("Contract.StopSendingWithin"),
+			AskWithin:    v.micros("Contract.AskWithin"),
+			ColdFrom:     v.float("Contract.ColdFrom"),
+			WarmUp:       v.micros("Contract.WarmUp"),
+			FallMultiple: v.float("Contract.FallMultiple"),
+			OverloadFor:  v.micros("Contract.OverloadFor"),
+
+			DrainBindsAlone: v.bool("Contract.DrainBindsAlone"),
+			KeyRest:         v.micros("Contract.KeyRest"),
+		},
+		Goal: ryerill.Goal{
+			LogLossPart: v.float("Goal.LogLossPart"),
+			TopNines:    v.float("Goal.TopNines"),
+		},
+	}
+	for i := range v.count("Classes") {
+		at := "Classes." + strconv.Itoa(i) + "."
+		s.Balancer.Classes = append(s.Balancer.Classes, ryerill.Class{
+			Name:       v.one[at+"Name"],
+			Aim:        v.micros(at + "Slo"),
+			AimStretch: v.float(at + "AimStretch"),
+			Deadline:   v.micros(at + "Deadline"),
+			Worth:      v.float(at + "Worth"),
+			LateWorth:  v.float(at + "LateWorth"),
+			Effect:     v.effect(at + "Effect"),
+			Group:      v.group(at + "Group"),
+			Memory:     v.micros(at + "MemorySpan"),
+			Streaming:  v.bool(at + "Streaming"),
+			KeepOrder:  v.bool(at + "KeepOrder"),
+		})
+	}
+	for i := range v.count("Customers") {
+		at := "Customers." + strconv.Itoa(i) + "."
+		s.Balancer.Tenants = append(s.Balancer.Tenants, ryerill.Tenant{
+			Name:  v.one[at+"Name"],
+			Quota: v.float(at + "QuotaPerS"),
+			Share: v.float(at + "Share"),
+		})
+	}
+	return s, v.err
+}
+
+func (v *values) bad(path string) {
+	if v.err == nil {
+		v.err = fmt.Errorf("setting %s: unexpected value %q", path, v.one[path])
+	}
+}
+
+func (v *values) float(path string) float64 {
+	text, ok := v.one[path]
+	if !ok || text == "" {
+		return 0
+	}
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) {
+		v.bad(path)
+		return 0
+	}
+	return n
+}
+
+func (v *values) int(path string) int {
+	n := v.float(path)
+	if math.Abs(n) > math.MaxInt32 {
+		v.bad(path)
+		return 0
+	}
+	return int(n)
+}
+
+func (v *values) count(path string) int {
+	n := v.int(path + ".count")
+	if n < 0 || n > maxItems {
+		v.bad(path + ".count")
+		return 0
+	}
+	return n
+}
+
+func (v *values) micros(path string) time.Duration {
+	n := v.float(path)
+	if math.Abs(n) > math.MaxInt64/float64(time.Microsecond)/2 {
+		v.bad(path)
+		return 0
+	}
+	return time.Duration(n * float64(time.Microsecond))
+}
+
+func (v *values) bool(path string) bool { return v.is(path, "true") }
+
+func (v *values) is(path, want string) bool { return v.one[path] == want }
+
+// effect and group read an unknown word as the strictest kind: it can only
+// make the balancer more careful.
+func (v *values) effect(path string) ryerill.Effect {
+	switch v.one[path] {
+	case "pure":
+		return ryerill.Safe
+	case "token":
+		return ryerill.Keyed
+	}
+	return ryerill.Unsafe
+}
+
+func (v *values) group(path string) ryerill.Group {
+	switch v.one[path] {
+	case "all":
+		return ryerill.GroupAll
+	case "zone":
+		return ryerill.GroupZone
+	}
+	return ryerill.GroupCell
+}
--- /dev/null
+++ b/consumer/server.go
@@ -0,0 +1,284 @@
+package consumer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"silverhitch/internal/buffer"
+)
+
+const (
+	idleTimeout  = 2 * time.Minute        // a connection without requests is closed after this
+	readTimeout  = 10 * time.Second       // a request is in this long after its first byte
+	writeTimeout = 5 * time.Second        // an answer is out in this time
+	leaveMargin  = 30 * time.Second       // a connection is watched this long beyond its invocation's time
+	acceptOn     = 550 * time.Millisecond // connections keep arriving for up to 0.4 s after the word to stop
+	linger       = 500 * time.Millisecond // what comes in after a last answer is read for so long, lest it be reset
+	reserve      = 8                      // connections beyond the limit that are told so
+)
+
+// Server accepts the consumers' connections and speaks HTTP/1.1 on them.
+type Server struct {
+	listener *net.TCPListener
+	names    Names
+	intake   Intake
+	buffers  *buffer.Pool
+	most     int // connections
+
+	mu       sync.Mutex
+	room     *sync.Cond // a connection has ended
+	conns    map[*conn]struct{}
+	stopping bool
+}
+
+// Listen opens the address for consumers. Of the most connections that it may
+// hold, a few are kept for telling consumers that there is no room.
+func Listen(address string, most int, names Names, buffers *buffer.Pool) (*Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for consumers: %w", err)
+	}
+	s := &Server{listener: l.(*net.TCPListener), names: names, buffers: buffers, most: most - reserve,
+		conns: make(map[*conn]struct{})}
+	s.room = sync.NewCond(&s.mu)
+	return s, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Serve hands invocations to intake until ctx ends. It then goes on accepting
+// for a while, since the word that this proxy stops spreads slowly, and
+// returns when all that was taken in has been answered.
+func (s *Server) Serve(ctx context.Context, intake Intake) error {
+	s.intake = intake
+	defer s.listener.Close()
+	defer context.AfterFunc(ctx, s.stop)()
+	for {
+		nc, err := s.listener.AcceptTCP()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			break // Accept waits only when the backlog is empty: nothing is left in it
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return fmt.Errorf("accept consumers: %w", err)
+		}
+		if err != nil { // the consumer is gone again, or the machine has no descriptor to spare
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		s.add(nc)
+	}
+	s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.idle {
+			c.nc.Close()
+		}
+	}
+	for len(s.conns) > 0 {
+		s.room.Wait()
+	}
+	return nil
+}
+
+func (s *Server) stop() {
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
+	s.listener.SetDeadline(time.Now().Add(acceptOn))
+}
+
+// add starts a connection. At the limit the one idle for longest makes room;
+// if all are busy the new one is told so, and beyond the reserve it waits.
+func (s *Server) add(nc net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.conns) >= s.most+reserve {
+		s.room.Wait()
+	}
+	c := &conn{server: s, nc: nc, idle: true, since: time.Now()}
+	if len(s.conns) >= s.most {
+		var oldest *conn
+		for other := range s.conns {
+			if other.idle && (oldest == nil || other.since.Before(oldest.since)) {
+				oldest = other
+			}
+		}
+		if c.refused = oldest == nil; oldest != nil {
+			oldest.nc.Close()
+			oldest.idle = false // its place is given away once
+		}
+	}
+	c.limit.r = nc
+	c.limit.N = maxHead
+	c.r = s.buffers.Reader(&c.limit)
+	s.conns[c] = struct{}{}
+	go c.serve()
+}
+
+// conn is a consumer's connection. One goroutine reads it; while an invocation
+// is out this read tells when the consumer leaves.
+type conn struct {
+	server  *Server
+	nc      net.Conn
+	limit   limitReader
+	r       *bufio.Reader
+	refused bool // beyond the limit
+
+	idle  bool      // between requests; guarded by server.mu
+	since time.Time // when it became idle
+}
+
+// limitReader bounds what one request may bring in.
+type limitReader struct {
+	r      io.Reader
+	N      int64
+	failed bool // the connection itself broke
+}
+
+func (l *limitReader) Read(p []byte) (int, error) {
+	if l.N <= 0 {
+		return 0, io.EOF
+	}
+	n, err := l.r.Read(p[:min(int64(len(p)), l.N)])
+	l.N -= int64(n)
+	l.failed = err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	return n, err
+}
+
+// setIdle notes whether the connection is between requests. One that became
+// busy while it was being given up may still be answered no more.
+func (c *conn) setIdle(idle bool) (stopping bool) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.idle, c.since = idle, time.Now()
+	return c.server.stopping
+}
+
+func (c *conn) serve() {
+	defer c.end()
+	answered := make(chan bool, 1)
+	var ticket uint64
+	out := false // an invocation is out
+	c.nc.SetReadDeadline(time.Now().Add(idleTimeout))
+	for {
+		c.limit.N = maxHead
+		if _, err := c.r.Peek(1); err != nil {
+			if out {
+				c.server.intake.Leave(ticket)
+			}
+			return
+		}
+		if out && !<-answered {
+			return
+		}
+		out = false
+		c.setIdle(false)
+		c.nc.SetReadDeadline(time.Now().Add(readTimeout))
+		req, body, err := c.readRequest()
+		if err != nil {
+			c.reject(err)
+			return
+		}
+		if req.Method == http.MethodGet && req.RequestURI == readyPath {
+			body.Free()
+			if !c.ready(req.Close) {
+				return
+			}
+			continue
+		}
+		inv, err := c.server.names.parse(req, body, time.Now())
+		if err != nil {
+			c.reject(err)
+			return
+		}
+		if c.refused {
+			inv.Request.Free()
+			c.write(head(http.StatusServiceUnavailable, 0, time.Second, true), nil)
+			c.lingerClose()
+			return
+		}
+		closes := req.Close
+		inv.Reply = func(a Answer) { go func() { answered <- c.answer(a, closes) }() }
+		c.nc.SetReadDeadline(inv.Taken.Add(inv.Left + leaveMargin))
+		out = true
+		ticket = c.server.intake.Take(inv)
+	}
+}
+
+// answer writes a final answer and reports whether the connection goes on.
+func (c *conn) answer(a Answer, closes bool) bool {
+	defer a.Body.Free()
+	c.server.mu.Lock()
+	closes = closes || c.server.stopping
+	c.server.mu.Unlock()
+	h := head(statuses[a.Verdict], a.Body.Len(), a.RetryAfter, closes)
+	if !c.write(h, a.Body) || closes {
+		c.nc.Close() // also ends the read that waits for the next request
+		return false
+	}
+	c.nc.SetReadDeadline(time.Now().Add(idleTimeout))
+	if stopping := c.setIdle(true); stopping {
+		c.nc.Close()
+		return false
+	}
+	return true
+}
+
+func (c *conn) write(head []byte, body *buffer.Body) bool {
+	c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	message := body.AppendTo(net.Buffers{head})
+	_, err := message.WriteTo(c.nc)
+	return err == nil
+}
+
+// ready answers the question whether this proxy can be used. It can from its
+// first moment on, with the providers known from before.
+func (c *conn) ready(closes bool) bool {
+	c.server.mu.Lock()
+	stopping := c.server.stopping
+	c.server.mu.Unlock()
+	status := http.StatusOK
+	if stopping {
+		status, closes = http.StatusServiceUnavailable, true
+	}
+	if !c.write(head(status, 0, 0, closes), nil) || closes {
+		return false
+	}
+	c.nc.SetReadDeadline(time.Now().Add(idleTimeout))
+	return !c.setIdle(true)
+}
+
+// reject answers what is no invocation, if there is still somebody to answer.
+func (c *conn) reject(err error) {
+	var e *httpError
+	if errors.As(err, &e) && c.write(head(e.status, 0, 0, true), nil) {
+		c.lingerClose()
+	}
+}
+
+// lingerClose ends the sending first and reads on for a moment: closing with
+// unread bytes would reset the connection, and the answer with it.
+func (c *conn) lingerClose() {
+	if tc, ok := c.nc.(*net.TCPConn); ok && tc.CloseWrite() == nil {
+		c.nc.SetReadDeadline(time.Now().Add(linger))
+		io.Copy(io.Discard, io.LimitReader(c.nc, 1<<20))
+	}
+}
+
+func (c *conn) end() {
+	c.nc.Close()
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	delete(c.server.conns, c)
+	c.server.room.Broadcast()
+}
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,99 @@
+// Package command is the command line of ryerill.
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"silverhitch/config"
+	"silverhitch/internal/logging"
+	"silverhitch/proxy"
+)
+
+// Version is what the version sub-command prints; the build may set it.
+var version = "devel"
+
+const (
+	exitFailed = 1
+	exitConfig = 2 // the configuration or the command line is at fault
+
+	memoryPart = 0.75 // of the memory limit is the collector's goal: stacks and sockets need some too
+	gcPercent  = 400  // collect seldom while memory is plentiful
+)
+
+// usageError marks errors that the user mends in configuration or arguments.
+type usageError struct{ error }
+
+// Run runs the program with arguments and returns its exit status.
+func Run(args []string, getenv func(string) string, stdout, stderr io.Writer) int {
+	root := &cobra.Command{
+		Use:           "ryerill",
+		Short:         "A balancing proxy that sheds load before a chain of services chokes",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+	}
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	root.AddCommand(
+		&cobra.Command{Use: "serve", Short: "Serve until SIGTERM, then finish what was taken", Args: cobra.NoArgs,
+			RunE: func(*cobra.Command, []string) error { return serve(getenv, stderr) }},
+		&cobra.Command{Use: "check", Short: "Read the configuration and name what is at fault", Args: cobra.NoArgs,
+			RunE: func(*cobra.Command, []string) error {
+				cfg, err := config.Load(getenv)
+				if err != nil {
+					return usageError{err}
+				}
+				fmt.Fprintf(stdout, "%s: tier %d of %d, %d classes, %d providers known\n", cfg.Name,
+					cfg.Settings.Balancer.Tier+1, cfg.Settings.Balancer.Tiers, len(cfg.Settings.Balancer.Classes),
+					len(cfg.Known.Endpoints))
+				return nil
+			}},
+		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+			Run: func(*cobra.Command, []string) { fmt.Fprintln(stdout, "ryerill", version) }},
+	)
+	err := root.Execute()
+	var failed runError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &failed):
+		fmt.Fprintln(stderr, "ryerill:", err)
+		return exitFailed
+	}
+	fmt.Fprintln(stderr, "ryerill:", err)
+	return exitConfig
+}
+
+// runError marks errors of a proxy that was configured well.
+type runError struct{ error }
+
+func serve(getenv func(string) string, stderr io.Writer) error {
+	cfg, err := config.Load(getenv)
+	if err != nil {
+		return usageError{err}
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
+	debug.SetMemoryLimit(int64(memoryPart * float64(cfg.Limits.Memory)))
+	debug.SetGCPercent(gcPercent)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	p, err := proxy.New(cfg, logging.New(stderr))
+	if err != nil {
+		return runError{err}
+	}
+	if err := p.Run(ctx); err != nil {
+		return runError{err}
+	}
+	return nil
+}
--- /dev/null
+++ b/provider/call.go
@@ -0,0 +1,136 @@
+package provider
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	ryerill "silverhitch"
+	"silverhitch/internal/buffer"
+)
+
+const (
+	maxHead    = 32 << 10            // bytes of an answer's head
+	maxInterim = 5                   // answers of 1xx before the real one
+	maxAnswer  = maxHead + 3*MaxBody // bytes of an answer with the framing of its chunks
+)
+
+// Call is one invoker call: one attempt at one provider. It is used once.
+type Call struct {
+	Request  *Request
+	Address  string
+	Until    time.Time   // the proxy stops waiting
+	MayStart func() bool // asked right before the first byte is written
+
+	mu        sync.Mutex
+	conn      *conn // nil unless the call holds one
+	cancelled bool
+}
+
+// Cancel calls the attempt off by closing its connection. It does not block.
+func (c *Call) Cancel() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancelled = true
+	if c.conn != nil {
+		c.conn.SetDeadline(time.Unix(1, 0)) // ends what is under way; Do closes
+	}
+}
+
+// hold and release keep Cancel away from a connection that the call does not
+// own, which may be in another call's hands already.
+func (c *Call) hold(conn *conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn = conn
+	return !c.cancelled && conn.SetDeadline(c.Until) == nil
+}
+
+func (c *Call) release() (cancelled bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn = nil
+	return c.cancelled
+}
+
+// Do makes the call and returns how it ended, and the body of an answer that
+// served. It sends once at most.
+func (p *Pool) Do(c *Call) (ryerill.Outcome, *buffer.Body) {
+	conn, err := p.get(c.Address, c.Until)
+	if err != nil {
+		return ryerill.ConnectFailed, nil
+	}
+	held := c.hold(conn)
+	if !held || !c.MayStart() {
+		cancelled := c.release()
+		p.drop(conn) // nothing was written: the deadline may have been moved by Cancel
+		if cancelled {
+			return ryerill.Cancelled, nil
+		}
+		return ryerill.Moot, nil
+	}
+	outcome, body, again := p.exchange(conn, c)
+	if c.release() {
+		again = false
+		if outcome != ryerill.OK {
+			outcome = ryerill.Cancelled
+		}
+	}
+	if again {
+		p.put(conn)
+	} else {
+		p.drop(conn)
+	}
+	return outcome, body
+}
+
+// exchange writes the request and reads the answer whole. It reports whether
+// the connection may be used again.
+func (p *Pool) exchange(conn *conn, c *Call) (outcome ryerill.Outcome, body *buffer.Body, again bool) {
+	message := c.Request.body.AppendTo(net.Buffers{c.Request.withTime(time.Until(c.Until))})
+	if _, err := message.WriteTo(conn.Conn); err != nil {
+		return ryerill.ConnectFailed, nil, false // its last byte was never written: it cannot have run
+	}
+	conn.limit.N = maxAnswer
+	request := http.Request{Method: c.Request.method}
+	for range maxInterim {
+		resp, err := http.ReadResponse(conn.r, &request)
+		if err != nil {
+			return broken(err), nil, false
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		// The whole body is read before any of it is passed on: an answer that breaks off is an outcome
+		// like any other, and the consumer is not left with half of it.
+		body, err := p.buffers.ReadBody(resp.Body, MaxBody)
+		if errors.Is(err, buffer.ErrTooLarge) {
+			return ryerill.Error, nil, false
+		}
+		if err != nil {
+			return broken(err), nil, false
+		}
+		again = !resp.Close && resp.ProtoAtLeast(1, 1) && conn.r.Buffered() == 0
+		if resp.StatusCode == http.StatusOK {
+			return ryerill.OK, body, again
+		}
+		body.Free()
+		declined := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
+		if declined && resp.Header.Get(headerDeclined) == "1" {
+			return ryerill.Full, nil, again
+		}
+		return ryerill.Error, nil, again
+	}
+	return ryerill.Error, nil, false
+}
+
+// broken tells how an attempt ended whose answer cannot be read.
+func broken(err error) ryerill.Outcome {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return ryerill.Timeout
+	}
+	return ryerill.Reset
+}
--- /dev/null
+++ b/provider/pool.go
@@ -0,0 +1,194 @@
+package provider
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"silverhitch/internal/buffer"
+)
+
+// idleMargin is how long before the provider's machine may close an idle
+// connection it is given up here: a request written to it later is lost in a
+// reset, and it may have run.
+const idleMargin = 500 * time.Millisecond
+
+// errNoRoom says that as many connections are open as the limit allows and
+// none of them is idle.
+var errNoRoom = errors.New("no room for another connection to a provider")
+
+// Pool keeps the connections to providers.
+type Pool struct {
+	most    int // connections, idle or not
+	keep    time.Duration
+	connect time.Duration
+	buffers *buffer.Pool
+
+	mu      sync.Mutex
+	open    int
+	idle    map[string][]*conn // by address; the most recently used last
+	closed  bool
+	sweeper *time.Timer // nil while none is idle
+}
+
+type conn struct {
+	net.Conn
+	address string
+	limit   io.LimitedReader
+	r       *bufio.Reader
+	since   time.Time // idle since
+}
+
+// NewPool returns a pool of at most most connections, none of which is used
+// again close to idleClose after its last use.
+func NewPool(most int, idleClose, connectTimeout time.Duration, buffers *buffer.Pool) *Pool {
+	return &Pool{most: most, keep: max(idleClose-idleMargin, idleClose/2), connect: connectTimeout, buffers: buffers,
+		idle: make(map[string][]*conn)}
+}
+
+// get returns a connection to address: the one used last, if any is usable,
+// or a new one.
+func (p *Pool) get(address string, until time.Time) (*conn, error) {
+	p.mu.Lock()
+	for list := p.idle[address]; len(list) > 0; list = p.idle[address] {
+		c := list[len(list)-1]
+		p.idle[address] = list[:len(list)-1]
+		if time.Since(c.since) < p.keep && c.sound() {
+			p.mu.Unlock()
+			return c, nil
+		}
+		p.dropLocked(c)
+	}
+	delete(p.idle, address)
+	if p.open >= p.most && !p.evictLocked() {
+		p.mu.Unlock()
+		return nil, errNoRoom
+	}
+	p.open++
+	p.mu.Unlock()
+
+	dialer := net.Dialer{Timeout: p.connect, Deadline: until, KeepAlive: -1}
+	raw, err := dialer.Dial("tcp", address)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	c := &conn{Conn: raw, address: address}
+	c.limit.R = raw
+	c.r = p.buffers.Reader(&c.limit)
+	return c, nil
+}
+
+// sound reports whether an idle connection is still whole: nothing has come
+// in on it, neither bytes that no request asked for nor its end.
+func (c *conn) sound() bool {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	sound := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		sound = errors.Is(err, syscall.EAGAIN)
+	})
+	return err == nil && sound
+}
+
+// put takes back a connection on which nothing is out.
+func (p *Pool) put(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		p.dropLocked(c)
+		return
+	}
+	c.since = time.Now()
+	p.idle[c.address] = append(p.idle[c.address], c)
+	if p.sweeper == nil {
+		p.sweeper = time.AfterFunc(p.keep, p.sweep)
+	}
+}
+
+// drop closes a connection that is not to be used again.
+func (p *Pool) drop(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropLocked(c)
+}
+
+func (p *Pool) dropLocked(c *conn) {
+	c.Close()
+	p.buffers.PutReader(c.r)
+	p.open--
+}
+
+// evictLocked makes room by closing the connection idle for longest.
+func (p *Pool) evictLocked() bool {
+	var oldest *conn
+	for _, list := range p.idle {
+		if len(list) > 0 && (oldest == nil || list[0].since.Before(oldest.since)) {
+			oldest = list[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.idle[oldest.address] = p.idle[oldest.address][1:]
+	p.dropLocked(oldest)
+	return true
+}
+
+// sweep closes what has been idle for too long.
+func (p *Pool) sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweeper = nil
+	next := time.Duration(-1)
+	for address, list := range p.idle {
+		for len(list) > 0 && time.Since(list[0].since) >= p.keep {
+			p.dropLocked(list[0])
+			list = list[1:]
+		}
+		if len(list) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = list
+		if left := p.keep - time.Since(list[0].since); next < 0 || left < next {
+			next = left
+		}
+	}
+	if next >= 0 && !p.closed {
+		p.sweeper = time.AfterFunc(max(next, p.keep/8), p.sweep)
+	}
+}
+
+// CloseIdle closes the idle connections to address.
+func (p *Pool) CloseIdle(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[address] {
+		p.dropLocked(c)
+	}
+	delete(p.idle, address)
+}
+
+// Close closes all idle connections, and the others once their calls end.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for address, list := range p.idle {
+		for _, c := range list {
+			p.dropLocked(c)
+		}
+		delete(p.idle, address)
+	}
+}
--- /dev/null
+++ b/provider/request.go
@@ -0,0 +1,64 @@
+// Package provider speaks to providers: it keeps connections to them and makes
+// invoker calls, one attempt at one provider each, over HTTP/1.1.
+package provider
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"silverhitch/internal/buffer"
+)
+
+// Names of the headers between proxy and provider.
+const (
+	HeaderDeadline = "Req-Deadline-Ms" // how long the proxy will wait
+	headerDeclined = "Srv-Declined"    // the provider has not run the request
+)
+
+// MaxBody is the most bytes that a body may hold.
+const MaxBody = 64 << 10
+
+// Request is what goes to a provider, the same at each invoker call but for
+// the time left.
+type Request struct {
+	method string
+	head   []byte // without the time left and the final empty line
+	body   *buffer.Body
+}
+
+// hopByHop are headers of one connection, which are not passed on, and those
+// that are written anew.
+var hopByHop = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
+	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true,
+	"Host": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, HeaderDeadline: true}
+
+// NewRequest prepares a request. Method, target, headers and body are passed
+// on as they are.
+func NewRequest(method, target, host string, header http.Header, body *buffer.Body) *Request {
+	head := make([]byte, 0, 512)
+	head = append(append(append(append(head, method...), ' '), target...), " HTTP/1.1\r\nHost: "...)
+	head = append(append(head, host...), "\r\n"...)
+	for name, values := range header {
+		if hopByHop[name] {
+			continue
+		}
+		for _, value := range values {
+			head = append(append(append(append(head, name...), ": "...), value...), "\r\n"...)
+		}
+	}
+	if body.Len() > 0 || method != http.MethodGet {
+		head = append(strconv.AppendInt(append(head, "Content-Length: "...), int64(body.Len()), 10), "\r\n"...)
+	}
+	return &Request{method: method, head: head, body: body}
+}
+
+// Free gives the body back once no invoker call needs it any more.
+func (r *Request) Free() { r.body.Free() }
+
+// withTime returns the head for an invoker call that may take up to left.
+func (r *Request) withTime(left time.Duration) []byte {
+	head := make([]byte, 0, len(r.head)+32)
+	head = append(append(head, r.head...), HeaderDeadline+": "...)
+	return append(strconv.AppendInt(head, max(left.Milliseconds(), 1), 10), "\r\n\r\n"...)
+}
--- /dev/null
+++ b/proxy/book.go
@@ -0,0 +1,32 @@
+package proxy
+
+import (
+	ryerill "silverhitch"
+	"silverhitch/consumer"
+	"silverhitch/internal/buffer"
+)
+
+// book notes how an invoker call ended. The first answer that served goes to
+// the consumer at once and ends the invocation.
+func (c *core) book(k *call, outcome ryerill.Outcome, body *buffer.Body) {
+	e := k.entry
+	e.out--
+	if outcome != ryerill.OK || !c.relay(e, consumer.Answer{Verdict: consumer.Served, Body: body}) {
+		body.Free()
+	}
+	c.happen(ryerill.Event{Kind: ryerill.AttemptEnded, Request: e.id, Attempt: k.attempt, Server: k.server,
+		Outcome: outcome, Closed: e.done, Elapsed: c.clock.now() - k.began})
+	c.release(e)
+}
+
+// release forgets an invocation that is answered and has no invoker call out.
+func (c *core) release(e *entry) {
+	if !e.done {
+		return
+	}
+	e.guard.Stop()
+	if e.out == 0 && c.open[e.id] != nil {
+		delete(c.open, e.id)
+		e.inv.Request.Free()
+	}
+}
--- /dev/null
+++ b/proxy/core.go
@@ -0,0 +1,108 @@
+package proxy
+
+import (
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	ryerill "silverhitch"
+	"silverhitch/config"
+	"silverhitch/consumer"
+	"silverhitch/directory"
+	"silverhitch/provider"
+)
+
+// clock is Unix time at its start plus the monotonic time since. It never goes
+// back, and it shares its scale with the starts of providers in the list.
+type clock struct{ start time.Time }
+
+func (c clock) now() time.Duration {
+	return time.Duration(c.start.UnixNano()) + time.Since(c.start)
+}
+
+// core stands between sockets and decisions and knows no protocol: it turns
+// what happens into Events and carries out the Actions it gets back.
+//
+// One mutex guards the Balancer and all that belongs to its decisions. Actions
+// are carried out in order before it is released, so none of them may block.
+type core struct {
+	log       *slog.Logger
+	clock     clock
+	settings  config.Settings
+	pool      *provider.Pool
+	directory *directory.Client
+
+	mu        sync.Mutex
+	balancer  *ryerill.Balancer
+	queue     []ryerill.Event // happenings that wait for their turn
+	busy      bool            // the queue is being worked off
+	actions   []ryerill.Action
+	newest    ryerill.RequestID
+	open      map[ryerill.RequestID]*entry
+	providers map[ryerill.ServerID]*target
+}
+
+// entry is an invocation that has not been answered or has invoker calls out.
+type entry struct {
+	id    ryerill.RequestID
+	inv   *consumer.Invocation
+	until time.Time // the consumer gives up
+	calls []*call
+	out   int  // calls out
+	done  bool // answered, or nobody waits for it
+	guard *time.Timer
+}
+
+// happen tells the Balancer of an event and carries out what it answers.
+// Happenings that arise on the way have their turn afterwards.
+func (c *core) happen(ev ryerill.Event) {
+	c.queue = append(c.queue, ev)
+	if c.busy {
+		return
+	}
+	c.busy = true
+	for i := 0; i < len(c.queue); i++ {
+		c.actions = c.balancer.Handle(c.clock.now(), c.queue[i], c.actions[:0])
+		for j := range c.actions {
+			c.carryOut(&c.actions[j])
+		}
+	}
+	clear(c.queue)
+	c.queue, c.busy = c.queue[:0], false
+}
+
+// carryOut does what one action says.
+func (c *core) carryOut(a *ryerill.Action) {
+	switch a.Kind {
+	case ryerill.Send:
+		c.route(a)
+	case ryerill.Refuse:
+		c.relay(c.open[a.Request], consumer.Answer{Verdict: consumer.Refused, RetryAfter: a.Wait})
+	case ryerill.Fail:
+		c.relay(c.open[a.Request], consumer.Answer{Verdict: consumer.Failed})
+	case ryerill.Cancel:
+		if e := c.open[a.Request]; e != nil && a.Attempt < len(e.calls) {
+			e.calls[a.Attempt].Cancel()
+		}
+	case ryerill.SetTimer:
+		token := a.Token
+		time.AfterFunc(a.Wait, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.happen(ryerill.Event{Kind: ryerill.Timer, Token: token})
+		})
+	case ryerill.CloseIdle:
+		if t := c.providers[a.Server]; t != nil {
+			go c.pool.CloseIdle(t.address)
+		}
+	case ryerill.Subscribe:
+		c.directory.Subscribe(a.On)
+	case ryerill.FetchList:
+		c.directory.Fetch()
+	case ryerill.Log:
+		c.log.Info("balancer", "says", a.Text)
+	default: // neither probes nor messages to peers exist on sockets
+		c.log.Warn("action that cannot be carried out", "kind", fmt.Sprint(a.Kind))
+	}
+}
--- /dev/null
+++ b/proxy/proxy.go
@@ -0,0 +1,84 @@
+// Package proxy is a balancing proxy that a program can embed: [New] makes one
+// from a configuration and [Proxy.Run] runs it.
+//
+// An invocation passes a chain of stages, each in a file of its own: take in,
+// admit, route, send, relay, book. They stand round a core that knows no
+// protocol. What is decided is decided by the Balancer of the root package.
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	ryerill "silverhitch"
+	"silverhitch/config"
+	"silverhitch/consumer"
+	"silverhitch/directory"
+	"silverhitch/internal/buffer"
+	"silverhitch/provider"
+)
+
+// spareSockets are kept for the listener, the directory, standard streams and
+// the runtime's own descriptors.
+const spareSockets = 16
+
+// Proxy balances invocations over the providers of one tier.
+type Proxy struct {
+	cfg     config.Config
+	log     *slog.Logger
+	buffers *buffer.Pool
+	server  *consumer.Server
+}
+
+// New returns a proxy that listens already; consumers wait until Run.
+func New(cfg config.Config, log *slog.Logger) (*Proxy, error) {
+	p := &Proxy{cfg: cfg, log: log, buffers: new(buffer.Pool)}
+	b := &cfg.Settings.Balancer
+	var names consumer.Names
+	for _, c := range b.Classes {
+		names.Classes = append(names.Classes, c.Name)
+		names.Deadlines = append(names.Deadlines, c.Deadline)
+	}
+	for _, t := range b.Tenants {
+		names.Tenants = append(names.Tenants, t.Name)
+	}
+	server, err := consumer.Listen(cfg.Listen, (cfg.Limits.Sockets-spareSockets)/2, names, p.buffers)
+	if err != nil {
+		return nil, fmt.Errorf("proxy %s: %w", cfg.Name, err)
+	}
+	p.server = server
+	return p, nil
+}
+
+// Address returns the address that consumers reach the proxy at.
+func (p *Proxy) Address() string { return p.server.Address() }
+
+// Run serves until ctx ends and all that was taken in has been answered.
+func (p *Proxy) Run(ctx context.Context) error {
+	settings := p.cfg.Settings
+	limits := settings.Balancer.Limits
+	pool := provider.NewPool((p.cfg.Limits.Sockets-spareSockets)/2, settings.IdleClose, limits.ConnectTimeout, p.buffers)
+	defer pool.Close()
+	c := &core{
+		log:       p.log,
+		clock:     clock{time.Now()},
+		settings:  settings,
+		pool:      pool,
+		balancer:  ryerill.New(settings.Balancer, p.cfg.Seed),
+		open:      make(map[ryerill.RequestID]*entry),
+		providers: make(map[ryerill.ServerID]*target),
+	}
+	life, end := context.WithCancel(context.WithoutCancel(ctx)) // the list is watched until the last answer
+	defer end()
+	c.directory = directory.NewClient(life, p.cfg.Directory, p.cfg.Known.Index, p.buffers, c)
+	c.mu.Lock()
+	c.list(ryerill.ListCached, p.cfg.Known)
+	c.mu.Unlock()
+	p.log.Info("serving", "name", p.cfg.Name, "tier", settings.Balancer.Tier, "address", p.Address())
+	if err := p.server.Serve(ctx, c); err != nil {
+		return fmt.Errorf("proxy %s: %w", p.cfg.Name, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/proxy/route.go
@@ -0,0 +1,123 @@
+package proxy
+
+import (
+	"hash/fnv"
+	"io"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	ryerill "silverhitch"
+	"silverhitch/directory"
+	"silverhitch/provider"
+)
+
+// target is a provider as calls find it.
+type target struct {
+	id      ryerill.ServerID
+	address string
+	ready   atomic.Bool // neither terminating nor gone, by what the directory told
+}
+
+// call is an invoker call with what booking it needs.
+type call struct {
+	provider.Call
+	entry   *entry
+	attempt int
+	server  ryerill.ServerID
+	began   time.Duration
+}
+
+// route starts the invoker call that an action asks for.
+func (c *core) route(a *ryerill.Action) {
+	e, t := c.open[a.Request], c.providers[a.Server]
+	if e == nil {
+		return
+	}
+	k := &call{entry: e, attempt: len(e.calls), server: a.Server, began: c.clock.now()}
+	e.calls = append(e.calls, k)
+	e.out++
+	if e.done || t == nil {
+		c.book(k, ryerill.Moot, nil)
+		return
+	}
+	until := e.until
+	if a.Wait > 0 {
+		if end := time.Now().Add(a.Wait); end.Before(until) {
+			until = end
+		}
+	}
+	k.Call = provider.Call{Request: e.inv.Request, Address: t.address, Until: until, MayStart: t.ready.Load}
+	go c.send(k)
+}
+
+// serverID is a stable hash of a provider's name: the same in every proxy,
+// since the decisions of several proxies rank providers by it.
+func serverID(name string) ryerill.ServerID {
+	h := fnv.New64a()
+	io.WriteString(h, name)
+	return ryerill.ServerID(h.Sum64())
+}
+
+// index returns the place of a name in names. Names that are not there get
+// numbers of their own beyond it, so that no two of them count as one.
+func index(names []string, name string) int {
+	if i := slices.Index(names, name); i >= 0 {
+		return i
+	}
+	h := fnv.New32a()
+	io.WriteString(h, name)
+	return len(names) + int(h.Sum32()>>1)
+}
+
+// Listed takes in what the directory answered.
+func (c *core) Listed(list directory.List) {
+	kind := ryerill.ListChanges
+	if list.Snapshot {
+		kind = ryerill.ListFull
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list(kind, list)
+}
+
+// ListFailed takes in that the directory did not answer.
+func (c *core) ListFailed(err error) {
+	c.log.Warn("list of providers not told", "error", err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.happen(ryerill.Event{Kind: ryerill.ServerList, List: ryerill.ListFailed})
+}
+
+func (c *core) list(kind ryerill.ListKind, list directory.List) {
+	if kind != ryerill.ListChanges {
+		for _, t := range c.providers {
+			t.ready.Store(false)
+		}
+	}
+	servers := make([]ryerill.Server, 0, len(list.Endpoints))
+	states := map[string]ryerill.ServerState{directory.Ready: ryerill.Ready,
+		directory.Terminating: ryerill.Draining, directory.Gone: ryerill.Gone}
+	for i := range list.Endpoints {
+		e := &list.Endpoints[i]
+		t := c.providers[serverID(e.Name)]
+		if t == nil {
+			t = &target{id: serverID(e.Name)}
+			c.providers[t.id] = t
+		}
+		if e.Address != "" {
+			t.address = e.Address
+		}
+		t.ready.Store(e.Status == directory.Ready)
+		servers = append(servers, ryerill.Server{ID: t.id, State: states[e.Status], Cell: e.Group, Weight: e.Weight,
+			Zone: index(c.settings.Zones, e.Zone), Kind: index(c.settings.Kinds, e.Type),
+			Started: time.Duration(e.SinceMS) * time.Millisecond})
+	}
+	c.happen(ryerill.Event{Kind: ryerill.ServerList, List: kind, Version: list.Index, Servers: servers})
+	for id, t := range c.providers {
+		if kind != ryerill.ListChanges && !t.ready.Load() && !slices.ContainsFunc(servers,
+			func(s ryerill.Server) bool { return s.ID == id }) {
+			delete(c.providers, id)
+		}
+	}
+}
--- /dev/null
+++ b/proxy/takein.go
@@ -0,0 +1,48 @@
+package proxy
+
+import (
+	"time"
+
+	ryerill "silverhitch"
+	"silverhitch/consumer"
+)
+
+// Take takes an invocation in. From here on it is owed one final answer.
+func (c *core) Take(inv *consumer.Invocation) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.newest++
+	e := &entry{id: c.newest, inv: inv, until: inv.Taken.Add(inv.Left)}
+	c.open[e.id] = e
+	// Should no decision come in time, whatever the reason, the consumer is answered all the same.
+	e.guard = time.AfterFunc(time.Until(e.until)+c.settings.Balancer.Contract.AnswerSlack, func() { c.overdue(e) })
+	c.admit(e)
+	return uint64(e.id)
+}
+
+// Leave books that the consumer of an invocation has gone away.
+func (c *core) Leave(ticket uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e := c.open[ryerill.RequestID(ticket)]; e != nil && !e.done {
+		c.depart(e)
+	}
+}
+
+// overdue answers an invocation whose time is over.
+func (c *core) overdue(e *entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !e.done {
+		c.log.Warn("no decision in time")
+		e.inv.Reply(consumer.Answer{Verdict: consumer.Overdue})
+		c.depart(e)
+	}
+}
+
+// depart ends an invocation for which nothing is owed any more.
+func (c *core) depart(e *entry) {
+	e.done = true
+	c.happen(ryerill.Event{Kind: ryerill.Departed, Request: e.id})
+	c.release(e)
+}
