--- a/cmd/ryerill/main.go
+++ b/cmd/ryerill/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"silverhitch/internal/command"
+	"ryerill/internal/command"
 )
 
 func main() {
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"time"
 
-	"silverhitch"
-	"silverhitch/internal/wire"
+	"ryerill"
+	"ryerill/internal/wire"
 )
 
 func main() {
@@ -24,7 +24,7 @@
 // run answers batches until the input ends. A batch that cannot be read is
 // answered with nothing at all.
 func run(in io.Reader, out io.Writer) error {
-	h := host{reader: wire.NewReader(bufio.NewReaderSize(in, 1<<16)), balancers: make(map[uint16]*silverhitch.Balancer)}
+	h := host{reader: wire.NewReader(bufio.NewReaderSize(in, 1<<16)), balancers: make(map[uint16]*ryerill.Balancer)}
 	for {
 		err := h.batch()
 		if errors.Is(err, io.EOF) {
@@ -43,8 +43,8 @@
 type host struct {
 	reader    *wire.Reader
 	reply     wire.Reply
-	balancers map[uint16]*silverhitch.Balancer
-	actions   []silverhitch.Action
+	balancers map[uint16]*ryerill.Balancer
+	actions   []ryerill.Action
 }
 
 // batch reads one batch and builds its reply.
@@ -68,7 +68,7 @@
 			if err != nil {
 				return fmt.Errorf("batch %d, instance %d: %w", h.reader.Number, rec.Instance, err)
 			}
-			h.guard(rec.Instance, func() { h.balancers[rec.Instance] = silverhitch.New(cfg, rec.Seed) })
+			h.guard(rec.Instance, func() { h.balancers[rec.Instance] = ryerill.New(cfg, rec.Seed) })
 		case wire.Stop:
 			delete(h.balancers, rec.Instance)
 		case wire.Event:
@@ -83,7 +83,7 @@
 	}
 }
 
-func (h *host) handle(instance uint16, b *silverhitch.Balancer, now time.Duration, ev silverhitch.Event) error {
+func (h *host) handle(instance uint16, b *ryerill.Balancer, now time.Duration, ev ryerill.Event) error {
 	h.actions = h.actions[:0]
 	h.guard(instance, func() { h.actions = b.Handle(now, ev, h.actions) })
 	for i := range h.actions {
--- a/config/config.go
+++ b/config/config.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"silverhitch/directory"
+	"ryerill/directory"
 )
 
 // The environment variables that a proxy reads. What they set goes before what
--- a/config/settings.go
+++ b/config/settings.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	ryerill "silverhitch"
+	"ryerill"
 )
 
 // maxItems bounds the length that a list of objects may claim.
--- a/consumer/http.go
+++ b/consumer/http.go
@@ -11,8 +11,8 @@
 	"strings"
 	"time"
 
-	"silverhitch/internal/buffer"
-	"silverhitch/provider"
+	"ryerill/internal/buffer"
+	"ryerill/provider"
 )
 
 // Names of the headers between consumer and proxy.
--- a/consumer/invocation.go
+++ b/consumer/invocation.go
@@ -5,8 +5,8 @@
 import (
 	"time"
 
-	"silverhitch/internal/buffer"
-	"silverhitch/provider"
+	"ryerill/internal/buffer"
+	"ryerill/provider"
 )
 
 // Invocation is one request as it was taken in, in terms that no protocol owns.
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"silverhitch/internal/buffer"
+	"ryerill/internal/buffer"
 )
 
 const (
--- a/directory/client.go
+++ b/directory/client.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"silverhitch/internal/buffer"
+	"ryerill/internal/buffer"
 )
 
 const (
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -14,9 +14,9 @@
 
 	"github.com/spf13/cobra"
 
-	"silverhitch/config"
-	"silverhitch/internal/logging"
-	"silverhitch/proxy"
+	"ryerill/config"
+	"ryerill/internal/logging"
+	"ryerill/proxy"
 )
 
 // Version is what the version sub-command prints; the build may set it.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,12 +1,12 @@
 package wire
 
 import (
-	"silverhitch"
-	"silverhitch/config"
+	"ryerill"
+	"ryerill/config"
 )
 
 // ParseSettings reads the settings of a starting instance.
-func ParseSettings(text string) (silverhitch.Config, error) {
+func ParseSettings(text string) (ryerill.Config, error) {
 	s, err := config.SettingsFromPairs(text)
 	return s.Balancer, err
 }
--- a/provider/call.go
+++ b/provider/call.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	ryerill "silverhitch"
-	"silverhitch/internal/buffer"
+	"ryerill"
+	"ryerill/internal/buffer"
 )
 
 const (
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -9,7 +9,7 @@
 	"syscall"
 	"time"
 
-	"silverhitch/internal/buffer"
+	"ryerill/internal/buffer"
 )
 
 // idleMargin is how long before the provider's machine may close an idle
--- a/provider/request.go
+++ b/provider/request.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"silverhitch/internal/buffer"
+	"ryerill/internal/buffer"
 )
 
 // Names of the headers between proxy and provider.
--- a/proxy/admit.go
+++ b/proxy/admit.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	ryerill "silverhitch"
+	"ryerill"
 )
 
 // admit asks the Balancer what becomes of an invocation.
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -1,9 +1,9 @@
 package proxy
 
 import (
-	ryerill "silverhitch"
-	"silverhitch/consumer"
-	"silverhitch/internal/buffer"
+	"ryerill"
+	"ryerill/consumer"
+	"ryerill/internal/buffer"
 )
 
 // book notes how an invoker call ended. The first answer that served goes to
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -6,11 +6,11 @@
 	"sync"
 	"time"
 
-	ryerill "silverhitch"
-	"silverhitch/config"
-	"silverhitch/consumer"
-	"silverhitch/directory"
-	"silverhitch/provider"
+	"ryerill"
+	"ryerill/config"
+	"ryerill/consumer"
+	"ryerill/directory"
+	"ryerill/provider"
 )
 
 // clock is Unix time at its start plus the monotonic time since. It never goes
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -12,12 +12,12 @@
 	"log/slog"
 	"time"
 
-	ryerill "silverhitch"
-	"silverhitch/config"
-	"silverhitch/consumer"
-	"silverhitch/directory"
-	"silverhitch/internal/buffer"
-	"silverhitch/provider"
+	"ryerill"
+	"ryerill/config"
+	"ryerill/consumer"
+	"ryerill/directory"
+	"ryerill/internal/buffer"
+	"ryerill/provider"
 )
 
 // spareSockets are kept for the listener, the directory, standard streams and
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"silverhitch/consumer"
+	"ryerill/consumer"
 )
 
 // relay gives an invocation its final answer, unless it has had one or nobody
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -7,9 +7,9 @@
 	"sync/atomic"
 	"time"
 
-	ryerill "silverhitch"
-	"silverhitch/directory"
-	"silverhitch/provider"
+	"ryerill"
+	"ryerill/directory"
+	"ryerill/provider"
 )
 
 // target is a provider as calls find it.
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	ryerill "silverhitch"
-	"silverhitch/consumer"
+	"ryerill"
+	"ryerill/consumer"
 )
 
 // Take takes an invocation in. From here on it is owed one final answer.
--- a/random_test.go
+++ b/random_test.go
@@ -1,4 +1,4 @@
-package silverhitch
+package ryerill
 
 import (
 	"fmt"
