--- a/config/config.go
+++ b/config/config.go
@@ -28,7 +28,7 @@
 	defaultCores     = 1.0
 	defaultMemoryMB  = 192
 	defaultSockets   = 1024
-	leastSockets     = 32
+	leastSockets     = 64
 	leastMemoryMB    = 16
 	defaultIdleClose = 5 * time.Second
 	defaultConnect   = 100 * time.Millisecond
@@ -136,10 +136,10 @@
 func (s *Settings) complete(bad func(key string, value any, want string)) {
 	b := &s.Balancer
 	if len(b.Classes) == 0 {
-		bad("settings.Classes", "", "one class or more")
+		bad("setting Classes", "", "one class or more")
 	}
 	for i, c := range b.Classes {
-		at := "settings.Classes." + strconv.Itoa(i)
+		at := "setting Classes." + strconv.Itoa(i)
 		if c.Name == "" {
 			bad(at+".Name", c.Name, "a name")
 		}
@@ -148,22 +148,22 @@
 		}
 	}
 	if b.Tier < 0 || b.Tiers > 0 && b.Tier >= b.Tiers {
-		bad("settings.Tier", b.Tier, "an index in Tiers")
+		bad("setting Tier", b.Tier, "an index in Tiers")
 	}
 	if b.Zone < 0 || len(s.Zones) > 0 && b.Zone >= len(s.Zones) {
-		bad("settings.Zone", b.Zone, "an index in Areas")
+		bad("setting Zone", b.Zone, "an index in Areas")
 	}
 	if b.Self < 0 || b.GroupSize < 0 || b.GroupSize > 0 && b.Self >= b.GroupSize {
-		bad("settings.Me", b.Self, "a number below GroupSize")
+		bad("setting Me", b.Self, "a number below GroupSize")
 	}
 	for _, d := range []struct {
 		key   string
 		value *time.Duration
 		other time.Duration
 	}{
-		{"settings.Limits.IdleClose", &s.IdleClose, defaultIdleClose},
-		{"settings.Limits.ConnectTimeout", &b.Limits.ConnectTimeout, defaultConnect},
-		{"settings.Contract.AnswerSlack", &b.Contract.AnswerSlack, defaultSlack},
+		{"setting Limits.IdleClose", &s.IdleClose, defaultIdleClose},
+		{"setting Limits.ConnectTimeout", &b.Limits.ConnectTimeout, defaultConnect},
+		{"setting Contract.AnswerSlack", &b.Contract.AnswerSlack, defaultSlack},
 	} {
 		if *d.value < 0 {
 			bad(d.key, *d.value, "a time")
--- a/config/settings.go
+++ b/config/settings.go
@@ -196,7 +196,16 @@
 	return time.Duration(n * float64(time.Microsecond))
 }
 
-func (v *values) bool(path string) bool { return v.is(path, "true") }
+func (v *values) bool(path string) bool {
+	switch v.one[path] {
+	case "true":
+		return true
+	case "", "false":
+		return false
+	}
+	v.bad(path)
+	return false
+}
 
 func (v *values) is(path, want string) bool { return v.one[path] == want }
 
--- a/consumer/http.go
+++ b/consumer/http.go
@@ -158,6 +158,15 @@
 	return append(b, "\r\n"...)
 }
 
-// statuses are the status codes of the verdicts.
-var statuses = [...]int{Served: http.StatusOK, Refused: http.StatusServiceUnavailable,
-	Failed: http.StatusBadGateway, Overdue: http.StatusGatewayTimeout}
+// status is the status code of a verdict.
+func (v Verdict) status() int {
+	switch v {
+	case Served:
+		return http.StatusOK
+	case Refused:
+		return http.StatusServiceUnavailable
+	case Overdue:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"ryerill/internal/buffer"
@@ -36,7 +37,8 @@
 	mu       sync.Mutex
 	room     *sync.Cond // a connection has ended
 	conns    map[*conn]struct{}
-	stopping bool
+	stopping bool // no connection outlives its present invocation
+	closed   bool // no connection is waited for either
 }
 
 // Listen opens the address for consumers. Of the most connections that it may
@@ -79,10 +81,9 @@
 	s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for c := range s.conns {
-		if c.idle {
-			c.nc.Close()
-		}
+		c.giveUp()
 	}
 	for len(s.conns) > 0 {
 		s.room.Wait()
@@ -99,7 +100,7 @@
 
 // add starts a connection. At the limit the one idle for longest makes room;
 // if all are busy the new one is told so, and beyond the reserve it waits.
-func (s *Server) add(nc net.Conn) {
+func (s *Server) add(nc *net.TCPConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.conns) >= s.most+reserve {
@@ -114,7 +115,7 @@
 			}
 		}
 		if c.refused = oldest == nil; oldest != nil {
-			oldest.nc.Close()
+			oldest.giveUp()
 			oldest.idle = false // its place is given away once
 		}
 	}
@@ -129,7 +130,7 @@
 // is out this read tells when the consumer leaves.
 type conn struct {
 	server  *Server
-	nc      net.Conn
+	nc      *net.TCPConn
 	limit   limitReader
 	r       *bufio.Reader
 	refused bool // beyond the limit
@@ -155,35 +156,69 @@
 	return n, err
 }
 
-// setIdle notes whether the connection is between requests. One that became
-// busy while it was being given up may still be answered no more.
-func (c *conn) setIdle(idle bool) (stopping bool) {
+// giveUp ends a connection that is between requests. It wakes the reader, which
+// alone can tell that no request has come in at the last moment: a request
+// that has reached this machine counts as taken, so closing over it loses it.
+// The server's mutex is held.
+func (c *conn) giveUp() {
+	if c.idle {
+		c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// rest notes that the connection is between requests.
+// The server's mutex is held.
+func (c *conn) rest() {
+	c.idle, c.since = true, time.Now()
+	c.nc.SetReadDeadline(c.since.Add(idleTimeout))
+	if c.server.closed {
+		c.giveUp()
+	}
+}
+
+// begin waits for the first byte of the next request. It reports false when
+// the connection has ended, or was given up and nothing has come in.
+func (c *conn) begin() bool {
+	_, err := c.r.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.pending() {
+		c.nc.SetReadDeadline(time.Now().Add(readTimeout))
+		_, err = c.r.Peek(1)
+	}
+	if err != nil {
+		return false
+	}
 	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	c.idle, c.since = idle, time.Now()
-	return c.server.stopping
+	c.idle = false
+	c.server.mu.Unlock()
+	c.nc.SetReadDeadline(time.Now().Add(readTimeout))
+	return true
+}
+
+// pending reports whether bytes have come in that nobody has read.
+func (c *conn) pending() (found bool) {
+	raw, err := c.nc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		found = err == nil && n > 0
+	})
+	return found && err == nil
 }
 
 func (c *conn) serve() {
 	defer c.end()
 	answered := make(chan bool, 1)
-	var ticket uint64
-	out := false // an invocation is out
-	c.nc.SetReadDeadline(time.Now().Add(idleTimeout))
+	c.server.mu.Lock()
+	c.rest()
+	c.server.mu.Unlock()
 	for {
 		c.limit.N = maxHead
-		if _, err := c.r.Peek(1); err != nil {
-			if out {
-				c.server.intake.Leave(ticket)
-			}
-			return
-		}
-		if out && !<-answered {
+		if !c.begin() {
 			return
 		}
-		out = false
-		c.setIdle(false)
-		c.nc.SetReadDeadline(time.Now().Add(readTimeout))
 		req, body, err := c.readRequest()
 		if err != nil {
 			c.reject(err)
@@ -208,30 +243,42 @@
 			return
 		}
 		closes := req.Close
-		inv.Reply = func(a Answer) { go func() { answered <- c.answer(a, closes) }() }
+		inv.Reply = func(a Answer) { go c.answer(a, closes, answered) }
 		c.nc.SetReadDeadline(inv.Taken.Add(inv.Left + leaveMargin))
-		out = true
-		ticket = c.server.intake.Take(inv)
+		c.limit.N = maxHead
+		ticket := c.server.intake.Take(inv)
+		_, err = c.r.Peek(1) // the next request, which comes after the answer, or the consumer's end
+		if err != nil {
+			c.server.mu.Lock() // an answer that is through lets go of it after all is booked
+			settled := len(answered) > 0
+			c.server.mu.Unlock()
+			if !settled {
+				c.server.intake.Leave(ticket)
+				return
+			}
+		}
+		if !<-answered {
+			return
+		}
 	}
 }
 
-// answer writes a final answer and reports whether the connection goes on.
-func (c *conn) answer(a Answer, closes bool) bool {
+// answer writes a final answer and tells the reader whether the connection
+// goes on.
+func (c *conn) answer(a Answer, closes bool, answered chan<- bool) {
 	defer a.Body.Free()
 	c.server.mu.Lock()
 	closes = closes || c.server.stopping
 	c.server.mu.Unlock()
-	h := head(statuses[a.Verdict], a.Body.Len(), a.RetryAfter, closes)
-	if !c.write(h, a.Body) || closes {
+	goesOn := c.write(head(a.Verdict.status(), a.Body.Len(), a.RetryAfter, closes), a.Body) && !closes
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	answered <- goesOn
+	if goesOn {
+		c.rest()
+	} else {
 		c.nc.Close() // also ends the read that waits for the next request
-		return false
 	}
-	c.nc.SetReadDeadline(time.Now().Add(idleTimeout))
-	if stopping := c.setIdle(true); stopping {
-		c.nc.Close()
-		return false
-	}
-	return true
 }
 
 func (c *conn) write(head []byte, body *buffer.Body) bool {
@@ -254,8 +301,10 @@
 	if !c.write(head(status, 0, 0, closes), nil) || closes {
 		return false
 	}
-	c.nc.SetReadDeadline(time.Now().Add(idleTimeout))
-	return !c.setIdle(true)
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.rest()
+	return true
 }
 
 // reject answers what is no invocation, if there is still somebody to answer.
@@ -269,7 +318,7 @@
 // lingerClose ends the sending first and reads on for a moment: closing with
 // unread bytes would reset the connection, and the answer with it.
 func (c *conn) lingerClose() {
-	if tc, ok := c.nc.(*net.TCPConn); ok && tc.CloseWrite() == nil {
+	if c.nc.CloseWrite() == nil {
 		c.nc.SetReadDeadline(time.Now().Add(linger))
 		io.Copy(io.Discard, io.LimitReader(c.nc, 1<<20))
 	}
--- a/directory/client.go
+++ b/directory/client.go
@@ -70,7 +70,7 @@
 // Fetch asks once for the whole list. It returns at once.
 func (c *Client) Fetch() {
 	go func() {
-		var line line
+		line := line{buffers: c.buffers}
 		defer line.close()
 		if list, err := c.get(c.ctx, &line, path, 0); err != nil {
 			c.failed(c.ctx, err)
@@ -83,7 +83,7 @@
 // keepWatch calls again as soon as an answer is in: a watch is over 200 ms
 // after its last answer, and what changes in between counts as told.
 func (c *Client) keepWatch(ctx context.Context, number int) {
-	var line line
+	line := line{buffers: c.buffers}
 	defer line.close()
 	for {
 		c.mu.Lock()
@@ -127,14 +127,16 @@
 
 // line is a connection to the directory, kept from call to call.
 type line struct {
-	conn net.Conn
-	r    *bufio.Reader
+	conn    net.Conn
+	r       *bufio.Reader
+	buffers *buffer.Pool
 }
 
 func (l *line) close() {
 	if l.conn != nil {
 		l.conn.Close()
-		l.conn = nil
+		l.buffers.PutReader(l.r)
+		l.conn, l.r = nil, nil
 	}
 }
 
@@ -148,7 +150,7 @@
 		if err != nil {
 			return List{}, err
 		}
-		l.conn, l.r = conn, bufio.NewReaderSize(conn, buffer.Size)
+		l.conn, l.r = conn, c.buffers.Reader(conn)
 	}
 	conn := l.conn
 	defer context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })()
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -19,9 +19,6 @@
 	"ryerill/proxy"
 )
 
-// Version is what the version sub-command prints; the build may set it.
-var version = "devel"
-
 const (
 	exitFailed = 1
 	exitConfig = 2 // the configuration or the command line is at fault
@@ -30,9 +27,6 @@
 	gcPercent  = 400  // collect seldom while memory is plentiful
 )
 
-// usageError marks errors that the user mends in configuration or arguments.
-type usageError struct{ error }
-
 // Run runs the program with arguments and returns its exit status.
 func Run(args []string, getenv func(string) string, stdout, stderr io.Writer) int {
 	root := &cobra.Command{
@@ -52,7 +46,7 @@
 			RunE: func(*cobra.Command, []string) error {
 				cfg, err := config.Load(getenv)
 				if err != nil {
-					return usageError{err}
+					return err
 				}
 				fmt.Fprintf(stdout, "%s: tier %d of %d, %d classes, %d providers known\n", cfg.Name,
 					cfg.Settings.Balancer.Tier+1, cfg.Settings.Balancer.Tiers, len(cfg.Settings.Balancer.Classes),
@@ -60,7 +54,7 @@
 				return nil
 			}},
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
-			Run: func(*cobra.Command, []string) { fmt.Fprintln(stdout, "ryerill", version) }},
+			Run: func(*cobra.Command, []string) { fmt.Fprintln(stdout, "ryerill", version()) }},
 	)
 	err := root.Execute()
 	var failed runError
@@ -78,10 +72,18 @@
 // runError marks errors of a proxy that was configured well.
 type runError struct{ error }
 
+// version is that of the module as it was built.
+func version() string {
+	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
+		return info.Main.Version + " " + info.GoVersion
+	}
+	return "(unknown)"
+}
+
 func serve(getenv func(string) string, stderr io.Writer) error {
 	cfg, err := config.Load(getenv)
 	if err != nil {
-		return usageError{err}
+		return err
 	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetMemoryLimit(int64(memoryPart * float64(cfg.Limits.Memory)))
--- a/provider/call.go
+++ b/provider/call.go
@@ -63,13 +63,14 @@
 	if err != nil {
 		return ryerill.ConnectFailed, nil
 	}
-	held := c.hold(conn)
-	if !held || !c.MayStart() {
-		cancelled := c.release()
-		p.drop(conn) // nothing was written: the deadline may have been moved by Cancel
-		if cancelled {
+	// A dial takes its time: what the directory has told meanwhile is looked at again, since the rule on
+	// drains counts from a request's first byte.
+	if held := c.hold(conn); !held || !c.MayStart() {
+		if c.release() {
+			p.drop(conn)
 			return ryerill.Cancelled, nil
 		}
+		p.put(conn)
 		return ryerill.Moot, nil
 	}
 	outcome, body, again := p.exchange(conn, c)
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -17,6 +17,9 @@
 // reset, and it may have run.
 const idleMargin = 500 * time.Millisecond
 
+// sweepStep is the least time between two looks for connections idle too long.
+const sweepStep = 100 * time.Millisecond
+
 // errNoRoom says that as many connections are open as the limit allows and
 // none of them is idle.
 var errNoRoom = errors.New("no room for another connection to a provider")
@@ -166,7 +169,7 @@
 		}
 	}
 	if next >= 0 && !p.closed {
-		p.sweeper = time.AfterFunc(max(next, p.keep/8), p.sweep)
+		p.sweeper = time.AfterFunc(max(next, sweepStep), p.sweep)
 	}
 }
 
--- a/provider/request.go
+++ b/provider/request.go
@@ -27,11 +27,16 @@
 	body   *buffer.Body
 }
 
-// hopByHop are headers of one connection, which are not passed on, and those
-// that are written anew.
-var hopByHop = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
-	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true,
-	"Host": true, "Proxy-Authenticate": true, "Proxy-Authorization": true, HeaderDeadline: true}
+// stays reports whether a header is not passed on: it concerns one connection,
+// or is written anew.
+func stays(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+		"Content-Length", "Host", "Proxy-Authenticate", "Proxy-Authorization", HeaderDeadline:
+		return true
+	}
+	return false
+}
 
 // NewRequest prepares a request. Method, target, headers and body are passed
 // on as they are.
@@ -40,7 +45,7 @@
 	head = append(append(append(append(head, method...), ' '), target...), " HTTP/1.1\r\nHost: "...)
 	head = append(append(head, host...), "\r\n"...)
 	for name, values := range header {
-		if hopByHop[name] {
+		if stays(name) {
 			continue
 		}
 		for _, value := range values {
