Test each rule on real sockets and start the built program

Tables of cases for the configuration and the directory's list; one test with real sockets for each rule; outcomes by PROTOCOL's table; limits on sockets; an integration test that starts the program, sends SIGTERM and sees all that was taken answered.

The tests found two faults: an unknown sub-command printed the help and ended with 0, and a wrong type of a limit was named in Go's spelling. Both are mended.

--- /dev/null
+++ b/cmd/ryerill/main_test.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 30 * time.Second
+
+// build compiles the program as the deploy file does.
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "ryerill")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	return program
+}
+
+// prepare readies the program with a configuration.
+func prepare(t *testing.T, program, configuration string, args ...string) *exec.Cmd {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(configuration), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(program, args...)
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+file, "ROUTER_NAME=", "ROUTER_LISTEN=", "ROUTER_DISCOVERY=")
+	return cmd
+}
+
+func configuration(listen, backend string) string {
+	return fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":"127.0.0.1:1","seed":"1",
+ "limits":{"cores":1,"memory_mb":192,"sockets":256},
+ "known":{"index":1,"snapshot":true,"endpoints":[{"name":"s1","address":%q,"zone":"a","status":"Ready"}]},
+ "settings":{"Areas":["a"],"Tiers":["only"],"Tier":0,"GroupSize":1,"Discovery":"subscribe",
+  "Classes":[{"Name":"read","Slo":2000000,"Deadline":30000000,"Effect":"pure","Worth":1,"LateWorth":0.5}],
+  "Limits":{"IdleClose":5000000,"ConnectTimeout":1000000,"MayCancel":true,"TryLimit":3}}}`, listen, backend)
+}
+
+// freeAddress returns an address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func connect(t *testing.T, address string) (net.Conn, *bufio.Reader, error) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, nil, err
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return c, bufio.NewReader(c), nil
+}
+
+const ask = "GET /read HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nReq-Kind: read\r\n\r\n"
+
+func TestProgramServesAndFinishesWhatItTook(t *testing.T) {
+	arrived, release := make(chan struct{}, 8), make(chan struct{})
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		arrived <- struct{}{}
+		<-release
+		io.WriteString(w, "fine")
+	}))
+	defer backend.Close()
+	address := freeAddress(t)
+	cmd := prepare(t, build(t), configuration(address, backend.Listener.Addr().String()), "serve")
+	cmd.Stderr = os.Stderr
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	defer cmd.Process.Kill()
+
+	var idle, busy net.Conn
+	var idleR, busyR *bufio.Reader
+	for until := time.Now().Add(patience); ; { // until it listens
+		var err error
+		if idle, idleR, err = connect(t, address); err == nil {
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatal(err)
+		}
+	}
+	io.WriteString(idle, "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	if resp, err := http.ReadResponse(idleR, nil); err != nil || resp.StatusCode != 200 {
+		t.Fatalf("/ready: %v, %v", resp, err)
+	}
+	busy, busyR, err := connect(t, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(busy, ask)
+	<-arrived
+
+	told := time.Now()
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	late, lateR, err := connect(t, address)
+	if err == nil {
+		io.WriteString(late, ask)
+	} else if time.Since(told) < 400*time.Millisecond {
+		t.Errorf("a consumer that comes right after SIGTERM: %v", err)
+	}
+	if _, err := idleR.ReadByte(); err != io.EOF {
+		t.Errorf("the idle connection ends with %v", err)
+	}
+	if took := time.Since(told); took < 400*time.Millisecond {
+		t.Errorf("it stopped accepting after %v", took)
+	}
+	select {
+	case <-ended:
+		t.Fatal("it ended with an invocation out")
+	default:
+	}
+	close(release)
+	for _, r := range []*bufio.Reader{busyR, lateR} {
+		if r == nil {
+			continue
+		}
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if body, err := io.ReadAll(resp.Body); resp.StatusCode != 200 || !resp.Close || string(body) != "fine" {
+			t.Errorf("answered %s %q, %v, close %v", resp.Status, body, err, resp.Close)
+		}
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("it ended with %v", err)
+		}
+	case <-time.After(patience):
+		t.Error("it did not end")
+	}
+}
+
+func TestCommandLine(t *testing.T) {
+	program, good := build(t), configuration("127.0.0.1:1", "127.0.0.1:2")
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	for _, tc := range []struct {
+		args, configuration string
+		status              int
+		out                 string
+	}{
+		{"version", good, 0, "ryerill "},
+		{"check", good, 0, "tier 1 of 1, 1 classes, 1 providers known"},
+		{"check", strings.Replace(good, `"Slo":2000000`, `"Slo":"soon"`, 1), 2, `setting Classes.0.Slo: unexpected value "soon"`},
+		{"serve", strings.Replace(good, `"sockets":256`, `"sockets":3`, 1), 2, `limits.sockets: unexpected value "3"`},
+		{"serve", configuration(taken.Addr().String(), "127.0.0.1:2"), 1, "listen for consumers"},
+		{"sing", good, 2, `unknown command "sing"`},
+		{"check twice", good, 2, "unknown command"},
+	} {
+		out, err := prepare(t, program, tc.configuration, strings.Fields(tc.args)...).CombinedOutput()
+		status := 0
+		var exit *exec.ExitError
+		if errors.As(err, &exit) {
+			status = exit.ExitCode()
+		}
+		if status != tc.status || !strings.Contains(string(out), tc.out) {
+			t.Errorf("%s: status %d, %s", tc.args, status, out)
+		}
+	}
+}
--- a/config/config.go
+++ b/config/config.go
@@ -69,13 +69,17 @@
 // Parse reads a configuration from its JSON text and the environment.
 func Parse(text []byte, getenv func(string) string) (Config, error) {
 	var file struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        struct {
-			Cores    *float64
+		Name      string `json:"name"`
+		Listen    string `json:"listen"`
+		Discovery string `json:"discovery"`
+		Seed      string `json:"seed"`
+		Limits    struct {
+			Cores    *float64 `json:"cores"`
 			MemoryMB *float64 `json:"memory_mb"`
-			Sockets  *int
-		}
-		Known, Settings json.RawMessage
+			Sockets  *int     `json:"sockets"`
+		} `json:"limits"`
+		Known    json.RawMessage `json:"known"`
+		Settings json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
 		var wrong *json.UnmarshalTypeError
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,80 @@
+package config
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+const whole = `{"name":"n3","listen":"127.0.0.1:7070","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+ "known":{"index":41,"snapshot":true,"endpoints":[]},
+ "settings":{"Areas":["a","b"],"Kinds":["k"],"Tiers":["front","back"],"Tier":1,"Zone":1,"Me":0,"GroupSize":2,
+  "Discovery":"subscribe","Classes":[{"Name":"read","Slo":1500000,"Deadline":4000000,"Effect":"pure","Worth":3.5}],
+  "Customers":[{"Name":"big one","QuotaPerS":75.5}],"Extra":{"PassesDeadline":false},
+  "Limits":{"IdleClose":5000000,"MayCancel":true},"Contract":{"AnswerSlack":20000}}}`
+
+func none(string) string { return "" }
+
+func TestParseNamesTheFaultyKey(t *testing.T) {
+	for _, tc := range []struct{ name, old, new, want string }{
+		{"whole", "", "", ""},
+		{"unknown keys", `"Extra":`, `"Novelty":`, ""},
+		{"no limits", `"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},`, "", ""},
+		{"not JSON", `{"name"`, `"name"`, "configuration"},
+		{"no listener", `"listen":"127.0.0.1:7070",`, "", `listen: unexpected value ""`},
+		{"a name where an address belongs", `"127.0.0.1:8500"`, `"discovery:8500"`, `discovery: unexpected value "discovery:8500"`},
+		{"seed", "8c1f", "xyz", `seed: unexpected value "xyz`},
+		{"cores", `"cores":1.0`, `"cores":0`, `limits.cores: unexpected value "0"`},
+		{"type of a limit", `"cores":1.0`, `"cores":"one"`, "limits.cores: unexpected value of type string"},
+		{"memory", `"memory_mb":192`, `"memory_mb":1`, `limits.memory_mb: unexpected value "1"`},
+		{"sockets", `"sockets":1024`, `"sockets":8`, `limits.sockets: unexpected value "8"`},
+		{"known", `"index":41`, `"index":"x"`, "known: "},
+		{"no settings", `"settings"`, `"sittings"`, "settings: missing"},
+		{"no classes", `"Classes"`, `"Klasses"`, "setting Classes: "},
+		{"class without a name", `"Name":"read"`, `"Name":""`, "setting Classes.0.Name: "},
+		{"class without a deadline", `"Deadline":4000000`, `"Deadline":0`, "setting Classes.0.Deadline: "},
+		{"number", `"Slo":1500000`, `"Slo":"soon"`, `setting Classes.0.Slo: unexpected value "soon"`},
+		{"boolean", `"MayCancel":true`, `"MayCancel":"perhaps"`, `setting Limits.MayCancel: unexpected value "perhaps"`},
+		{"tier", `"Tier":1`, `"Tier":2`, `setting Tier: unexpected value "2"`},
+		{"zone", `"Zone":1`, `"Zone":9`, `setting Zone: unexpected value "9"`},
+		{"place in the group", `"Me":0`, `"Me":2`, `setting Me: unexpected value "2"`},
+		{"negative time", `"IdleClose":5000000`, `"IdleClose":-1`, "setting Limits.IdleClose: "},
+	} {
+		_, err := Parse([]byte(strings.Replace(whole, tc.old, tc.new, 1)), none)
+		if tc.want == "" && err != nil || tc.want != "" && (err == nil || !strings.Contains(err.Error(), tc.want)) {
+			t.Errorf("%s: got %v, want %q", tc.name, err, tc.want)
+		}
+	}
+}
+
+func TestEnvironmentGoesBeforeTheFile(t *testing.T) {
+	cfg, err := Parse([]byte(whole), func(name string) string {
+		return map[string]string{EnvName: "n9", EnvListen: "127.0.0.9:1"}[name]
+	})
+	if err != nil || cfg.Name != "n9" || cfg.Listen != "127.0.0.9:1" || cfg.Directory != "127.0.0.1:8500" {
+		t.Errorf("%+v, %v", cfg, err)
+	}
+	for _, file := range []string{"", "/nonexistent/config.json"} {
+		if _, err := Load(func(string) string { return file }); err == nil || !strings.Contains(err.Error(), EnvFile) {
+			t.Errorf("file %q: %v", file, err)
+		}
+	}
+}
+
+// Both hosts must tell the Balancer the same.
+func TestPairsAndJSONMeanTheSame(t *testing.T) {
+	cfg, err := Parse([]byte(whole), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pairs, err := SettingsFromPairs("Areas=a,b\nKinds=k\nTiers=front,back\nTier=1\nZone=1\nMe=0\nGroupSize=2\n" +
+		"Discovery=subscribe\nClasses.count=1\nClasses.0.Name=read\nClasses.0.Slo=1500000\nClasses.0.Deadline=4000000\n" +
+		"Classes.0.Effect=pure\nClasses.0.Worth=3.5\nCustomers.count=1\nCustomers.0.Name=big one\n" +
+		"Customers.0.QuotaPerS=75.5\nExtra.PassesDeadline=false\nLimits.IdleClose=5000000\nLimits.MayCancel=true\n" +
+		"Limits.ConnectTimeout=100000\nContract.AnswerSlack=20000\n")
+	if err != nil || !reflect.DeepEqual(cfg.Settings, pairs) || pairs.IdleClose != 5*time.Second {
+		t.Errorf("%v\nJSON  %+v\npairs %+v", err, cfg.Settings, pairs)
+	}
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -34,7 +34,6 @@
 		Short:         "A balancing proxy that sheds load before a chain of services chokes",
 		SilenceUsage:  true,
 		SilenceErrors: true,
-		Args:          cobra.NoArgs,
 	}
 	root.SetArgs(args)
 	root.SetOut(stdout)
--- /dev/null
+++ b/provider/provider_test.go
@@ -0,0 +1,135 @@
+package provider
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"ryerill"
+	"ryerill/internal/buffer"
+)
+
+const okay = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// serve answers each request with text and then does what after says. It
+// counts connections and requests.
+func serve(t *testing.T, text string, after func(net.Conn)) (address string, conns, requests chan struct{}) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	conns, requests = make(chan struct{}, 64), make(chan struct{}, 64)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns <- struct{}{}
+			go func() {
+				defer c.Close()
+				for r := bufio.NewReader(c); ; {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					io.WriteString(c, text)
+					if after != nil {
+						after(c)
+					}
+					requests <- struct{}{}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), conns, requests
+}
+
+func newCall(address string) *Call {
+	return &Call{Request: NewRequest("GET", "/x", "h", http.Header{}, nil), Address: address,
+		Until: time.Now().Add(20 * time.Second), MayStart: func() bool { return true }}
+}
+
+// A connection is used again only while it is sound: a request written to one
+// that the provider has closed would be lost in a reset, and may have run.
+func TestConnectionsAreUsedAgainWhileSound(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		text      string
+		after     func(net.Conn)
+		idleClose time.Duration
+		conns     int
+	}{
+		{"kept", okay, nil, time.Hour, 1},
+		{"closed by the provider", okay, func(c net.Conn) { c.Close() }, time.Hour, 2},
+		{"reset by the provider", okay, func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() }, time.Hour, 2},
+		{"said to be closed", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok", nil, time.Hour, 2},
+		{"more bytes than the answer", okay + "HTTP", nil, time.Hour, 2},
+		{"more bytes later", okay, func(c net.Conn) { io.WriteString(c, "HTTP") }, time.Hour, 2},
+		{"idle for too long", okay, nil, time.Nanosecond, 2},
+	} {
+		address, conns, requests := serve(t, tc.text, tc.after)
+		p := NewPool(8, tc.idleClose, 5*time.Second, new(buffer.Pool))
+		for range 2 {
+			outcome, body := p.Do(newCall(address))
+			if outcome != ryerill.OK || body.Len() != 2 {
+				t.Errorf("%s: %v, %d bytes", tc.name, outcome, body.Len())
+			}
+			<-requests // what the provider does after its answer is done
+		}
+		if len(conns) != tc.conns {
+			t.Errorf("%s: %d connections", tc.name, len(conns))
+		}
+		p.Close()
+	}
+}
+
+// A provider may be told to drain while its connection is being opened: then
+// nothing may be written any more.
+func TestNothingIsWrittenAfterTheRecheck(t *testing.T) {
+	address, _, requests := serve(t, okay, nil)
+	p := NewPool(8, time.Hour, 5*time.Second, new(buffer.Pool))
+	defer p.Close()
+	drained := newCall(address)
+	drained.MayStart = func() bool { return false }
+	if outcome, _ := p.Do(drained); outcome != ryerill.Moot {
+		t.Errorf("drained: %v", outcome)
+	}
+	cancelled := newCall(address)
+	cancelled.Cancel()
+	if outcome, _ := p.Do(cancelled); outcome != ryerill.Cancelled {
+		t.Errorf("cancelled: %v", outcome)
+	}
+	if outcome, _ := p.Do(newCall(address)); outcome != ryerill.OK || len(requests) > 1 {
+		t.Errorf("then: %v, %d requests", outcome, len(requests))
+	}
+}
+
+// At the limit an idle connection makes room, wherever it leads; with none
+// idle the call fails without having been sent.
+func TestPoolStaysUnderItsLimit(t *testing.T) {
+	first, _, _ := serve(t, okay, nil)
+	second, _, _ := serve(t, okay, nil)
+	silent, _, requests := serve(t, "", nil)
+	p := NewPool(1, time.Hour, 5*time.Second, new(buffer.Pool))
+	defer p.Close()
+	for _, address := range []string{first, second, first} {
+		if outcome, _ := p.Do(newCall(address)); outcome != ryerill.OK {
+			t.Errorf("idle makes room: %v", outcome)
+		}
+	}
+	held, over := newCall(silent), make(chan ryerill.Outcome)
+	go func() { outcome, _ := p.Do(held); over <- outcome }()
+	<-requests
+	if outcome, _ := p.Do(newCall(first)); outcome != ryerill.ConnectFailed {
+		t.Errorf("with none idle: %v", outcome)
+	}
+	held.Cancel()
+	if outcome := <-over; outcome != ryerill.Cancelled || p.open != 0 {
+		t.Errorf("called off: %v, %d open", outcome, p.open)
+	}
+}
--- /dev/null
+++ b/proxy/proxy_test.go
@@ -0,0 +1,475 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ryerill"
+	"ryerill/config"
+	"ryerill/directory"
+)
+
+const patience = 20 * time.Second // for what must come; no test waits so long unless it fails
+
+// backend is a provider that does with each request what a test says.
+type backend struct {
+	net.Listener
+	requests, conns atomic.Int64
+	ended           chan struct{} // a connection was closed by the proxy
+}
+
+func newBackend(t *testing.T, behave func(net.Conn, *http.Request)) *backend {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &backend{Listener: l, ended: make(chan struct{}, 64)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b.conns.Add(1)
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						b.ended <- struct{}{}
+						return
+					}
+					body, _ := io.ReadAll(req.Body)
+					req.Body = io.NopCloser(strings.NewReader(string(body)))
+					b.requests.Add(1)
+					behave(c, req)
+				}
+			}()
+		}
+	}()
+	return b
+}
+
+func (b *backend) endpoint(name string, cell int) directory.Endpoint {
+	return directory.Endpoint{Name: name, Address: b.Addr().String(), Zone: "a", Group: cell, Status: directory.Ready}
+}
+
+func says(text string) func(net.Conn, *http.Request) {
+	return func(c net.Conn, _ *http.Request) { io.WriteString(c, text) }
+}
+
+func saysAndCloses(text string) func(net.Conn, *http.Request) {
+	return func(c net.Conn, _ *http.Request) { io.WriteString(c, text); c.Close() }
+}
+
+const okay = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"
+
+// registry is a directory whose lists a test hands out one by one.
+type registry struct {
+	*httptest.Server
+	lists chan string
+	asked chan string // the query of each call
+}
+
+func newRegistry(t *testing.T) *registry {
+	g := &registry{lists: make(chan string), asked: make(chan string, 64)}
+	g.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.asked <- r.URL.RawQuery
+		select {
+		case text := <-g.lists:
+			io.WriteString(w, text)
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(func() { g.CloseClientConnections(); g.Close() })
+	return g
+}
+
+func (g *registry) tell(t *testing.T, list string) {
+	t.Helper()
+	select {
+	case g.lists <- list:
+	case <-time.After(patience):
+		t.Fatal("the directory is not asked")
+	}
+}
+
+func (g *registry) await(t *testing.T, query string) {
+	t.Helper()
+	for {
+		select {
+		case q := <-g.asked:
+			if strings.Contains(q, query) {
+				return
+			}
+		case <-time.After(patience):
+			t.Fatalf("the directory is not asked for %q", query)
+		}
+	}
+}
+
+func encode(t *testing.T, index uint64, snapshot bool, list ...directory.Endpoint) string {
+	t.Helper()
+	text, err := json.Marshal(directory.List{Index: index, Snapshot: snapshot, Endpoints: append([]directory.Endpoint{}, list...)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// start runs a proxy that knows some providers and returns its address.
+// Classes: read is safe, pay is keyed within a cell, burn is unsafe.
+func start(t *testing.T, change func(*config.Config), known ...directory.Endpoint) string {
+	t.Helper()
+	class := func(name string, e ryerill.Effect) ryerill.Class {
+		return ryerill.Class{Name: name, Aim: 2 * time.Second, Deadline: 20 * time.Second, Worth: 1, LateWorth: 0.5,
+			Effect: e, Group: ryerill.GroupCell, Memory: time.Minute}
+	}
+	cfg := config.Config{Name: "n1", Listen: "127.0.0.1:0", Directory: "127.0.0.1:1",
+		Limits: config.Limits{Cores: 1, Memory: 64 << 20, Sockets: 256},
+		Known:  directory.List{Index: 1, Snapshot: true, Endpoints: known},
+		Settings: config.Settings{Zones: []string{"a"}, IdleClose: time.Minute, Balancer: ryerill.Config{
+			Classes: []ryerill.Class{class("read", ryerill.Safe), class("pay", ryerill.Keyed), class("burn", ryerill.Unsafe)},
+			Tiers:   1, GroupSize: 1, Subscribe: true,
+			Limits: ryerill.Limits{Attempts: 3, ConnectTimeout: 5 * time.Second, Cancel: true, RetryAfter: true,
+				MaxRetryAfter: time.Second},
+			Contract: ryerill.Contract{AnswerSlack: 20 * time.Millisecond, AskWithin: 50 * time.Millisecond,
+				ColdFrom: 0.01, WarmUp: time.Hour, FallMultiple: 2, OverloadFor: time.Second}}}}
+	if change != nil {
+		change(&cfg)
+	}
+	p, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	over := make(chan error)
+	go func() { over <- p.Run(ctx) }()
+	t.Cleanup(func() {
+		if stop(); <-over != nil {
+			t.Error("the proxy failed")
+		}
+	})
+	return p.Address()
+}
+
+// client is a consumer's connection.
+type client struct {
+	t *testing.T
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, address string) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &client{t, c, bufio.NewReader(c)}
+}
+
+// ask sends text and returns the status and body of the answer; 0 is none.
+func (c *client) ask(text string) (int, string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return resp.StatusCode, string(body)
+}
+
+func request(class string, ms int) string {
+	return fmt.Sprintf("POST /%s/7?q=%%20x HTTP/1.1\r\nHost: app.svc\r\nReq-Id: 0a1b\r\nReq-Kind: %s\r\nReq-Owner: nobody\r\n"+
+		"Idempotency-Key: k1\r\nReq-Deadline-Ms: %d\r\nContent-Length: 5\r\n\r\nhello", class, class, ms)
+}
+
+func await(t *testing.T, c <-chan struct{}, what string) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(patience):
+		t.Fatal("never: " + what)
+	}
+}
+
+// Rule 1, and the table of outcomes: whatever a provider does, there is one
+// answer, and 200 only for a whole one. An unsafe class shows which outcomes
+// were booked as never having run: they alone may be refused.
+func TestEveryInvocationIsAnsweredByItsOutcome(t *testing.T) {
+	t.Parallel()
+	big := strings.Repeat("x", 64<<10)
+	for _, tc := range []struct {
+		name   string
+		behave func(net.Conn, *http.Request)
+		want   int
+	}{
+		{"served", says(okay), 200},
+		{"largest body", says("HTTP/1.1 200 OK\r\nContent-Length: 65536\r\n\r\n" + big), 200},
+		{"after an interim answer", says("HTTP/1.1 100 Continue\r\n\r\n" + okay), 200},
+		{"chunks", says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"), 200},
+		{"error", says("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"), 502},
+		{"declined", says("HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"), 503},
+		{"declined as over", says("HTTP/1.1 504 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"), 503},
+		{"503 that may have run", says("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), 502},
+		{"error that calls itself declined", says("HTTP/1.1 500 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"), 502},
+		{"no content", says("HTTP/1.1 204 No Content\r\n\r\n"), 502},
+		{"breaks at once", saysAndCloses(""), 502},
+		{"breaks in the head", saysAndCloses("HTTP/1.1 200 OK\r\nConte"), 502},
+		{"breaks in the body", saysAndCloses("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfine"), 502},
+		{"breaks in a chunk", saysAndCloses("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nfine"), 502},
+		{"body too large", says("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\nx" + big), 502},
+		{"garbage", says("\x00\x01garbage\r\n\r\n"), 502},
+		{"silence", says(""), 504},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBackend(t, tc.behave)
+			c := dial(t, start(t, nil, b.endpoint("s1", 1)))
+			ms := 10_000
+			if tc.want == 504 {
+				ms = 1000
+			}
+			status, body := c.ask(request("burn", ms))
+			if status != tc.want || b.requests.Load() != 1 {
+				t.Errorf("answered %d %q, sent %d times", status, body, b.requests.Load())
+			}
+			if status == 200 && body != "fine" && body != big {
+				t.Errorf("the body was changed: %.20q", body)
+			}
+			if status, _ := c.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"); status != 200 {
+				t.Errorf("afterwards the connection answers %d", status)
+			}
+		})
+	}
+	t.Run("connection refused", func(t *testing.T) {
+		t.Parallel()
+		b := newBackend(t, says(""))
+		b.Close()
+		if status, _ := dial(t, start(t, nil, b.endpoint("s1", 1))).ask(request("burn", 10_000)); status != 503 {
+			t.Errorf("answered %d", status)
+		}
+	})
+}
+
+func TestWhatPassesUnchanged(t *testing.T) {
+	t.Parallel()
+	got := make(chan *http.Request, 1)
+	b := newBackend(t, func(c net.Conn, r *http.Request) { got <- r; io.WriteString(c, okay) })
+	dial(t, start(t, nil, b.endpoint("s1", 1))).ask(request("pay", 9000))
+	r := <-got
+	body, _ := io.ReadAll(r.Body)
+	if r.Method != "POST" || r.RequestURI != "/pay/7?q=%20x" || string(body) != "hello" ||
+		r.Header.Get("Req-Id") != "0a1b" || r.Header.Get("Idempotency-Key") != "k1" {
+		t.Errorf("%s %s %q %v", r.Method, r.RequestURI, body, r.Header)
+	}
+	if left := r.Header.Values("Req-Deadline-Ms"); len(left) != 1 || len(left[0]) > 4 || left[0] > "9000" {
+		t.Errorf("time left: %v", left)
+	}
+}
+
+// Rule 2: keyed work that may have run goes again to its cell alone, and is
+// not refused; unsafe work goes nowhere.
+func TestNoRepeatedSideEffects(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		class        string
+		cells        [2]int
+		sent, status int
+	}{
+		{"read", [2]int{1, 2}, 2, 503},
+		{"pay", [2]int{1, 1}, 2, 502},
+		{"pay", [2]int{1, 2}, 1, 502},
+		{"burn", [2]int{1, 1}, 1, 502},
+	} {
+		x, y := newBackend(t, saysAndCloses("")), newBackend(t, saysAndCloses(""))
+		address := start(t, nil, x.endpoint("x", tc.cells[0]), y.endpoint("y", tc.cells[1]))
+		status, _ := dial(t, address).ask(request(tc.class, 10_000))
+		if sent := x.requests.Load() + y.requests.Load(); status != tc.status || sent != int64(tc.sent) {
+			t.Errorf("%s in cells %v: answered %d, sent %d times", tc.class, tc.cells, status, sent)
+		}
+	}
+}
+
+// Rule 3: nothing goes to a provider that is told to drain or gone.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name string
+		list func(directory.Endpoint) string
+	}{
+		{"draining", func(e directory.Endpoint) string { e.Status = directory.Terminating; return encode(t, 2, false, e) }},
+		{"gone", func(e directory.Endpoint) string { e.Status = directory.Gone; return encode(t, 2, false, e) }},
+		{"left out of a whole list", func(directory.Endpoint) string { return encode(t, 2, true) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			b, g := newBackend(t, says(okay)), newRegistry(t)
+			c := dial(t, start(t, func(cfg *config.Config) { cfg.Directory = g.Listener.Addr().String() }, b.endpoint("s1", 1)))
+			if status, _ := c.ask(request("read", 10_000)); status != 200 {
+				t.Fatalf("while ready: %d", status)
+			}
+			g.tell(t, tc.list(b.endpoint("s1", 1)))
+			g.await(t, "since=2") // the change is booked before the next call
+			if status, _ := c.ask(request("read", 10_000)); status != 503 || b.requests.Load() != 1 {
+				t.Errorf("afterwards: %d, sent %d times", status, b.requests.Load())
+			}
+			g.tell(t, encode(t, 3, false, b.endpoint("s1", 1)))
+			g.await(t, "since=3")
+			if status, _ := c.ask(request("read", 10_000)); status != 200 {
+				t.Errorf("ready again: %d", status)
+			}
+		})
+	}
+}
+
+// Rule 4: a provider that has just started gets little. It shows that since_ms
+// and the Balancer's time share their scale, or the start would seem long ago.
+func TestColdProvider(t *testing.T) {
+	t.Parallel()
+	warm, cold := newBackend(t, says(okay)), newBackend(t, says(okay))
+	fresh := cold.endpoint("cold", 1)
+	fresh.SinceMS = time.Now().UnixMilli()
+	c := dial(t, start(t, nil, warm.endpoint("warm", 1), fresh))
+	for range 60 {
+		if status, _ := c.ask(request("read", 10_000)); status != 200 {
+			t.Fatalf("answered %d", status)
+		}
+	}
+	if n := cold.requests.Load(); n > 10 {
+		t.Errorf("%d of 60 went to the cold provider", n)
+	}
+}
+
+func TestConsumerThatLeavesEndsItsCall(t *testing.T) {
+	t.Parallel()
+	sent := make(chan struct{}, 1)
+	b := newBackend(t, func(net.Conn, *http.Request) { sent <- struct{}{} })
+	c := dial(t, start(t, nil, b.endpoint("s1", 1)))
+	io.WriteString(c, request("read", 1_000_000))
+	await(t, sent, "a request at the provider")
+	c.Close()
+	await(t, b.ended, "an end of the invoker call")
+}
+
+func TestDirectoryThatIsDownOrTalksGarbage(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, says(okay))
+	for _, answer := range []string{"", "{", `{"index":9,"snapshot":true}`,
+		`{"index":9,"snapshot":true,"endpoints":[{"name":"s1","status":"Odd"}]}`} {
+		var g *registry
+		address := start(t, func(cfg *config.Config) {
+			if answer != "" {
+				g = newRegistry(t)
+				cfg.Directory = g.Listener.Addr().String()
+			}
+		}, b.endpoint("s1", 1))
+		if g != nil {
+			g.tell(t, answer)
+			g.await(t, "since=1&") // the first call
+			g.await(t, "since=1&") // told again that it failed, the Balancer asks again
+		}
+		c := dial(t, address)
+		if status, _ := c.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"); status != 200 {
+			t.Errorf("%q: /ready answers %d", answer, status)
+		}
+		if status, _ := c.ask(request("read", 10_000)); status != 200 {
+			t.Errorf("%q: the list known before is lost: %d", answer, status)
+		}
+	}
+}
+
+func TestMalformedRequestsGet4xxAndAClosedConnection(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, says(okay))
+	address := start(t, nil, b.endpoint("s1", 1))
+	for _, tc := range []struct {
+		name, text string
+		want       int
+	}{
+		{"no HTTP", "hello\r\n\r\n", 400},
+		{"no id", "GET /read HTTP/1.1\r\nHost: x\r\nReq-Kind: read\r\n\r\n", 400},
+		{"unknown class", "GET /what HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nReq-Kind: what\r\n\r\n", 404},
+		{"deadline", "GET /read HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nReq-Kind: read\r\nReq-Deadline-Ms: soon\r\n\r\n", 400},
+		{"HEAD", "HEAD /read HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nReq-Kind: read\r\n\r\n", 405},
+		{"target", "GET http://x/read HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nReq-Kind: read\r\n\r\n", 400},
+		{"control character", "GET /read HTTP/1.1\r\nHost: x\r\nReq-Id: 1\x01\r\nReq-Kind: read\r\n\r\n", 400},
+		{"length", "POST /read HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nContent-Length: -4\r\n\r\n", 400},
+		{"chunk", "POST /read HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
+		{"large body", "POST /read HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nContent-Length: 65537\r\n\r\n", 413},
+		{"large chunks", "POST /read HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" +
+			strings.Repeat("x", 65537) + "\r\n0\r\n\r\n", 413},
+		{"large head", "GET /read HTTP/1.1\r\nHost: x\r\nReq-Id: " + strings.Repeat("1", 40<<10) + "\r\n\r\n", 431},
+	} {
+		c := dial(t, address)
+		status, _ := c.ask(tc.text)
+		if _, err := c.r.ReadByte(); status != tc.want || err != io.EOF {
+			t.Errorf("%s: answered %d, then %v", tc.name, status, err)
+		}
+	}
+	if n := b.requests.Load(); n != 0 {
+		t.Errorf("%d of them reached a provider", n)
+	}
+	c := dial(t, address)
+	odd := "GET /read HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nReq-Owner: ?\r\nReq-Extra: a=\r\nX-Y: \xff\r\nReq-Deadline-Ms: 99999999999\r\n\r\n"
+	if status, _ := c.ask(odd); status != 200 {
+		t.Errorf("odd but legal headers: %d", status)
+	}
+}
+
+// At the limit on sockets an idle connection makes room; if none is idle, a
+// newcomer is refused.
+func TestConsumersStayUnderTheLimit(t *testing.T) {
+	t.Parallel()
+	hold, sent := make(chan struct{}), make(chan struct{}, 64)
+	defer close(hold)
+	b := newBackend(t, func(c net.Conn, _ *http.Request) { sent <- struct{}{}; <-hold; io.WriteString(c, okay) })
+	address := start(t, func(cfg *config.Config) {
+		cfg.Limits.Sockets = 64          // 16 consumers
+		cfg.Settings.Balancer.Tiers = 10 // room in the limit of the Balancer
+	}, b.endpoint("s1", 1))
+	ready := "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
+	var idle []*client
+	for range 16 {
+		c := dial(t, address)
+		if status, _ := c.ask(ready); status != 200 {
+			t.Fatalf("answered %d", status)
+		}
+		idle = append(idle, c)
+	}
+	for range 16 { // each takes the place of an idle one
+		io.WriteString(dial(t, address), request("read", 1_000_000))
+		await(t, sent, "a request at the provider")
+	}
+	for _, c := range idle {
+		if _, err := c.r.ReadByte(); err != io.EOF {
+			t.Fatalf("an idle connection was not closed: %v", err)
+		}
+	}
+	if status, _ := dial(t, address).ask(request("read", 1_000_000)); status != 503 || b.requests.Load() != 16 {
+		t.Errorf("beyond the limit: %d, %d sent", status, b.requests.Load())
+	}
+}
