--- a/consumer/http.go
+++ b/consumer/http.go
@@ -128,13 +128,12 @@
 // clean reports whether no text that is passed on could be read as more than
 // one line by a provider.
 func clean(req *http.Request) bool {
-	control := func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
-	if strings.ContainsFunc(req.Host, control) || strings.ContainsFunc(req.RequestURI, control) {
+	if !provider.Clean(req.Host) || !provider.Clean(req.RequestURI) {
 		return false
 	}
 	for _, values := range req.Header {
 		for _, value := range values {
-			if strings.ContainsFunc(value, control) {
+			if !provider.Clean(value) {
 				return false
 			}
 		}
@@ -143,11 +142,12 @@
 }
 
 // head returns the head of an answer.
-func head(status, length int, retryAfter time.Duration, closes bool) []byte {
-	b := make([]byte, 0, 128)
+func head(status, length int, header http.Header, retryAfter time.Duration, closes bool) []byte {
+	b := make([]byte, 0, 256)
 	b = append(strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(status), 10), ' ')
 	b = append(append(b, http.StatusText(status)...), "\r\nContent-Length: "...)
 	b = append(strconv.AppendInt(b, int64(length), 10), "\r\n"...)
+	b = provider.AppendHeader(b, header)
 	if retryAfter > 0 {
 		b = strconv.AppendFloat(append(b, "Retry-After: "...), retryAfter.Seconds(), 'f', 3, 64)
 		b = append(b, "\r\n"...)
--- a/consumer/invocation.go
+++ b/consumer/invocation.go
@@ -5,7 +5,6 @@
 import (
 	"time"
 
-	"ryerill/internal/buffer"
 	"ryerill/provider"
 )
 
@@ -38,8 +37,8 @@
 // Answer is the final answer to an invocation.
 type Answer struct {
 	Verdict    Verdict
-	Body       *buffer.Body  // of a provider's answer, if served; the receiver frees it
-	RetryAfter time.Duration // 0 is no advice
+	Response   *provider.Response // if served; the receiver frees it
+	RetryAfter time.Duration      // 0 is no advice
 }
 
 // Intake is what stands behind a protocol: it takes invocations in and sees to
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -238,7 +238,7 @@
 		}
 		if c.refused {
 			inv.Request.Free()
-			c.write(head(http.StatusServiceUnavailable, 0, time.Second, true), nil)
+			c.write(head(http.StatusServiceUnavailable, 0, nil, time.Second, true), nil)
 			c.lingerClose()
 			return
 		}
@@ -266,11 +266,16 @@
 // answer writes a final answer and tells the reader whether the connection
 // goes on.
 func (c *conn) answer(a Answer, closes bool, answered chan<- bool) {
-	defer a.Body.Free()
+	defer a.Response.Free()
 	c.server.mu.Lock()
 	closes = closes || c.server.stopping
 	c.server.mu.Unlock()
-	goesOn := c.write(head(a.Verdict.status(), a.Body.Len(), a.RetryAfter, closes), a.Body) && !closes
+	var header http.Header
+	var body *buffer.Body
+	if a.Response != nil {
+		header, body = a.Response.Header, a.Response.Body
+	}
+	goesOn := c.write(head(a.Verdict.status(), body.Len(), header, a.RetryAfter, closes), body) && !closes
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	answered <- goesOn
@@ -298,7 +303,7 @@
 	if stopping {
 		status, closes = http.StatusServiceUnavailable, true
 	}
-	if !c.write(head(status, 0, 0, closes), nil) || closes {
+	if !c.write(head(status, 0, nil, 0, closes), nil) || closes {
 		return false
 	}
 	c.server.mu.Lock()
@@ -310,7 +315,7 @@
 // reject answers what is no invocation, if there is still somebody to answer.
 func (c *conn) reject(err error) {
 	var e *httpError
-	if errors.As(err, &e) && c.write(head(e.status, 0, 0, true), nil) {
+	if errors.As(err, &e) && c.write(head(e.status, 0, nil, 0, true), nil) {
 		c.lingerClose()
 	}
 }
--- a/provider/call.go
+++ b/provider/call.go
@@ -56,9 +56,22 @@
 	return c.cancelled
 }
 
-// Do makes the call and returns how it ended, and the body of an answer that
-// served. It sends once at most.
-func (p *Pool) Do(c *Call) (ryerill.Outcome, *buffer.Body) {
+// Response is a provider's whole answer that served. A nil Response is empty.
+type Response struct {
+	Header http.Header
+	Body   *buffer.Body
+}
+
+// Free gives the body back.
+func (r *Response) Free() {
+	if r != nil {
+		r.Body.Free()
+	}
+}
+
+// Do makes the call and returns how it ended, and the answer if it served. It
+// sends once at most.
+func (p *Pool) Do(c *Call) (ryerill.Outcome, *Response) {
 	conn, err := p.get(c.Address, c.Until)
 	if err != nil {
 		return ryerill.ConnectFailed, nil
@@ -73,7 +86,7 @@
 		p.put(conn)
 		return ryerill.Moot, nil
 	}
-	outcome, body, again := p.exchange(conn, c)
+	outcome, response, again := p.exchange(conn, c)
 	if c.release() {
 		again = false
 		if outcome != ryerill.OK {
@@ -85,12 +98,12 @@
 	} else {
 		p.drop(conn)
 	}
-	return outcome, body
+	return outcome, response
 }
 
 // exchange writes the request and reads the answer whole. It reports whether
 // the connection may be used again.
-func (p *Pool) exchange(conn *conn, c *Call) (outcome ryerill.Outcome, body *buffer.Body, again bool) {
+func (p *Pool) exchange(conn *conn, c *Call) (outcome ryerill.Outcome, response *Response, again bool) {
 	message := c.Request.body.AppendTo(net.Buffers{c.Request.withTime(time.Until(c.Until))})
 	if _, err := message.WriteTo(conn.Conn); err != nil {
 		return ryerill.ConnectFailed, nil, false // its last byte was never written: it cannot have run
@@ -116,7 +129,7 @@
 		}
 		again = !resp.Close && resp.ProtoAtLeast(1, 1) && conn.r.Buffered() == 0
 		if resp.StatusCode == http.StatusOK {
-			return ryerill.OK, body, again
+			return ryerill.OK, &Response{Header: resp.Header, Body: body}, again
 		}
 		body.Free()
 		declined := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -75,9 +75,9 @@
 		address, conns, requests := serve(t, tc.text, tc.after)
 		p := NewPool(8, tc.idleClose, 5*time.Second, new(buffer.Pool))
 		for range 2 {
-			outcome, body := p.Do(newCall(address))
-			if outcome != ryerill.OK || body.Len() != 2 {
-				t.Errorf("%s: %v, %d bytes", tc.name, outcome, body.Len())
+			outcome, response := p.Do(newCall(address))
+			if outcome != ryerill.OK || response.Body.Len() != 2 {
+				t.Fatalf("%s: %v, %+v", tc.name, outcome, response)
 			}
 			<-requests // what the provider does after its answer is done
 		}
--- a/provider/request.go
+++ b/provider/request.go
@@ -5,6 +5,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"ryerill/internal/buffer"
@@ -27,8 +28,23 @@
 	body   *buffer.Body
 }
 
-// stays reports whether a header is not passed on: it concerns one connection,
-// or is written anew.
+// AppendHeader appends the lines of a header to b. It leaves out what concerns
+// one connection alone, what is written anew, and values that could be read as
+// more than one line.
+func AppendHeader(b []byte, header http.Header) []byte {
+	for name, values := range header {
+		if stays(name) || named(header["Connection"], name) {
+			continue
+		}
+		for _, value := range values {
+			if Clean(value) {
+				b = append(append(append(append(b, name...), ": "...), value...), "\r\n"...)
+			}
+		}
+	}
+	return b
+}
+
 func stays(name string) bool {
 	switch name {
 	case "Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
@@ -38,20 +54,30 @@
 	return false
 }
 
+// named reports whether the values of a Connection header name another header.
+func named(connection []string, name string) bool {
+	for _, value := range connection {
+		for token := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(strings.TrimSpace(token), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Clean reports whether text has no control characters.
+func Clean(text string) bool {
+	return !strings.ContainsFunc(text, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f })
+}
+
 // NewRequest prepares a request. Method, target, headers and body are passed
 // on as they are.
 func NewRequest(method, target, host string, header http.Header, body *buffer.Body) *Request {
 	head := make([]byte, 0, 512)
 	head = append(append(append(append(head, method...), ' '), target...), " HTTP/1.1\r\nHost: "...)
 	head = append(append(head, host...), "\r\n"...)
-	for name, values := range header {
-		if stays(name) {
-			continue
-		}
-		for _, value := range values {
-			head = append(append(append(append(head, name...), ": "...), value...), "\r\n"...)
-		}
-	}
+	head = AppendHeader(head, header)
 	if body.Len() > 0 || method != http.MethodGet {
 		head = append(strconv.AppendInt(append(head, "Content-Length: "...), int64(body.Len()), 10), "\r\n"...)
 	}
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -3,16 +3,16 @@
 import (
 	"ryerill"
 	"ryerill/consumer"
-	"ryerill/internal/buffer"
+	"ryerill/provider"
 )
 
 // book notes how an invoker call ended. The first answer that served goes to
 // the consumer at once and ends the invocation.
-func (c *core) book(k *call, outcome ryerill.Outcome, body *buffer.Body) {
+func (c *core) book(k *call, outcome ryerill.Outcome, response *provider.Response) {
 	e := k.entry
 	e.out--
-	if outcome != ryerill.OK || !c.relay(e, consumer.Answer{Verdict: consumer.Served, Body: body}) {
-		body.Free()
+	if outcome != ryerill.OK || !c.relay(e, consumer.Answer{Verdict: consumer.Served, Response: response}) {
+		response.Free()
 	}
 	c.happen(ryerill.Event{Kind: ryerill.AttemptEnded, Request: e.id, Attempt: k.attempt, Server: k.server,
 		Outcome: outcome, Closed: e.done, Elapsed: c.clock.now() - k.began})
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -78,6 +78,8 @@
 
 const okay = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"
 
+const typed = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Hop: 1\r\nConnection: x-hop\r\nContent-Length: 0\r\n\r\n"
+
 // registry is a directory whose lists a test hands out one by one.
 type registry struct {
 	*httptest.Server
@@ -185,16 +187,23 @@
 	return &client{t, c, bufio.NewReader(c)}
 }
 
-// ask sends text and returns the status and body of the answer; 0 is none.
-func (c *client) ask(text string) (int, string) {
+// send sends text and returns the head of the answer.
+func (c *client) send(text string) *http.Response {
 	c.t.Helper()
 	if _, err := io.WriteString(c, text); err != nil {
 		c.t.Fatal(err)
 	}
 	resp, err := http.ReadResponse(c.r, nil)
 	if err != nil {
-		return 0, err.Error()
+		c.t.Fatal(err)
 	}
+	return resp
+}
+
+// ask sends text and returns the status and body of the answer.
+func (c *client) ask(text string) (int, string) {
+	c.t.Helper()
+	resp := c.send(text)
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
 		c.t.Fatal(err)
@@ -278,8 +287,11 @@
 func TestWhatPassesUnchanged(t *testing.T) {
 	t.Parallel()
 	got := make(chan *http.Request, 1)
-	b := newBackend(t, func(c net.Conn, r *http.Request) { got <- r; io.WriteString(c, okay) })
-	dial(t, start(t, nil, b.endpoint("s1", 1))).ask(request("pay", 9000))
+	b := newBackend(t, func(c net.Conn, r *http.Request) { got <- r; io.WriteString(c, typed) })
+	c := dial(t, start(t, nil, b.endpoint("s1", 1)))
+	if resp := c.send(request("pay", 9000)); resp.Header.Get("Content-Type") != "text/plain" || resp.Header.Get("X-Hop") != "" {
+		t.Errorf("headers of the answer: %v", resp.Header)
+	}
 	r := <-got
 	body, _ := io.ReadAll(r.Body)
 	if r.Method != "POST" || r.RequestURI != "/pay/7?q=%20x" || string(body) != "hello" ||
@@ -347,20 +359,24 @@
 }
 
 // Rule 4: a provider that has just started gets little. It shows that since_ms
-// and the Balancer's time share their scale, or the start would seem long ago.
+// and the Balancer's time share their scale, or all starts would seem recent,
+// or long ago.
 func TestColdProvider(t *testing.T) {
 	t.Parallel()
-	warm, cold := newBackend(t, says(okay)), newBackend(t, says(okay))
-	fresh := cold.endpoint("cold", 1)
-	fresh.SinceMS = time.Now().UnixMilli()
-	c := dial(t, start(t, nil, warm.endpoint("warm", 1), fresh))
-	for range 60 {
-		if status, _ := c.ask(request("read", 10_000)); status != 200 {
-			t.Fatalf("answered %d", status)
+	for _, tc := range []struct {
+		age         time.Duration
+		least, most int64
+	}{{0, 0, 10}, {2 * time.Hour, 60, 60}} {
+		b := newBackend(t, says(okay))
+		e := b.endpoint("s1", 1)
+		e.SinceMS = time.Now().Add(-tc.age).UnixMilli()
+		c := dial(t, start(t, nil, e))
+		for range 60 {
+			c.ask(request("read", 10_000))
+		}
+		if n := b.requests.Load(); n < tc.least || n > tc.most {
+			t.Errorf("started %v ago: %d of 60 sent", tc.age, n)
 		}
-	}
-	if n := cold.requests.Load(); n > 10 {
-		t.Errorf("%d of 60 went to the cold provider", n)
 	}
 }
 
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -2,8 +2,8 @@
 
 // send makes an invoker call and books its end. It runs beside the core.
 func (c *core) send(k *call) {
-	outcome, body := c.pool.Do(&k.Call)
+	outcome, response := c.pool.Do(&k.Call)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.book(k, outcome, body)
+	c.book(k, outcome, response)
 }
