Let go of a failed watch's context and test watch and write failures

Read from the code: each watch that failed left its context with the proxy's, a small leak for as long as a directory is down; and a connection was noted as waiting twice, so that one accepted at the limit could escape being given up. Both are mended.

New: the watch from answer to answer (one connection, a failed call ends it, older changes are not believed), and a request broken off before its last byte, booked as never run.

--- a/consumer/server.go
+++ b/consumer/server.go
@@ -106,7 +106,8 @@
 	for len(s.conns) >= s.most+reserve {
 		s.room.Wait()
 	}
-	c := &conn{server: s, nc: nc, idle: true, since: time.Now()}
+	c := &conn{server: s, nc: nc}
+	c.rest()
 	if len(s.conns) >= s.most {
 		var oldest *conn
 		for other := range s.conns {
@@ -211,9 +212,6 @@
 func (c *conn) serve() {
 	defer c.end()
 	answered := make(chan bool, 1)
-	c.server.mu.Lock()
-	c.rest()
-	c.server.mu.Unlock()
 	for {
 		c.limit.N = maxHead
 		if !c.begin() {
@@ -331,6 +329,7 @@
 
 func (c *conn) end() {
 	c.nc.Close()
+	c.server.buffers.PutReader(c.r)
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	delete(c.server.conns, c)
--- a/directory/client.go
+++ b/directory/client.go
@@ -64,7 +64,11 @@
 	ctx, stop := context.WithCancel(c.ctx)
 	c.stop = stop
 	c.watch++
-	go c.keepWatch(ctx, c.watch)
+	number := c.watch
+	go func() {
+		defer stop() // also when the watch fails: its context must not outlive it
+		c.keepWatch(ctx, number)
+	}()
 }
 
 // Fetch asks once for the whole list. It returns at once.
--- /dev/null
+++ b/directory/client_test.go
@@ -0,0 +1,91 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"ryerill/internal/buffer"
+)
+
+// told passes on what a client is told.
+type told chan string
+
+func (c told) Listed(l List)        { c <- fmt.Sprint("list ", l.Index) }
+func (c told) ListFailed(err error) { c <- "failed" }
+
+// A watch goes on from answer to answer, over one connection while it lasts;
+// when a call fails it is over until the next Subscribe.
+func TestWatch(t *testing.T) {
+	answers := make(chan func(http.ResponseWriter))
+	type call struct{ query, from string }
+	calls := make(chan call, 8)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- call{r.URL.RawQuery, r.RemoteAddr}
+		select {
+		case answer := <-answers:
+			answer(w)
+		case <-r.Context().Done():
+			calls <- call{query: "left"}
+		}
+	}))
+	defer server.Close()
+	news := make(told, 8)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	c := NewClient(ctx, server.Listener.Addr().String(), 0, new(buffer.Pool), news)
+	const list = `{"index":%d,"snapshot":%v,"endpoints":[{"name":"s","status":"Gone"}]}`
+	says := func(index int, whole bool) func(http.ResponseWriter) {
+		return func(w http.ResponseWriter) { fmt.Fprintf(w, list, index, whole) }
+	}
+	closes := func(w http.ResponseWriter) { w.Header().Set("Connection", "close"); fmt.Fprintf(w, list, 6, false) }
+	fails := func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }
+	cut := func(w http.ResponseWriter) { w.Header().Set("Content-Length", "999"); io.WriteString(w, `{"index":7`) }
+
+	before := ""
+	for i, step := range []struct {
+		query  string
+		answer func(http.ResponseWriter)
+		same   bool // the connection of the call before
+		told   string
+	}{
+		{"", says(5, true), false, "list 5"}, // nothing is known: the whole list
+		{"since=5&timeout_ms=20000", closes, true, "list 6"},
+		{"since=6&timeout_ms=20000", fails, false, "failed"},
+		{"since=6&timeout_ms=20000", cut, false, "failed"},
+		{"since=6&timeout_ms=20000", says(3, false), false, "failed"}, // changes of another history
+		{"", says(3, true), false, "list 3"},
+	} {
+		c.Subscribe(true) // of no effect while the watch goes on
+		var got call
+		select {
+		case got = <-calls:
+		case <-time.After(20 * time.Second):
+			t.Fatalf("step %d: no call", i)
+		}
+		if got.query != step.query || (got.from == before) != step.same {
+			t.Errorf("step %d: %+v after %s", i, got, before)
+		}
+		before = got.from
+		answers <- step.answer
+		if text := <-news; text != step.told {
+			t.Errorf("step %d: told %q", i, text)
+		}
+		if step.told == "failed" {
+			for running := true; running; { // until the failed watch has let go
+				c.mu.Lock()
+				running = c.stop != nil
+				c.mu.Unlock()
+			}
+		}
+	}
+	<-calls
+	c.Subscribe(false)
+	if got := <-calls; got.query != "left" || len(news) > 0 {
+		t.Errorf("after the end of the watch: %+v", got)
+	}
+}
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -109,6 +109,38 @@
 	}
 }
 
+// A provider starts on a request when its last byte has arrived: one that
+// breaks off before has not run it, and the call may be made again anywhere.
+func TestBrokenBeforeTheLastByteNeverRan(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			c.Read(make([]byte, 1)) // and leaves the rest unread: the proxy's end is reset
+			c.Close()
+		}
+	}()
+	buffers := new(buffer.Pool)
+	body, err := buffers.ReadBody(io.LimitReader(zeros{}, 32<<20), 32<<20) // more than sockets hold
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := NewPool(8, time.Hour, 5*time.Second, buffers)
+	defer p.Close()
+	c := newCall(l.Addr().String())
+	c.Request = NewRequest("POST", "/x", "h", http.Header{}, body)
+	if outcome, _ := p.Do(c); outcome != ryerill.ConnectFailed || !outcome.NeverRan() {
+		t.Errorf("booked as: %v", outcome)
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
 // At the limit an idle connection makes room, wherever it leads; with none
 // idle the call fails without having been sent.
 func TestPoolStaysUnderItsLimit(t *testing.T) {
