Look at idle connections in one place and name the proxy's front

Both sides looked at sockets with code of their own; internal/socket does it for both. The causes of an unreadable request are told apart in one function instead of two. New takes options, so that New(cfg) is enough, and the protocol stands behind an interface.

--- a/consumer/http.go
+++ b/consumer/http.go
@@ -44,15 +44,7 @@
 	c.limit.N = maxHead
 	req, err := http.ReadRequest(c.r)
 	if err != nil {
-		switch {
-		case c.limit.N <= 0:
-			return nil, nil, &httpError{http.StatusRequestHeaderFieldsTooLarge, "the head is too large"}
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			return nil, nil, &httpError{http.StatusRequestTimeout, "the request did not come in time"}
-		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), c.limit.failed:
-			return nil, nil, err
-		}
-		return nil, nil, &httpError{http.StatusBadRequest, "malformed request"}
+		return nil, nil, c.fault(err, "head", http.StatusRequestHeaderFieldsTooLarge)
 	}
 	if req.ContentLength > provider.MaxBody {
 		return nil, nil, &httpError{http.StatusRequestEntityTooLarge, "the body is too large"}
@@ -67,17 +59,23 @@
 	}
 	c.limit.N = 3 * provider.MaxBody // with the framing of its chunks
 	body, err := c.server.buffers.ReadBody(req.Body, provider.MaxBody)
+	if err != nil {
+		return nil, nil, c.fault(err, "body", http.StatusRequestEntityTooLarge)
+	}
+	return req, body, nil
+}
+
+// fault tells why a part of a request could not be read.
+func (c *conn) fault(err error, part string, tooLarge int) error {
 	switch {
-	case err == nil:
-		return req, body, nil
 	case errors.Is(err, buffer.ErrTooLarge), c.limit.N <= 0:
-		return nil, nil, &httpError{http.StatusRequestEntityTooLarge, "the body is too large"}
+		return &httpError{tooLarge, "the " + part + " is too large"}
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, nil, &httpError{http.StatusRequestTimeout, "the body did not come in time"}
+		return &httpError{http.StatusRequestTimeout, "the " + part + " did not come in time"}
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), c.limit.failed:
-		return nil, nil, err
+		return err
 	}
-	return nil, nil, &httpError{http.StatusBadRequest, "malformed body"}
+	return &httpError{http.StatusBadRequest, "malformed " + part}
 }
 
 // parse turns a request into an invocation. It takes over the body.
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -10,10 +10,10 @@
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"ryerill/internal/buffer"
+	"ryerill/internal/socket"
 )
 
 const (
@@ -181,7 +181,7 @@
 // the connection has ended, or was given up and nothing has come in.
 func (c *conn) begin() bool {
 	_, err := c.r.Peek(1)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.pending() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && socket.Peek(c.nc) == socket.Waiting {
 		c.nc.SetReadDeadline(time.Now().Add(readTimeout))
 		_, err = c.r.Peek(1)
 	}
@@ -195,20 +195,6 @@
 	return true
 }
 
-// pending reports whether bytes have come in that nobody has read.
-func (c *conn) pending() (found bool) {
-	raw, err := c.nc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		found = err == nil && n > 0
-	})
-	return found && err == nil
-}
-
 func (c *conn) serve() {
 	defer c.end()
 	answered := make(chan bool, 1)
--- a/consumer/server_test.go
+++ b/consumer/server_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ryerill/internal/buffer"
+	"ryerill/internal/socket"
 )
 
 // A request that has reached this machine counts as taken: giving up its
@@ -35,7 +36,7 @@
 		c := &conn{server: s, nc: nc, limit: limitReader{r: nc, N: maxHead}, idle: true}
 		c.r = s.buffers.Reader(&c.limit)
 		io.WriteString(client, tc.text)
-		for until := time.Now().Add(20 * time.Second); c.pending() != tc.want && time.Now().Before(until); {
+		for until := time.Now().Add(20 * time.Second); (socket.Peek(nc) == socket.Waiting) != tc.want && time.Now().Before(until); {
 			runtime.Gosched() // until the bytes have come in
 		}
 		s.mu.Lock()
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -89,7 +89,7 @@
 	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	p, err := proxy.New(cfg, logging.New(stderr))
+	p, err := proxy.New(cfg, proxy.WithLogger(logging.New(stderr)))
 	if err != nil {
 		return runError{err}
 	}
--- /dev/null
+++ b/internal/socket/peek.go
@@ -0,0 +1,40 @@
+// Package socket looks at connections without reading from them.
+package socket
+
+import (
+	"errors"
+	"syscall"
+)
+
+// State is what a look at a connection's receiving end shows.
+type State uint8
+
+// The states of a connection.
+const (
+	Quiet   State = iota // open, and nothing has come in
+	Waiting              // bytes have come in that nobody has read
+	Ended                // closed or broken by the other side
+)
+
+// Peek looks at a connection. It does not wait and takes nothing from it.
+func Peek(c syscall.Conn) State {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return Ended
+	}
+	state := Ended
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, syscall.EAGAIN):
+			state = Quiet
+		case err == nil && n > 0:
+			state = Waiting
+		}
+	})
+	if err != nil {
+		return Ended
+	}
+	return state
+}
--- a/provider/call.go
+++ b/provider/call.go
@@ -105,7 +105,7 @@
 // the connection may be used again.
 func (p *Pool) exchange(conn *conn, c *Call) (outcome ryerill.Outcome, response *Response, again bool) {
 	message := c.Request.body.AppendTo(net.Buffers{c.Request.withTime(time.Until(c.Until))})
-	if _, err := message.WriteTo(conn.Conn); err != nil {
+	if _, err := message.WriteTo(conn.TCPConn); err != nil {
 		return ryerill.ConnectFailed, nil, false // its last byte was never written: it cannot have run
 	}
 	conn.limit.N = maxAnswer
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -6,10 +6,10 @@
 	"io"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"ryerill/internal/buffer"
+	"ryerill/internal/socket"
 )
 
 // idleMargin is how long before the provider's machine may close an idle
@@ -39,7 +39,7 @@
 }
 
 type conn struct {
-	net.Conn
+	*net.TCPConn
 	address string
 	limit   io.LimitedReader
 	r       *bufio.Reader
@@ -60,7 +60,8 @@
 	for list := p.idle[address]; len(list) > 0; list = p.idle[address] {
 		c := list[len(list)-1]
 		p.idle[address] = list[:len(list)-1]
-		if time.Since(c.since) < p.keep && c.sound() {
+		// Sound is a connection on which nothing has come in, neither bytes that no request asked for nor its end.
+		if time.Since(c.since) < p.keep && socket.Peek(c) == socket.Quiet {
 			p.mu.Unlock()
 			return c, nil
 		}
@@ -82,28 +83,12 @@
 		p.mu.Unlock()
 		return nil, err
 	}
-	c := &conn{Conn: raw, address: address}
+	c := &conn{TCPConn: raw.(*net.TCPConn), address: address}
 	c.limit.R = raw
 	c.r = p.buffers.Reader(&c.limit)
 	return c, nil
 }
 
-// sound reports whether an idle connection is still whole: nothing has come
-// in on it, neither bytes that no request asked for nor its end.
-func (c *conn) sound() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	sound := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		sound = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && sound
-}
-
 // put takes back a connection on which nothing is out.
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -24,17 +24,35 @@
 // the runtime's own descriptors.
 const spareSockets = 16
 
+// front is a protocol before the core: it brings invocations in and carries
+// their answers out.
+type front interface {
+	// Serve hands invocations over until ctx ends and all of them have been answered.
+	Serve(ctx context.Context, intake consumer.Intake) error
+	Address() string
+}
+
 // Proxy balances invocations over the providers of one tier.
 type Proxy struct {
 	cfg     config.Config
 	log     *slog.Logger
 	buffers *buffer.Pool
-	server  *consumer.Server
+	front   front
 }
 
+// Option changes how a proxy is made.
+type Option func(*Proxy)
+
+// WithLogger makes the proxy log to log, which must not block, in place of
+// slog's default.
+func WithLogger(log *slog.Logger) Option { return func(p *Proxy) { p.log = log } }
+
 // New returns a proxy that listens already; consumers wait until Run.
-func New(cfg config.Config, log *slog.Logger) (*Proxy, error) {
-	p := &Proxy{cfg: cfg, log: log, buffers: new(buffer.Pool)}
+func New(cfg config.Config, options ...Option) (*Proxy, error) {
+	p := &Proxy{cfg: cfg, log: slog.Default(), buffers: new(buffer.Pool)}
+	for _, option := range options {
+		option(p)
+	}
 	b := &cfg.Settings.Balancer
 	var names consumer.Names
 	for _, c := range b.Classes {
@@ -48,12 +66,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("proxy %s: %w", cfg.Name, err)
 	}
-	p.server = server
+	p.front = server
 	return p, nil
 }
 
 // Address returns the address that consumers reach the proxy at.
-func (p *Proxy) Address() string { return p.server.Address() }
+func (p *Proxy) Address() string { return p.front.Address() }
 
 // Run serves until ctx ends and all that was taken in has been answered.
 func (p *Proxy) Run(ctx context.Context) error {
@@ -77,7 +95,7 @@
 	c.list(ryerill.ListCached, p.cfg.Known)
 	c.mu.Unlock()
 	p.log.Info("serving", "name", p.cfg.Name, "tier", settings.Balancer.Tier, "address", p.Address())
-	if err := p.server.Serve(ctx, c); err != nil {
+	if err := p.front.Serve(ctx, c); err != nil {
 		return fmt.Errorf("proxy %s: %w", p.cfg.Name, err)
 	}
 	return nil
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -154,7 +154,7 @@
 	if change != nil {
 		change(&cfg)
 	}
-	p, err := New(cfg, slog.New(slog.DiscardHandler))
+	p, err := New(cfg, WithLogger(slog.New(slog.DiscardHandler)))
 	if err != nil {
 		t.Fatal(err)
 	}
