Answer what is taken in even if the decision code breaks down

A panic of the Balancer over one event would have ended the program, and with it all that it had taken. Now the invocation concerned fails at once and the others go on; the log says so.

--- a/proxy/core.go
+++ b/proxy/core.go
@@ -63,7 +63,7 @@
 	}
 	c.busy = true
 	for i := 0; i < len(c.queue); i++ {
-		c.actions = c.balancer.Handle(c.clock.now(), c.queue[i], c.actions[:0])
+		c.decide(c.queue[i])
 		for j := range c.actions {
 			c.carryOut(&c.actions[j])
 		}
@@ -72,6 +72,22 @@
 	c.queue, c.busy = c.queue[:0], false
 }
 
+// decide asks the Balancer. Should the decision code break down over one
+// event, the others still deserve an answer: an invocation that it could not
+// decide fails at once, and what else is owed is answered when its time is over.
+func (c *core) decide(ev ryerill.Event) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.log.Error("the decision code broke down", "panic", fmt.Sprint(p), "event", ev.Kind)
+			c.actions = c.actions[:0]
+			if ev.Kind == ryerill.Arrival {
+				c.actions = append(c.actions, ryerill.Action{Kind: ryerill.Fail, Request: ev.Request})
+			}
+		}
+	}()
+	c.actions = c.balancer.Handle(c.clock.now(), ev, c.actions[:0])
+}
+
 // carryOut does what one action says.
 func (c *core) carryOut(a *ryerill.Action) {
 	switch a.Kind {
