Reload the configuration on SIGHUP and move the directory's watch

Cause: internal/command caught SIGTERM and SIGINT only, and directory.Client kept one address for life (NewClient, get). config.Load lets ROUTER_DISCOVERY go before the file, so that a mere second Load would have kept the old address. Excluded: that the new directory could be asked on from the old version: TestMove's second directory counts from 3 while the first stood at 41, and the list would have been refused. Now SIGHUP is caught before anything is read; config.Reload lets the file's directory win; a torn or faulty file is logged and changes nothing; Move lets the old call go, asks for the whole list at once and tells nothing of the old directory afterwards.

--- a/cmd/ryerill/main_test.go
+++ b/cmd/ryerill/main_test.go
@@ -51,23 +51,26 @@
 }
 
 // addressOf reads a program's log until it tells where it serves, and goes on
-// reading lest the program's log fill up.
-func addressOf(t *testing.T, log io.Reader) string {
+// reading lest the program's log fill up. What the log says of reloads is
+// passed on.
+func addressOf(t *testing.T, log io.Reader) (string, <-chan string) {
 	t.Helper()
-	found := make(chan string, 1)
+	found, reloads := make(chan string, 1), make(chan string, 8)
 	go func() {
 		for lines := bufio.NewScanner(log); lines.Scan(); {
 			if _, address, ok := strings.Cut(lines.Text(), "address="); ok && strings.Contains(lines.Text(), "msg=serving") {
 				found <- address
+			} else if strings.Contains(lines.Text(), "reloaded") {
+				reloads <- lines.Text()
 			}
 		}
 	}()
 	select {
 	case address := <-found:
-		return address
+		return address, reloads
 	case <-time.After(patience):
 		t.Fatal("it does not say where it serves")
-		return ""
+		return "", nil
 	}
 }
 
@@ -101,7 +104,7 @@
 		t.Fatal(err)
 	}
 	defer cmd.Process.Kill()
-	address := addressOf(t, log)
+	address, _ := addressOf(t, log)
 	ended := make(chan error, 1)
 	go func() { ended <- cmd.Wait() }()
 	idle, idleR, err := connect(t, address)
@@ -166,6 +169,99 @@
 	}
 }
 
+// SIGHUP under load: a torn file leaves everything as it was, a good one moves
+// the watch to the directory that it names, and no invocation suffers.
+func TestReloadUnderLoad(t *testing.T) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "fine") }))
+	defer backend.Close()
+	asked := make(chan string, 64)
+	directory := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if asked <- r.URL.RawQuery; r.URL.RawQuery == "" {
+			fmt.Fprintf(w, `{"index":1,"snapshot":true,"endpoints":[{"name":"s2","address":%q,"zone":"a","status":"Ready"}]}`,
+				backend.Listener.Addr())
+			return
+		}
+		<-r.Context().Done()
+	}))
+	defer directory.Close()
+	defer directory.CloseClientConnections()
+	first := configuration("127.0.0.1:0", backend.Listener.Addr().String())
+	cmd := prepare(t, build(t), first, "serve")
+	cmd.Env = append(cmd.Env, "ROUTER_DISCOVERY=127.0.0.1:1") // as at the start, for ever
+	var file string
+	for _, variable := range cmd.Env {
+		if value, ok := strings.CutPrefix(variable, "ROUTER_CONFIG="); ok {
+			file = value
+		}
+	}
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	address, reloads := addressOf(t, log)
+	stop, over := make(chan struct{}), make(chan error, 2)
+	for range cap(over) {
+		go func() {
+			c, r, err := connect(t, address)
+			for err == nil {
+				select {
+				case <-stop:
+					over <- nil
+					return
+				default:
+				}
+				var resp *http.Response
+				io.WriteString(c, ask)
+				if resp, err = http.ReadResponse(r, nil); err == nil {
+					if io.Copy(io.Discard, resp.Body); resp.StatusCode != 200 {
+						err = errors.New(resp.Status)
+					}
+				}
+			}
+			over <- err
+		}()
+	}
+	for _, step := range []struct{ text, says string }{
+		{first[:len(first)/2], "not reloaded"},
+		{strings.Replace(first, "127.0.0.1:1", directory.Listener.Addr().String(), 1), "configuration reloaded"},
+	} {
+		if err := os.WriteFile(file, []byte(step.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case line := <-reloads:
+			if !strings.Contains(line, step.says) {
+				t.Errorf("after SIGHUP it says %s", line)
+			}
+		case <-time.After(patience):
+			t.Fatal("nothing happens on SIGHUP")
+		}
+	}
+	for _, query := range []string{"", "since=1&timeout_ms=20000"} {
+		select {
+		case got := <-asked:
+			if got != query {
+				t.Errorf("the new directory is asked for %q", got)
+			}
+		case <-time.After(patience):
+			t.Fatal("the new directory is not asked")
+		}
+	}
+	close(stop)
+	for range cap(over) {
+		if err := <-over; err != nil {
+			t.Errorf("an invocation meanwhile: %v", err)
+		}
+	}
+}
+
 func TestCommandLine(t *testing.T) {
 	program, good := build(t), configuration("127.0.0.1:1", "127.0.0.1:2")
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
--- a/config/config.go
+++ b/config/config.go
@@ -54,7 +54,14 @@
 }
 
 // Load reads the configuration that the environment names.
-func Load(getenv func(string) string) (Config, error) {
+func Load(getenv func(string) string) (Config, error) { return load(getenv, false) }
+
+// Reload reads the configuration anew while a proxy runs. The environment is
+// still that of the start and cannot follow the file: a directory that the
+// file names goes before it now.
+func Reload(getenv func(string) string) (Config, error) { return load(getenv, true) }
+
+func load(getenv func(string) string, again bool) (Config, error) {
 	file := getenv(EnvFile)
 	if file == "" {
 		return Config{}, fmt.Errorf("%s: not set", EnvFile)
@@ -63,11 +70,15 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("%s: %w", EnvFile, err)
 	}
-	return Parse(text, getenv)
+	return parse(text, getenv, again)
 }
 
 // Parse reads a configuration from its JSON text and the environment.
 func Parse(text []byte, getenv func(string) string) (Config, error) {
+	return parse(text, getenv, false)
+}
+
+func parse(text []byte, getenv func(string) string, again bool) (Config, error) {
 	var file struct {
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
@@ -93,6 +104,9 @@
 		Listen:    orElse(getenv(EnvListen), file.Listen),
 		Directory: orElse(getenv(EnvDirectory), file.Discovery),
 	}
+	if again {
+		cfg.Directory = orElse(file.Discovery, cfg.Directory)
+	}
 	var problems []error
 	bad := func(key string, value any, want string) {
 		problems = append(problems, fmt.Errorf("%s: unexpected value %q, want %s", key, fmt.Sprint(value), want))
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"os"
+	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
@@ -63,6 +65,35 @@
 	}
 }
 
+// At a reload the variables are still those of the start: the file's directory
+// goes before them, and only if it names none do they hold. The rest of the
+// file is checked as at the start.
+func TestReload(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "config.json")
+	getenv := func(name string) string {
+		return map[string]string{EnvFile: file, EnvDirectory: "127.0.0.1:9", EnvListen: "127.0.0.9:1"}[name]
+	}
+	for _, tc := range []struct{ name, text, directory, err string }{
+		{"another directory", whole, "127.0.0.1:8500", ""},
+		{"none named", strings.Replace(whole, `"discovery":"127.0.0.1:8500",`, "", 1), "127.0.0.1:9", ""},
+		{"torn", whole[:len(whole)/2], "", "configuration: "},
+		{"empty", "", "", "configuration: "},
+		{"faulty", strings.Replace(whole, "127.0.0.1:8500", "nowhere", 1), "", "discovery: "},
+	} {
+		if err := os.WriteFile(file, []byte(tc.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cfg, err := Reload(getenv)
+		if tc.err == "" && (err != nil || cfg.Directory != tc.directory || cfg.Listen != "127.0.0.9:1") ||
+			tc.err != "" && (err == nil || !strings.Contains(err.Error(), tc.err)) {
+			t.Errorf("%s: %+v, %v", tc.name, cfg, err)
+		}
+		if first, err := Load(getenv); err == nil && first.Directory != "127.0.0.1:9" {
+			t.Errorf("%s: at the start %q", tc.name, first.Directory)
+		}
+	}
+}
+
 // Both hosts must tell the Balancer the same.
 func TestPairsAndJSONMeanTheSame(t *testing.T) {
 	cfg, err := Parse([]byte(whole), none)
--- a/directory/client.go
+++ b/directory/client.go
@@ -29,18 +29,25 @@
 	ListFailed(error) // a call failed, or the watch ended; what was listed still holds
 }
 
+// errMoved ends a call to a directory that is no longer the one to ask.
+var errMoved = errors.New("another directory is asked now")
+
 // Client speaks to the directory. It calls only when told to.
 type Client struct {
-	address string
 	sink    Sink
 	buffers *buffer.Pool
 	dial    net.Dialer
 	ctx     context.Context // ends with the proxy; calls are made in the background
 
-	mu    sync.Mutex
-	index uint64             // of the newest answer; 0 is none
-	stop  context.CancelFunc // ends the watch; nil is none
-	watch int                // number of the newest watch
+	telling sync.Mutex // held while the sink is told, so that nothing of an old directory follows Move
+
+	mu      sync.Mutex
+	address string
+	moves   int                // how often the address has changed
+	index   uint64             // of the newest answer; 0 is none
+	wanted  bool               // a watch is, even if it has failed
+	stop    context.CancelFunc // ends the watch; nil is none
+	watch   int                // number of the newest watch
 }
 
 // NewClient returns a client of the directory at address, whose calls end with
@@ -53,6 +60,7 @@
 func (c *Client) Subscribe(on bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.wanted = on
 	if on == (c.stop != nil) {
 		return
 	}
@@ -61,34 +69,59 @@
 		c.stop = nil
 		return
 	}
+	c.start()
+}
+
+// start starts a watch. The mutex is held.
+func (c *Client) start() {
 	ctx, stop := context.WithCancel(c.ctx)
 	c.stop = stop
 	c.watch++
-	number := c.watch
+	number, l := c.watch, c.line()
 	go func() {
 		defer stop() // also when the watch fails: its context must not outlive it
-		c.keepWatch(ctx, number)
+		defer l.close()
+		c.keepWatch(ctx, number, l)
 	}()
 }
 
+// Move makes address the directory to ask. A watch goes on there at once and
+// with the whole list, as another directory may count its versions otherwise;
+// the call that is out at the old one is let go. Once Move has returned, the
+// sink is told nothing more of the old directory.
+func (c *Client) Move(address string) {
+	c.telling.Lock()
+	defer c.telling.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if address == c.address {
+		return
+	}
+	c.address, c.index = address, 0
+	c.moves++
+	if c.wanted { // a watch that has just failed would be started again only after a pause
+		if c.stop != nil {
+			c.stop()
+		}
+		c.start()
+	}
+}
+
 // Fetch asks once for the whole list. It returns at once.
 func (c *Client) Fetch() {
+	c.mu.Lock()
+	l := c.line()
+	c.mu.Unlock()
 	go func() {
-		line := line{buffers: c.buffers}
-		defer line.close()
-		if list, err := c.get(c.ctx, &line, path, 0); err != nil {
-			c.failed(c.ctx, err)
-		} else {
-			c.sink.Listed(list)
-		}
+		defer l.close()
+		list, err := c.get(c.ctx, l, path, 0)
+		c.tell(c.ctx, l, list, err)
 	}()
 }
 
 // keepWatch calls again as soon as an answer is in: a watch is over 200 ms
 // after its last answer, and what changes in between counts as told.
-func (c *Client) keepWatch(ctx context.Context, number int) {
-	line := line{buffers: c.buffers}
-	defer line.close()
+func (c *Client) keepWatch(ctx context.Context, number int, l *line) {
 	for {
 		c.mu.Lock()
 		since := c.index
@@ -99,20 +132,17 @@
 			wait = watchFor
 		}
 		began := time.Now()
-		list, err := c.get(ctx, &line, target, wait)
+		list, err := c.get(ctx, l, target, wait)
 		if err != nil {
 			c.mu.Lock()
 			if c.watch == number {
 				c.stop = nil
 			}
 			c.mu.Unlock()
-			c.failed(ctx, err)
-			return
 		}
-		if ctx.Err() != nil {
+		if !c.tell(ctx, l, list, err) {
 			return
 		}
-		c.sink.Listed(list)
 		if len(list.Endpoints) == 0 && time.Since(began) < wait/2 { // no reason to spin
 			select {
 			case <-ctx.Done():
@@ -123,19 +153,39 @@
 	}
 }
 
-func (c *Client) failed(ctx context.Context, err error) {
-	if ctx.Err() == nil {
-		c.sink.ListFailed(fmt.Errorf("directory %s: %w", c.address, err))
+// tell passes on how a call ended, unless nobody waits for it any more. It
+// reports whether it has passed on a list.
+func (c *Client) tell(ctx context.Context, l *line, list List, err error) bool {
+	c.telling.Lock()
+	defer c.telling.Unlock()
+	c.mu.Lock()
+	current := l.moves == c.moves
+	c.mu.Unlock()
+	switch {
+	case !current || ctx.Err() != nil:
+		return false
+	case err != nil:
+		c.sink.ListFailed(fmt.Errorf("directory %s: %w", l.address, err))
+		return false
 	}
+	c.sink.Listed(list)
+	return true
 }
 
-// line is a connection to the directory, kept from call to call.
+// line is a connection to a directory, kept from call to call.
 type line struct {
+	address string
+	moves   int // of the client when the line was made: one of earlier leads to an old directory
 	conn    net.Conn
 	r       *bufio.Reader
 	buffers *buffer.Pool
 }
 
+// line returns a line to the present directory. The mutex is held.
+func (c *Client) line() *line {
+	return &line{address: c.address, moves: c.moves, buffers: c.buffers}
+}
+
 func (l *line) close() {
 	if l.conn != nil {
 		l.conn.Close()
@@ -150,7 +200,7 @@
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	if l.conn == nil {
-		conn, err := c.dial.DialContext(ctx, "tcp", c.address)
+		conn, err := c.dial.DialContext(ctx, "tcp", l.address)
 		if err != nil {
 			return List{}, err
 		}
@@ -167,6 +217,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if l.moves != c.moves {
+		return List{}, errMoved
+	}
 	if list.Index < c.index && !list.Snapshot {
 		c.index = 0 // changes of another history: the next call asks for the whole list
 		return List{}, fmt.Errorf("answer %d is older than what is held", list.Index)
@@ -179,7 +232,7 @@
 	if err := l.conn.SetDeadline(until); err != nil {
 		return list, false, err
 	}
-	if _, err := io.WriteString(l.conn, "GET "+target+" HTTP/1.1\r\nHost: "+c.address+"\r\n\r\n"); err != nil {
+	if _, err := io.WriteString(l.conn, "GET "+target+" HTTP/1.1\r\nHost: "+l.address+"\r\n\r\n"); err != nil {
 		return list, false, err
 	}
 	resp, err := http.ReadResponse(l.r, nil)
--- a/directory/client_test.go
+++ b/directory/client_test.go
@@ -89,3 +89,68 @@
 		t.Errorf("after the end of the watch: %+v", got)
 	}
 }
+
+// A watch that is moved lets go of the old directory and asks the new one for
+// the whole list, whatever version it held; nothing of the old one is told
+// afterwards. Without this a reload would leave the proxy with a dead list.
+func TestMove(t *testing.T) {
+	type call struct {
+		query string
+		w     http.ResponseWriter
+		done  chan struct{}
+		left  <-chan struct{}
+	}
+	serve := func() (string, chan call) {
+		calls := make(chan call, 8)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			c := call{r.URL.RawQuery, w, make(chan struct{}), r.Context().Done()}
+			calls <- c
+			select {
+			case <-c.done:
+			case <-c.left:
+			}
+		}))
+		t.Cleanup(server.Close)
+		return server.Listener.Addr().String(), calls
+	}
+	next := func(calls chan call, query string) call {
+		t.Helper()
+		select {
+		case c := <-calls:
+			if c.query != query {
+				t.Fatalf("asked for %q, want %q", c.query, query)
+			}
+			return c
+		case <-time.After(20 * time.Second):
+			t.Fatal("no call")
+			return call{}
+		}
+	}
+	answer := func(c call, text string) { io.WriteString(c.w, text); close(c.done) }
+	old, oldCalls := serve()
+	fresh, freshCalls := serve()
+	news := make(told, 8)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	c := NewClient(ctx, old, 41, new(buffer.Pool), news)
+	c.Subscribe(true)
+	waiting := next(oldCalls, "since=41&timeout_ms=20000")
+	c.Move(old) // the same again changes nothing
+	c.Move(fresh)
+	<-waiting.left
+	answer(next(freshCalls, ""), `{"index":3,"snapshot":true,"endpoints":[]}`)
+	if text := <-news; text != "list 3" {
+		t.Errorf("told %q", text)
+	}
+	failing := next(freshCalls, "since=3&timeout_ms=20000")
+	failing.w.WriteHeader(http.StatusServiceUnavailable)
+	close(failing.done)
+	if text := <-news; text != "failed" {
+		t.Errorf("told %q", text)
+	}
+	c.Move(old) // while no watch is on: it has failed and would be started again only later
+	next(oldCalls, "")
+	if len(oldCalls)+len(freshCalls)+len(news) > 0 {
+		t.Errorf("%d and %d more calls, %d more told", len(oldCalls), len(freshCalls), len(news))
+	}
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math"
+	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
@@ -39,7 +40,7 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	root.AddCommand(
-		&cobra.Command{Use: "serve", Short: "Serve until SIGTERM, then finish what was taken", Args: cobra.NoArgs,
+		&cobra.Command{Use: "serve", Short: "Serve until SIGTERM, then finish what was taken; SIGHUP reloads the configuration", Args: cobra.NoArgs,
 			RunE: func(*cobra.Command, []string) error { return serve(getenv, stderr) }},
 		&cobra.Command{Use: "check", Short: "Read the configuration and name what is at fault", Args: cobra.NoArgs,
 			RunE: func(*cobra.Command, []string) error {
@@ -80,6 +81,9 @@
 }
 
 func serve(getenv func(string) string, stderr io.Writer) error {
+	// Caught from the first moment on and until the process is gone: by itself the signal would end it.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	cfg, err := config.Load(getenv)
 	if err != nil {
 		return err
@@ -89,10 +93,20 @@
 	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	p, err := proxy.New(cfg, proxy.WithLogger(logging.New(stderr)))
+	log := logging.New(stderr)
+	p, err := proxy.New(cfg, proxy.WithLogger(log))
 	if err != nil {
 		return runError{err}
 	}
+	go func() {
+		for range reload {
+			if cfg, err := config.Reload(getenv); err != nil {
+				log.Error("configuration not reloaded, the old one holds", "error", err)
+			} else {
+				p.Reload(cfg)
+			}
+		}
+	}()
 	if err := p.Run(ctx); err != nil {
 		return runError{err}
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -10,6 +10,8 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"reflect"
+	"sync"
 	"time"
 
 	"ryerill"
@@ -34,10 +36,13 @@
 
 // Proxy balances invocations over the providers of one tier.
 type Proxy struct {
-	cfg     config.Config
 	log     *slog.Logger
 	buffers *buffer.Pool
 	front   front
+
+	mu        sync.Mutex
+	cfg       config.Config
+	directory *directory.Client // nil until Run
 }
 
 // Option changes how a proxy is made.
@@ -75,28 +80,51 @@
 
 // Run serves until ctx ends and all that was taken in has been answered.
 func (p *Proxy) Run(ctx context.Context) error {
-	settings := p.cfg.Settings
+	p.mu.Lock()
+	cfg := p.cfg
+	p.mu.Unlock()
+	settings := cfg.Settings
 	limits := settings.Balancer.Limits
-	pool := provider.NewPool((p.cfg.Limits.Sockets-spareSockets)/2, settings.IdleClose, limits.ConnectTimeout, p.buffers)
+	pool := provider.NewPool((cfg.Limits.Sockets-spareSockets)/2, settings.IdleClose, limits.ConnectTimeout, p.buffers)
 	defer pool.Close()
 	c := &core{
 		log:       p.log,
 		clock:     clock{time.Now()},
 		settings:  settings,
 		pool:      pool,
-		balancer:  ryerill.New(settings.Balancer, p.cfg.Seed),
+		balancer:  ryerill.New(settings.Balancer, cfg.Seed),
 		open:      make(map[ryerill.RequestID]*entry),
 		providers: make(map[ryerill.ServerID]*target),
 	}
 	life, end := context.WithCancel(context.WithoutCancel(ctx)) // the list is watched until the last answer
 	defer end()
-	c.directory = directory.NewClient(life, p.cfg.Directory, p.cfg.Known.Index, p.buffers, c)
+	p.mu.Lock()
+	c.directory = directory.NewClient(life, p.cfg.Directory, cfg.Known.Index, p.buffers, c)
+	p.directory = c.directory
+	p.mu.Unlock()
 	c.mu.Lock()
-	c.list(ryerill.ListCached, p.cfg.Known)
+	c.list(ryerill.ListCached, cfg.Known)
 	c.mu.Unlock()
-	p.log.Info("serving", "name", p.cfg.Name, "tier", settings.Balancer.Tier, "address", p.Address())
+	p.log.Info("serving", "name", cfg.Name, "tier", settings.Balancer.Tier, "address", p.Address())
 	if err := p.front.Serve(ctx, c); err != nil {
-		return fmt.Errorf("proxy %s: %w", p.cfg.Name, err)
+		return fmt.Errorf("proxy %s: %w", cfg.Name, err)
 	}
 	return nil
 }
+
+// Reload takes over what may change while a proxy runs: the address of the
+// directory. What else a configuration says holds from the next start on.
+// Nothing that is open is disturbed.
+func (p *Proxy) Reload(cfg config.Config) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.cfg
+	p.cfg.Directory = cfg.Directory
+	if p.directory != nil {
+		p.directory.Move(cfg.Directory)
+	}
+	later := old.Name != cfg.Name || old.Listen != cfg.Listen || old.Limits != cfg.Limits ||
+		!reflect.DeepEqual(old.Settings, cfg.Settings)
+	p.log.Info("configuration reloaded", "discovery", cfg.Directory, "moved", old.Directory != cfg.Directory,
+		"restart needed for the rest", later)
+}
