Watch the directory from version 0 on instead of asking for the whole list for ever

A probe of each call showed /v1/endpoints without since= every time, each answered with version 0. Cause: directory.Client took index 0 for "no list" (keepWatch, since > 0; get, c.index = 0), so that a directory whose first version is 0 was never watched until its first change. Excluded: the Balancer's pauses (they are as set, 1 to 3 s) and a slow directory (a call that waits its turn is answered within 0.97 s). Now whether a list is held is kept apart from its version; TestWatch goes through version 0.

--- a/directory/client.go
+++ b/directory/client.go
@@ -44,16 +44,17 @@
 	mu      sync.Mutex
 	address string
 	moves   int                // how often the address has changed
-	index   uint64             // of the newest answer; 0 is none
+	held    bool               // a list is, so that changes of it can be asked for
+	index   uint64             // of the list held; any number may be a version, 0 too
 	wanted  bool               // a watch is, even if it has failed
 	stop    context.CancelFunc // ends the watch; nil is none
 	watch   int                // number of the newest watch
 }
 
 // NewClient returns a client of the directory at address, whose calls end with
-// ctx. index is that of the list known already.
-func NewClient(ctx context.Context, address string, index uint64, buffers *buffer.Pool, sink Sink) *Client {
-	return &Client{ctx: ctx, address: address, index: index, buffers: buffers, sink: sink}
+// ctx. known is the list held already, if it is a whole one.
+func NewClient(ctx context.Context, address string, known List, buffers *buffer.Pool, sink Sink) *Client {
+	return &Client{ctx: ctx, address: address, held: known.Snapshot, index: known.Index, buffers: buffers, sink: sink}
 }
 
 // Subscribe starts the watch, or ends it. It returns at once.
@@ -97,7 +98,7 @@
 	if address == c.address {
 		return
 	}
-	c.address, c.index = address, 0
+	c.address, c.held = address, false
 	c.moves++
 	if c.wanted { // a watch that has just failed would be started again only after a pause
 		if c.stop != nil {
@@ -124,10 +125,10 @@
 func (c *Client) keepWatch(ctx context.Context, number int, l *line) {
 	for {
 		c.mu.Lock()
-		since := c.index
+		held, since := c.held, c.index
 		c.mu.Unlock()
 		target, wait := path, time.Duration(0)
-		if since > 0 {
+		if held {
 			target = fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, since, watchFor.Milliseconds())
 			wait = watchFor
 		}
@@ -220,11 +221,11 @@
 	if l.moves != c.moves {
 		return List{}, errMoved
 	}
-	if list.Index < c.index && !list.Snapshot {
-		c.index = 0 // changes of another history: the next call asks for the whole list
-		return List{}, fmt.Errorf("answer %d is older than what is held", list.Index)
+	if !list.Snapshot && (!c.held || list.Index < c.index) {
+		c.held = false // changes of another history: the next call asks for the whole list
+		return List{}, fmt.Errorf("changes up to version %d do not follow what is held", list.Index)
 	}
-	c.index = list.Index
+	c.held, c.index = true, list.Index
 	return list, nil
 }
 
--- a/directory/client_test.go
+++ b/directory/client_test.go
@@ -37,7 +37,7 @@
 	news := make(told, 8)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	c := NewClient(ctx, server.Listener.Addr().String(), 0, new(buffer.Pool), news)
+	c := NewClient(ctx, server.Listener.Addr().String(), List{}, new(buffer.Pool), news)
 	const list = `{"index":%d,"snapshot":%v,"endpoints":[{"name":"s","status":"Gone"}]}`
 	says := func(index int, whole bool) func(http.ResponseWriter) {
 		return func(w http.ResponseWriter) { fmt.Fprintf(w, list, index, whole) }
@@ -59,6 +59,8 @@
 		{"since=6&timeout_ms=20000", cut, false, "failed"},
 		{"since=6&timeout_ms=20000", says(3, false), false, "failed"}, // changes of another history
 		{"", says(3, true), false, "list 3"},
+		{"since=3&timeout_ms=20000", says(0, true), true, "list 0"},
+		{"since=0&timeout_ms=20000", says(0, false), true, "list 0"}, // 0 is a version like any other
 	} {
 		c.Subscribe(true) // of no effect while the watch goes on
 		var got call
@@ -132,7 +134,7 @@
 	news := make(told, 8)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	c := NewClient(ctx, old, 41, new(buffer.Pool), news)
+	c := NewClient(ctx, old, List{Index: 41, Snapshot: true}, new(buffer.Pool), news)
 	c.Subscribe(true)
 	waiting := next(oldCalls, "since=41&timeout_ms=20000")
 	c.Move(old) // the same again changes nothing
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -99,7 +99,7 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx)) // the list is watched until the last answer
 	defer end()
 	p.mu.Lock()
-	c.directory = directory.NewClient(life, p.cfg.Directory, cfg.Known.Index, p.buffers, c)
+	c.directory = directory.NewClient(life, p.cfg.Directory, cfg.Known, p.buffers, c)
 	p.directory = c.directory
 	p.mu.Unlock()
 	c.mu.Lock()
