Raise the ceiling of the limit to 8 seats a server and cut it later and more gently

A probe at each refusal showed the limit at its ceiling, 21 of 21, in the whole of the first 10 s. Cause: maxSeats 3.5 was set for other deployments; in this chain a call at the front lasts as long as all tiers together, and two copies held 10 calls a gateway. With room above, lmaxShare 0.5 and backoffRatio 0.8 cut the limit on chance at the small samples of a copy. Conclusion: the AIMD limit now finds its level by latency, as the design says, not by its bound.

--- a/balancer.go
+++ b/balancer.go
@@ -14,9 +14,9 @@
 	minRequests  = 20    // samples for a verdict, or as many as the ceiling holds: quiet copies are many
 	maxSamples   = 256   // buffered latencies; the oldest are overwritten
 	percentile   = 60    // above the median, yet slow or hung servers and chance hardly move it
-	lmaxShare    = 0.5   // Lmax in aims at the front: half the aim is kept for what queues next
-	backoffRatio = 0.8   // a cut; several in one aim still fall fast
-	maxSeats     = 3.5   // maxConcurrencyLimit for each server
+	lmaxShare    = 0.6   // Lmax in aims at the front: the rest is kept for what queues next
+	backoffRatio = 0.9   // a cut; windows are short, and several in one aim still fall fast
+	maxSeats     = 8.0   // maxConcurrencyLimit for each server: on calm days it must not bind
 	minSeats     = 1.0   // minConcurrencyLimit for each server: less would leave servers idle
 	mostStep     = 0.1   // growth is 1, but no more than this part of the ceiling: many copies grow at once
 	bunching     = 3.0   // calls above the limit that chance may bunch,
