Judge the heads of requests as they stand, and hold no connection for who does not ask

Cause: consumer.readRequest judged what http.ReadRequest returns, which drops Content-Length beside Transfer-Encoding; invocation clamped negative deadlines and looked at neither method, key, path nor open ids; readTimeout and idleTimeout were 10 s and 2 min; Server.add gave away the connection idle for longest, even a good consumer's, and waited under the lock when the reserve was full. Excluded, by a table of 50 heads: doubled and signed lengths, bare LF, continuation lines and doubled ids did pass or were repaired before; noise and cut-off requests were turned away already. Now the raw head is judged before it is parsed and the body read by that verdict alone; an id is open once; a first request has 2.5 s from connecting; victim says who makes room; only a full reserve is answered without being read, and nothing waits.

--- a/cmd/ryerill/main_test.go
+++ b/cmd/ryerill/main_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -85,7 +86,9 @@
 	return c, bufio.NewReader(c), nil
 }
 
-const ask = "GET /read HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nReq-Kind: read\r\n\r\n"
+func ask() string {
+	return fmt.Sprintf("GET /read HTTP/1.1\r\nHost: x\r\nReq-Id: %016x\r\nReq-Kind: read\r\n\r\n", rand.Uint64())
+}
 
 func TestProgramServesAndFinishesWhatItTook(t *testing.T) {
 	arrived, release := make(chan struct{}, 8), make(chan struct{})
@@ -119,7 +122,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	io.WriteString(busy, ask)
+	io.WriteString(busy, ask())
 	<-arrived
 
 	told := time.Now()
@@ -128,7 +131,7 @@
 	}
 	late, lateR, err := connect(t, address)
 	if err == nil {
-		io.WriteString(late, ask)
+		io.WriteString(late, ask())
 	}
 	if time.Since(told) > 400*time.Millisecond {
 		lateR = nil // this machine is too busy for the consumer to be in time: nothing is promised
@@ -215,7 +218,7 @@
 				default:
 				}
 				var resp *http.Response
-				io.WriteString(c, ask)
+				io.WriteString(c, ask())
 				if resp, err = http.ReadResponse(r, nil); err == nil {
 					if io.Copy(io.Discard, resp.Body); resp.StatusCode != 200 {
 						err = errors.New(resp.Status)
--- a/consumer/http.go
+++ b/consumer/http.go
@@ -1,6 +1,7 @@
 package consumer
 
 import (
+	"bytes"
 	"errors"
 	"hash/fnv"
 	"io"
@@ -11,6 +12,7 @@
 	"strings"
 	"time"
 
+	"ryerill"
 	"ryerill/internal/buffer"
 	"ryerill/provider"
 )
@@ -21,12 +23,14 @@
 	headerKind  = "Req-Kind"
 	headerOwner = "Req-Owner"
 	headerRetry = "Req-Retry"
+	headerKey   = "Idempotency-Key"
 	keyQuery    = "k" // names what the request concerns
 )
 
 const (
 	readyPath = "/ready"
 	maxHead   = 32 << 10  // bytes of a request's head
+	maxID     = 256       // bytes of a Req-Id
 	maxLeft   = time.Hour // no consumer is believed to wait longer
 )
 
@@ -41,24 +45,33 @@
 // readRequest reads the next request with its body. An error that is not an
 // httpError means that the consumer broke off.
 func (c *conn) readRequest() (*http.Request, *buffer.Body, error) {
-	c.limit.N = maxHead
-	req, err := http.ReadRequest(c.r)
+	c.N = maxHead
+	text, err := c.readHead()
 	if err != nil {
 		return nil, nil, c.fault(err, "head", http.StatusRequestHeaderFieldsTooLarge)
 	}
-	if req.ContentLength > provider.MaxBody {
-		return nil, nil, &httpError{http.StatusRequestEntityTooLarge, "the body is too large"}
+	f, err := judge(text)
+	if err != nil {
+		return nil, nil, err
+	}
+	r := c.server.buffers.Reader(bytes.NewReader(text))
+	req, err := http.ReadRequest(r)
+	c.server.buffers.PutReader(r)
+	if err != nil {
+		return nil, nil, &httpError{http.StatusBadRequest, "malformed head"}
 	}
-	if req.ContentLength == 0 {
+	if f == (framing{}) {
 		return req, nil, nil
 	}
-	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
-		if _, err := io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
-			return nil, nil, err
-		}
+	switch expect := req.Header.Get("Expect"); {
+	case expect == "":
+	case !strings.EqualFold(expect, "100-continue"):
+		return nil, nil, &httpError{http.StatusExpectationFailed, "unknown expectation"}
+	case !c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"), nil):
+		return nil, nil, io.ErrClosedPipe
 	}
-	c.limit.N = 3 * provider.MaxBody // with the framing of its chunks
-	body, err := c.server.buffers.ReadBody(req.Body, provider.MaxBody)
+	c.N = 3 * provider.MaxBody // with the framing of its chunks
+	body, err := c.server.buffers.ReadBody(f.body(c.r), provider.MaxBody)
 	if err != nil {
 		return nil, nil, c.fault(err, "body", http.StatusRequestEntityTooLarge)
 	}
@@ -67,12 +80,15 @@
 
 // fault tells why a part of a request could not be read.
 func (c *conn) fault(err error, part string, tooLarge int) error {
+	var known *httpError
 	switch {
-	case errors.Is(err, buffer.ErrTooLarge), c.limit.N <= 0:
+	case errors.As(err, &known):
+		return err
+	case errors.Is(err, buffer.ErrTooLarge), c.N <= 0:
 		return &httpError{tooLarge, "the " + part + " is too large"}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &httpError{http.StatusRequestTimeout, "the " + part + " did not come in time"}
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), c.limit.failed:
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), c.failed:
 		return err
 	}
 	return &httpError{http.StatusBadRequest, "malformed " + part}
@@ -80,7 +96,7 @@
 
 // parse turns a request into an invocation. It takes over the body.
 func (n *Names) parse(req *http.Request, body *buffer.Body, taken time.Time) (*Invocation, error) {
-	inv, err := n.invocation(req, taken)
+	inv, err := n.invocation(req, body, taken)
 	if err != nil {
 		body.Free()
 		return nil, err
@@ -89,31 +105,48 @@
 	return inv, nil
 }
 
-func (n *Names) invocation(req *http.Request, taken time.Time) (*Invocation, error) {
+func (n *Names) invocation(req *http.Request, body *buffer.Body, taken time.Time) (*Invocation, error) {
+	bad := func(text string) (*Invocation, error) { return nil, &httpError{http.StatusBadRequest, text} }
+	id := req.Header.Get(headerID)
 	switch {
-	case req.Method == http.MethodHead || req.Method == http.MethodConnect:
-		return nil, &httpError{http.StatusMethodNotAllowed, "method not allowed"}
-	case !strings.HasPrefix(req.RequestURI, "/") || !clean(req):
-		return nil, &httpError{http.StatusBadRequest, "malformed request"}
-	case req.Header.Get(headerID) == "":
-		return nil, &httpError{http.StatusBadRequest, headerID + " is missing"}
-	}
+	case req.ProtoMajor != 1:
+		return nil, &httpError{http.StatusHTTPVersionNotSupported, "not HTTP/1"}
+	case req.Host == "" && req.ProtoAtLeast(1, 1), !strings.HasPrefix(req.RequestURI, "/"):
+		return bad("malformed request")
+	case id == "" || len(id) > maxID || strings.ContainsFunc(id, func(r rune) bool { return r <= ' ' || r > '~' }):
+		return bad(headerID + " is missing or malformed")
+	}
+	first, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
 	kind := req.Header.Get(headerKind)
 	if kind == "" {
-		kind, _, _ = strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
+		kind = first
 	}
 	inv := &Invocation{Class: slices.Index(n.Classes, kind), Tenant: slices.Index(n.Tenants, req.Header.Get(headerOwner)),
 		Repeat: req.Header.Get(headerRetry) == "1", Write: req.Method != http.MethodGet, Taken: taken}
-	if inv.Class < 0 {
+	switch {
+	case inv.Class < 0:
 		return nil, &httpError{http.StatusNotFound, "unknown " + headerKind}
+	case kind != first:
+		return bad(headerKind + " is not the first part of the path")
+	}
+	// What the class allows is decided by its effect; a method that says otherwise cannot be meant.
+	switch effect := n.Effects[inv.Class]; {
+	case effect == ryerill.Safe && req.Method != http.MethodGet,
+		effect != ryerill.Safe && !slices.Contains(writes, req.Method),
+		effect == ryerill.Keyed && req.Method != http.MethodPost:
+		return nil, &httpError{http.StatusMethodNotAllowed, "method does not fit " + headerKind}
+	case effect == ryerill.Safe && body.Len() > 0:
+		return bad("a body where none belongs")
+	case effect == ryerill.Keyed && req.Header.Get(headerKey) == "":
+		return bad(headerKey + " is missing")
 	}
 	inv.Left = n.Deadlines[inv.Class]
-	if text := req.Header.Get(provider.HeaderDeadline); text != "" {
-		ms, err := strconv.ParseInt(text, 10, 64)
-		if err != nil {
-			return nil, &httpError{http.StatusBadRequest, "malformed " + provider.HeaderDeadline}
+	if text, stated := req.Header[provider.HeaderDeadline]; stated {
+		ms, ok := digits(text[0])
+		if !ok {
+			return bad("malformed " + provider.HeaderDeadline)
 		}
-		inv.Left = time.Duration(min(max(ms, 0), maxLeft.Milliseconds())) * time.Millisecond
+		inv.Left = time.Duration(min(ms, maxLeft.Milliseconds())) * time.Millisecond
 	}
 	if key := req.URL.Query().Get(keyQuery); req.URL.RawQuery != "" && key != "" {
 		h := fnv.New64a()
@@ -123,21 +156,8 @@
 	return inv, nil
 }
 
-// clean reports whether no text that is passed on could be read as more than
-// one line by a provider.
-func clean(req *http.Request) bool {
-	if !provider.Clean(req.Host) || !provider.Clean(req.RequestURI) {
-		return false
-	}
-	for _, values := range req.Header {
-		for _, value := range values {
-			if !provider.Clean(value) {
-				return false
-			}
-		}
-	}
-	return true
-}
+// writes are the methods of requests that are not safe to repeat.
+var writes = []string{http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
 
 // head returns the head of an answer.
 func head(status, length int, header http.Header, retryAfter time.Duration, closes bool) []byte {
--- a/consumer/invocation.go
+++ b/consumer/invocation.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"ryerill"
 	"ryerill/provider"
 )
 
@@ -52,5 +53,6 @@
 type Names struct {
 	Classes   []string
 	Deadlines []time.Duration // by class: where an invocation states none
+	Effects   []ryerill.Effect
 	Tenants   []string
 }
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -17,13 +17,16 @@
 )
 
 const (
-	idleTimeout  = 2 * time.Minute        // a connection without requests is closed after this
-	readTimeout  = 10 * time.Second       // a request is in this long after its first byte
-	writeTimeout = 5 * time.Second        // an answer is out in this time
-	leaveMargin  = 30 * time.Second       // a connection is watched this long beyond its invocation's time
-	acceptOn     = 550 * time.Millisecond // connections keep arriving for up to 0.4 s after the word to stop
-	linger       = 500 * time.Millisecond // what comes in after a last answer is read for so long, lest it be reset
-	reserve      = 8                      // connections beyond the limit that are told so
+	firstTimeout = 2200 * time.Millisecond // a connection that has never asked is closed after this
+	idleTimeout  = 10 * time.Second        // one between requests is closed after this
+	readTimeout  = 2500 * time.Millisecond // a request is in this long after its first byte; the first after the accept
+	writeTimeout = 5 * time.Second         // an answer is out in this time
+	leaveMargin  = 30 * time.Second        // a connection is watched this long beyond its invocation's time
+	acceptOn     = 550 * time.Millisecond  // connections keep arriving for up to 0.4 s after the word to stop
+	fresh        = 50 * time.Millisecond   // a new connection is about to ask, and a request to be whole, for so long
+	settled      = 2 * time.Second         // one idle for longer may be closed at any time
+	linger       = 500 * time.Millisecond  // what comes in after a last answer is read for so long, lest it be reset
+	reserve      = 8                       // connections beyond the limit that are told so
 )
 
 // Server accepts the consumers' connections and speaks HTTP/1.1 on them.
@@ -35,10 +38,12 @@
 	most     int // connections
 
 	mu       sync.Mutex
-	room     *sync.Cond // a connection has ended
+	room     *sync.Cond // a connection has ended, or goes on after all
 	conns    map[*conn]struct{}
-	stopping bool // no connection outlives its present invocation
-	closed   bool // no connection is waited for either
+	leaving  int              // connections that have been given up and not ended yet
+	ids      map[string]*conn // of the requests that are open
+	stopping bool             // no connection outlives its present invocation
+	closed   bool             // no connection is waited for either
 }
 
 // Listen opens the address for consumers. Of the most connections that it may
@@ -49,7 +54,7 @@
 		return nil, fmt.Errorf("listen for consumers: %w", err)
 	}
 	s := &Server{listener: l.(*net.TCPListener), names: names, buffers: buffers, most: most - reserve,
-		conns: make(map[*conn]struct{})}
+		conns: make(map[*conn]struct{}), ids: make(map[string]*conn)}
 	s.room = sync.NewCond(&s.mu)
 	return s, nil
 }
@@ -83,7 +88,9 @@
 	defer s.mu.Unlock()
 	s.closed = true
 	for c := range s.conns {
-		c.giveUp()
+		if c.state == idle {
+			c.giveUp()
+		}
 	}
 	for len(s.conns) > 0 {
 		s.room.Wait()
@@ -98,80 +105,158 @@
 	s.listener.SetDeadline(time.Now().Add(acceptOn))
 }
 
-// add starts a connection. At the limit the one idle for longest makes room;
-// if all are busy the new one is told so, and beyond the reserve it waits.
+// add starts a connection. At the limit another makes room; if all are busy
+// the new one is told so, and beyond the reserve it is not even read.
 func (s *Server) add(nc *net.TCPConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for len(s.conns) >= s.most+reserve {
-		s.room.Wait()
+	for len(s.conns) >= s.most+reserve && s.leaving > 0 {
+		s.room.Wait() // for a moment: who has been given up has nothing left to do
 	}
-	c := &conn{server: s, nc: nc}
-	c.rest()
-	if len(s.conns) >= s.most {
-		var oldest *conn
-		for other := range s.conns {
-			if other.idle && (oldest == nil || other.since.Before(oldest.since)) {
-				oldest = other
-			}
-		}
-		if c.refused = oldest == nil; oldest != nil {
-			oldest.giveUp()
-			oldest.idle = false // its place is given away once
+	if len(s.conns) >= s.most+reserve {
+		nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+		nc.Write(head(http.StatusServiceUnavailable, 0, nil, time.Second, true))
+		nc.Close()
+		return
+	}
+	c := newConn(s, nc)
+	if len(s.conns)-s.leaving >= s.most {
+		victim := s.victim(c.since)
+		if c.refused = victim == nil; victim != nil {
+			victim.giveUp()
 		}
 	}
-	c.limit.r = nc
-	c.limit.N = maxHead
-	c.r = s.buffers.Reader(&c.limit)
 	s.conns[c] = struct{}{}
 	go c.serve()
 }
 
+// victim returns the connection that can be spared best, or nil: one that only
+// lingers, one that was to ask and does not, one idle for long, one whose
+// request does not come to its end, and last one idle for a short time, which
+// its consumer is likely to use again. Among equals it is the longest so.
+func (s *Server) victim(now time.Time) (worst *conn) {
+	least := 0
+	for c := range s.conns {
+		if c.gone {
+			continue
+		}
+		rank, so := 0, now.Sub(c.since)
+		switch {
+		case c.state == lingering:
+		case c.state == idle && !c.asked && so >= fresh:
+			rank = 1
+		case c.state == idle && c.asked && so >= settled:
+			rank = 2
+		case c.state == reading && so >= fresh:
+			rank = 3
+		case c.state == idle && c.asked:
+			rank = 4
+		default:
+			continue
+		}
+		if worst == nil || rank < least || rank == least && c.since.Before(worst.since) {
+			worst, least = c, rank
+		}
+	}
+	return worst
+}
+
+// state is what a connection is at.
+type state uint8
+
+const (
+	idle      state = iota // between requests
+	reading                // a request has begun to come in
+	busy                   // a request is open
+	lingering              // its last answer is out
+)
+
 // conn is a consumer's connection. One goroutine reads it; while an invocation
 // is out this read tells when the consumer leaves.
 type conn struct {
 	server  *Server
 	nc      *net.TCPConn
-	limit   limitReader
 	r       *bufio.Reader
-	refused bool // beyond the limit
+	N       int64 // bytes that one request may still bring in
+	failed  bool  // the connection itself broke
+	refused bool  // beyond the limit
+
+	accepted time.Time
+
+	// Guarded by server.mu:
+	state state
+	since time.Time // when it came into its state
+	until time.Time // when it is to leave it at the latest
+	asked bool      // it has brought a request
+	gone  bool      // given up: its place is given away once
+}
 
-	idle  bool      // between requests; guarded by server.mu
-	since time.Time // when it became idle
+func newConn(s *Server, nc *net.TCPConn) *conn {
+	c := &conn{server: s, nc: nc, N: maxHead, accepted: time.Now()}
+	c.r = s.buffers.Reader(c)
+	c.rest()
+	return c
 }
 
-// limitReader bounds what one request may bring in.
-type limitReader struct {
-	r      io.Reader
-	N      int64
-	failed bool // the connection itself broke
+// enter notes what the connection is at, and until when it may be.
+// The server's mutex is held.
+func (c *conn) enter(now state, until time.Time) {
+	c.state, c.since, c.until = now, time.Now(), until
+	if c.gone {
+		c.gone = false
+		c.server.leaving--
+		c.server.room.Broadcast()
+	}
+	c.nc.SetReadDeadline(until)
 }
 
-func (l *limitReader) Read(p []byte) (int, error) {
-	if l.N <= 0 {
+// Read reads from the consumer, no more than one request may bring in. What has
+// come in before a connection was given up, or its idle time was over, is read
+// all the same.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.N <= 0 {
 		return 0, io.EOF
 	}
-	n, err := l.r.Read(p[:min(int64(len(p)), l.N)])
-	l.N -= int64(n)
-	l.failed = err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	p = p[:min(int64(len(p)), c.N)]
+	n, err := c.nc.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && socket.Peek(c.nc) == socket.Waiting {
+		c.server.mu.Lock()
+		goesOn := c.state == idle || c.gone && time.Now().Before(c.until)
+		c.server.mu.Unlock()
+		if goesOn {
+			c.nc.SetReadDeadline(time.Now().Add(fresh))
+			n, err = c.nc.Read(p)
+			c.nc.SetReadDeadline(past)
+		}
+	}
+	c.N -= int64(n)
+	c.failed = err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 	return n, err
 }
 
-// giveUp ends a connection that is between requests. It wakes the reader, which
+// past is a deadline that ends a read which waits.
+var past = time.Unix(1, 0)
+
+// giveUp ends a connection that has no request open. It wakes the reader, which
 // alone can tell that no request has come in at the last moment: a request
 // that has reached this machine counts as taken, so closing over it loses it.
 // The server's mutex is held.
 func (c *conn) giveUp() {
-	if c.idle {
-		c.nc.SetReadDeadline(time.Unix(1, 0))
+	if c.state != busy && !c.gone {
+		c.gone = true
+		c.server.leaving++
+		c.nc.SetReadDeadline(past)
 	}
 }
 
 // rest notes that the connection is between requests.
 // The server's mutex is held.
 func (c *conn) rest() {
-	c.idle, c.since = true, time.Now()
-	c.nc.SetReadDeadline(c.since.Add(idleTimeout))
+	if c.asked {
+		c.enter(idle, time.Now().Add(idleTimeout))
+	} else {
+		c.enter(idle, c.accepted.Add(firstTimeout))
+	}
 	if c.server.closed {
 		c.giveUp()
 	}
@@ -180,26 +265,32 @@
 // begin waits for the first byte of the next request. It reports false when
 // the connection has ended, or was given up and nothing has come in.
 func (c *conn) begin() bool {
-	_, err := c.r.Peek(1)
-	if errors.Is(err, os.ErrDeadlineExceeded) && socket.Peek(c.nc) == socket.Waiting {
-		c.nc.SetReadDeadline(time.Now().Add(readTimeout))
-		_, err = c.r.Peek(1)
-	}
-	if err != nil {
+	if _, err := c.r.Peek(1); err != nil {
 		return false
 	}
 	c.server.mu.Lock()
-	c.idle = false
-	c.server.mu.Unlock()
-	c.nc.SetReadDeadline(time.Now().Add(readTimeout))
+	defer c.server.mu.Unlock()
+	until := time.Now().Add(readTimeout)
+	if !c.asked { // who drips its first request in, or stops in it, is told in time
+		until = c.accepted.Add(max(readTimeout, time.Since(c.accepted)+fresh))
+	}
+	c.enter(reading, until)
 	return true
 }
 
+// taken notes that a whole request is in.
+func (c *conn) taken() {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.asked = true
+	c.enter(busy, time.Time{})
+}
+
 func (c *conn) serve() {
 	defer c.end()
 	answered := make(chan bool, 1)
 	for {
-		c.limit.N = maxHead
+		c.N = maxHead
 		if !c.begin() {
 			return
 		}
@@ -208,6 +299,7 @@
 			c.reject(err)
 			return
 		}
+		c.taken()
 		if req.Method == http.MethodGet && req.RequestURI == readyPath {
 			body.Free()
 			if !c.ready(req.Close) {
@@ -226,10 +318,16 @@
 			c.lingerClose()
 			return
 		}
+		id := req.Header.Get(headerID)
+		if !c.server.hold(id, c) {
+			inv.Request.Free()
+			c.reject(&httpError{http.StatusConflict, headerID + " is open already"})
+			return
+		}
 		closes := req.Close
-		inv.Reply = func(a Answer) { go c.answer(a, closes, answered) }
+		inv.Reply = func(a Answer) { go c.answer(a, id, closes, answered) }
 		c.nc.SetReadDeadline(inv.Taken.Add(inv.Left + leaveMargin))
-		c.limit.N = maxHead
+		c.N = maxHead
 		ticket := c.server.intake.Take(inv)
 		_, err = c.r.Peek(1) // the next request, which comes after the answer, or the consumer's end
 		if err != nil {
@@ -238,6 +336,7 @@
 			c.server.mu.Unlock()
 			if !settled {
 				c.server.intake.Leave(ticket)
+				c.server.release(id, c)
 				return
 			}
 		}
@@ -247,10 +346,31 @@
 	}
 }
 
+// hold notes that a request with this id is open. It reports false if another
+// one is: ids are fresh on every request, and providers tell requests by them.
+func (s *Server) hold(id string, c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ids[id] != nil {
+		return false
+	}
+	s.ids[id] = c
+	return true
+}
+
+func (s *Server) release(id string, c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ids[id] == c {
+		delete(s.ids, id)
+	}
+}
+
 // answer writes a final answer and tells the reader whether the connection
 // goes on.
-func (c *conn) answer(a Answer, closes bool, answered chan<- bool) {
+func (c *conn) answer(a Answer, id string, closes bool, answered chan<- bool) {
 	defer a.Response.Free()
+	c.server.release(id, c)
 	c.server.mu.Lock()
 	closes = closes || c.server.stopping
 	c.server.mu.Unlock()
@@ -308,7 +428,9 @@
 // unread bytes would reset the connection, and the answer with it.
 func (c *conn) lingerClose() {
 	if c.nc.CloseWrite() == nil {
-		c.nc.SetReadDeadline(time.Now().Add(linger))
+		c.server.mu.Lock()
+		c.enter(lingering, time.Now().Add(linger))
+		c.server.mu.Unlock()
 		io.Copy(io.Discard, io.LimitReader(c.nc, 1<<20))
 	}
 }
@@ -318,6 +440,9 @@
 	c.server.buffers.PutReader(c.r)
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
+	if c.gone {
+		c.server.leaving--
+	}
 	delete(c.server.conns, c)
 	c.server.room.Broadcast()
 }
--- a/consumer/server_test.go
+++ b/consumer/server_test.go
@@ -1,6 +1,7 @@
 package consumer
 
 import (
+	"context"
 	"io"
 	"net"
 	"runtime"
@@ -33,8 +34,9 @@
 			t.Fatal(err)
 		}
 		defer nc.Close()
-		c := &conn{server: s, nc: nc, limit: limitReader{r: nc, N: maxHead}, idle: true}
-		c.r = s.buffers.Reader(&c.limit)
+		s.mu.Lock()
+		c := newConn(s, nc)
+		s.mu.Unlock()
 		io.WriteString(client, tc.text)
 		for until := time.Now().Add(20 * time.Second); (socket.Peek(nc) == socket.Waiting) != tc.want && time.Now().Before(until); {
 			runtime.Gosched() // until the bytes have come in
@@ -47,3 +49,81 @@
 		}
 	}
 }
+
+// At the limit the connection that is worth least makes room: silent newcomers
+// must not drive out the kept connections of good consumers, and what has a
+// request open or is about to bring one stays.
+func TestWhoMakesRoom(t *testing.T) {
+	now := time.Now()
+	c := func(s state, asked bool, so time.Duration) *conn {
+		return &conn{state: s, asked: asked, since: now.Add(-so)}
+	}
+	order := []*conn{ // from what goes first to what goes last
+		c(lingering, true, 0),
+		c(idle, false, 2*fresh),
+		c(idle, false, fresh),
+		c(idle, true, 2*settled),
+		c(idle, true, settled),
+		c(reading, false, 2*fresh),
+		c(idle, true, settled/2),
+		c(idle, true, 0),
+	}
+	gone := c(lingering, true, time.Hour)
+	gone.gone = true
+	s := &Server{conns: map[*conn]struct{}{c(busy, true, time.Hour): {}, c(idle, false, 0): {}, c(reading, true, 0): {}, gone: {}}}
+	for _, c := range order {
+		s.conns[c] = struct{}{}
+	}
+	for i, want := range order {
+		got := s.victim(now)
+		if got != want {
+			t.Fatalf("place %d: %+v, want %+v", i, got, want)
+		}
+		delete(s.conns, got)
+	}
+	if got := s.victim(now); got != nil {
+		t.Errorf("then %+v", got)
+	}
+}
+
+// Who is silent, drips or stops in its first request is told within 3 s of
+// connecting. How long that takes is what the constants say; that it happens
+// is shown on a socket.
+func TestNobodyHoldsAConnectionWithoutAsking(t *testing.T) {
+	if firstTimeout < settled || firstTimeout >= 3*time.Second || readTimeout >= 3*time.Second {
+		t.Errorf("waits %v for a request to begin and %v for its end", firstTimeout, readTimeout)
+	}
+	s, err := Listen("127.0.0.1:0", 64, names, new(buffer.Pool))
+	if err != nil {
+		t.Fatal(err)
+	}
+	over := make(chan error)
+	ctx, stop := context.WithCancel(t.Context())
+	go func() { over <- s.Serve(ctx, nil) }()
+	for _, tc := range []struct{ text, want string }{
+		{"", ""},
+		{"GET /read HTTP/1.1\r\nHo", "HTTP/1.1 408"},
+		{"POST /burn HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nContent-Length: 9\r\n\r\nhalf", "HTTP/1.1 408"},
+	} {
+		t.Run(tc.want, func(t *testing.T) {
+			t.Parallel()
+			c, err := net.Dial("tcp", s.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(20 * time.Second))
+			io.WriteString(c, tc.text)
+			got, err := io.ReadAll(c)
+			if err != nil || len(got) < len(tc.want) || string(got[:len(tc.want)]) != tc.want {
+				t.Errorf("%q: answered %q, %v", tc.text, got, err)
+			}
+		})
+	}
+	t.Cleanup(func() {
+		stop()
+		if err := <-over; err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/provider/request.go
+++ b/provider/request.go
@@ -33,7 +33,7 @@
 // more than one line.
 func AppendHeader(b []byte, header http.Header) []byte {
 	for name, values := range header {
-		if stays(name) || named(header["Connection"], name) {
+		if stays(name) || !ours(name) && named(header["Connection"], name) {
 			continue
 		}
 		for _, value := range values {
@@ -54,6 +54,12 @@
 	return false
 }
 
+// ours reports whether a header is part of the protocol between consumer and
+// provider. It always passes: without its id or key a request is another one.
+func ours(name string) bool {
+	return strings.HasPrefix(name, "Req-") || name == "Idempotency-Key"
+}
+
 // named reports whether the values of a Connection header name another header.
 func named(connection []string, name string) bool {
 	for _, value := range connection {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -63,6 +63,7 @@
 	for _, c := range b.Classes {
 		names.Classes = append(names.Classes, c.Name)
 		names.Deadlines = append(names.Deadlines, c.Deadline)
+		names.Effects = append(names.Effects, c.Effect)
 	}
 	for _, t := range b.Tenants {
 		names.Tenants = append(names.Tenants, t.Name)
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -213,9 +214,14 @@
 	return resp.StatusCode, string(body)
 }
 
+// request returns an invocation of a class as its effect asks for it.
 func request(class string, ms int) string {
-	return fmt.Sprintf("POST /%s/7?q=%%20x HTTP/1.1\r\nHost: app.svc\r\nReq-Id: 0a1b\r\nReq-Kind: %s\r\nReq-Owner: nobody\r\n"+
-		"Idempotency-Key: k1\r\nReq-Deadline-Ms: %d\r\nContent-Length: 5\r\n\r\nhello", class, class, ms)
+	method, rest := "POST", "Idempotency-Key: k1\r\nContent-Length: 5\r\n\r\nhello"
+	if class == "read" {
+		method, rest = "GET", "\r\n"
+	}
+	return fmt.Sprintf("%s /%s/7?q=%%20x HTTP/1.1\r\nHost: app.svc\r\nReq-Id: %016x\r\nReq-Kind: %s\r\nReq-Owner: nobody\r\n"+
+		"Req-Deadline-Ms: %d\r\n%s", method, class, rand.Uint64(), class, ms, rest)
 }
 
 func await(t *testing.T, c <-chan struct{}, what string) {
@@ -310,13 +316,14 @@
 	got := make(chan *http.Request, 1)
 	b := newBackend(t, func(c net.Conn, r *http.Request) { got <- r; io.WriteString(c, typed) })
 	c := dial(t, start(t, nil, b.endpoint("s1", 1)))
-	if resp := c.send(request("pay", 9000)); resp.Header.Get("Content-Type") != "text/plain" || resp.Header.Get("X-Hop") != "" {
+	sent := request("pay", 9000)
+	if resp := c.send(sent); resp.Header.Get("Content-Type") != "text/plain" || resp.Header.Get("X-Hop") != "" {
 		t.Errorf("headers of the answer: %v", resp.Header)
 	}
 	r := <-got
 	body, _ := io.ReadAll(r.Body)
 	if r.Method != "POST" || r.RequestURI != "/pay/7?q=%20x" || string(body) != "hello" ||
-		r.Header.Get("Req-Id") != "0a1b" || r.Header.Get("Idempotency-Key") != "k1" {
+		!strings.Contains(sent, "Req-Id: "+r.Header.Get("Req-Id")+"\r\n") || r.Header.Get("Idempotency-Key") != "k1" {
 		t.Errorf("%s %s %q %v", r.Method, r.RequestURI, body, r.Header)
 	}
 	if left := r.Header.Values("Req-Deadline-Ms"); len(left) != 1 || len(left[0]) > 4 || left[0] > "9000" {
@@ -477,6 +484,29 @@
 	}
 }
 
+// An id names one open request: another with the same id is turned away, and
+// the first is not disturbed. Once it is answered the id is free.
+func TestAnOpenIDIsNotTakenTwice(t *testing.T) {
+	t.Parallel()
+	hold, sent := make(chan struct{}), make(chan struct{}, 8)
+	b := newBackend(t, func(c net.Conn, _ *http.Request) { sent <- struct{}{}; <-hold; io.WriteString(c, okay) })
+	address := start(t, nil, b.endpoint("s1", 1))
+	text := request("read", 1_000_000)
+	first := dial(t, address)
+	io.WriteString(first, text)
+	await(t, sent, "a request at the provider")
+	if status, _ := dial(t, address).ask(text); status != 409 || b.requests.Load() != 1 {
+		t.Errorf("the same id again: %d, %d sent", status, b.requests.Load())
+	}
+	close(hold)
+	if status, _ := first.ask(""); status != 200 {
+		t.Errorf("the first: %d", status)
+	}
+	if status, _ := dial(t, address).ask(text); status != 200 {
+		t.Errorf("afterwards: %d", status)
+	}
+}
+
 // At the limit on sockets an idle connection makes room; if none is idle, a
 // newcomer is refused.
 func TestConsumersStayUnderTheLimit(t *testing.T) {
