Keep calls in their own zone, as the part of a crossing in the price shows

Cause: settle (a) kept to the own zone only if it had as many servers as were wanted near, 9.8 of the 7 that a third of 21 is, and (b) dealt home servers from the ring of all zones, so that two homes of three lay elsewhere. Conclusion: idle servers still go first; which of them counts as home was the loss.

--- a/balancer.go
+++ b/balancer.go
@@ -21,8 +21,9 @@
 	mostStep     = 0.1   // growth is 1, but no more than this part of the ceiling: many copies grow at once
 	bunching     = 3.0   // calls above the limit that chance may bunch,
 	spareSpan    = 0.25  // paid back over this many aims: on average the limit holds
-	nearSeats    = 1.6   // servers that a copy keeps to, for each call that its seats hold,
+	nearSeats    = 0.7   // servers that a copy keeps to, for each call that its seats hold,
 	leastNear    = 2.0   // but no fewer than these: all copies near to a server can fill it
+	leastOwn     = 0.17  // part of the servers that a zone must have for its copies to keep to them
 	leastAt      = 0.7   // part of the limit open to requests worth nothing; those worth most find all of it
 	quotaBurst   = 2.0   // seconds of quota that a tenant may save up
 	hopeless     = 0.3   // less time left than this part of the usual latency: answer at once
@@ -413,9 +414,10 @@
 }
 
 // settle picks the servers that this copy keeps to, or many copies would each meet one twice a minute and
-// know none. All derive one ring of servers, and each its place by Self: the next ones are near; those up to
-// the next copy's place are home, first among idle ones unless much slower, so that copies with few calls
-// hardly meet. The limit is bounded by this copy's part of the servers. Harm: late lists shift places.
+// know none. All derive one ring of a zone's servers, and each its place by Self: the next ones are near;
+// those up to the next copy's place are home, first among idle ones unless much slower, so that copies with
+// few calls hardly meet. The limit is bounded by this copy's part of the servers. Harm: late lists shift
+// places.
 func (b *Balancer) settle() {
 	var fleet []*server
 	for _, s := range b.servers {
@@ -436,14 +438,14 @@
 	slices.SortFunc(fleet, func(x, y *server) int { return cmp.Compare(mix(uint64(x.ID)), mix(uint64(y.ID))) })
 	own := slices.DeleteFunc(slices.Clone(fleet), func(s *server) bool { return s.Zone != b.cfg.Zone })
 	near := max(nearSeats*maxSeats*part, leastNear)
-	if float64(len(own)) < max(near, float64(b.ready)/3) { // a zone with few left must not get all its calls
+	if float64(len(own)) < max(leastNear, leastOwn*float64(b.ready)) { // few must not get all
 		own = fleet
 	}
 	b.near = int(math.Ceil(min(near, float64(len(own)))))
 	for _, s := range b.deal(own, b.near) {
 		s.near = true
 	}
-	for _, s := range b.deal(fleet, 1) {
+	for _, s := range b.deal(own, 1) { // not of the fleet, or home would mostly be in another zone
 		s.home = true
 	}
 }
