Judge answers by their raw head, and tie connections to their provider, not its address

Seen in the probe of spoilt answers: a claim of 3 GB was read for 68 KiB and an endless head for 224 KiB before they failed; a 200 that only a close ends was served as whole, and one with both a length and chunks as sound (the new table of answers). Cause: provider.exchange trusted http.ReadResponse, which drops Content-Length beside chunks, and one limit bounded head and body together; errNoRoom and full descriptor tables came back as ConnectFailed, so the Balancer shunned a healthy provider; Pool.idle was keyed by address alone, and core.list forgot providers only on a whole list, so under changes alone the map grew. Excluded: that answers with surplus bytes lose their request: they serve, and only their connection is dropped (as before). No spoilt answer of the probe stopped in its middle, so nothing was built against that. Framing is now one small package for both sides. A claim beyond 64 KiB ends at its head as a broken connection, not as an error, which would have asked the limit for a cut.

--- a/consumer/http.go
+++ b/consumer/http.go
@@ -14,6 +14,7 @@
 
 	"ryerill"
 	"ryerill/internal/buffer"
+	"ryerill/internal/framing"
 	"ryerill/provider"
 )
 
@@ -46,7 +47,7 @@
 // httpError means that the consumer broke off.
 func (c *conn) readRequest() (*http.Request, *buffer.Body, error) {
 	c.N = maxHead
-	text, err := c.readHead()
+	text, err := framing.ReadHead(c.r, maxHead)
 	if err != nil {
 		return nil, nil, c.fault(err, "head", http.StatusRequestHeaderFieldsTooLarge)
 	}
@@ -60,7 +61,7 @@
 	if err != nil {
 		return nil, nil, &httpError{http.StatusBadRequest, "malformed head"}
 	}
-	if f == (framing{}) {
+	if f.Length == 0 && !f.Chunked {
 		return req, nil, nil
 	}
 	switch expect := req.Header.Get("Expect"); {
@@ -71,7 +72,7 @@
 		return nil, nil, io.ErrClosedPipe
 	}
 	c.N = 3 * provider.MaxBody // with the framing of its chunks
-	body, err := c.server.buffers.ReadBody(f.body(c.r), provider.MaxBody)
+	body, err := c.server.buffers.ReadBody(f.Reader(c.r), provider.MaxBody)
 	if err != nil {
 		return nil, nil, c.fault(err, "body", http.StatusRequestEntityTooLarge)
 	}
@@ -80,11 +81,8 @@
 
 // fault tells why a part of a request could not be read.
 func (c *conn) fault(err error, part string, tooLarge int) error {
-	var known *httpError
 	switch {
-	case errors.As(err, &known):
-		return err
-	case errors.Is(err, buffer.ErrTooLarge), c.N <= 0:
+	case errors.Is(err, framing.ErrHeadTooLarge), errors.Is(err, buffer.ErrTooLarge), c.N <= 0:
 		return &httpError{tooLarge, "the " + part + " is too large"}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &httpError{http.StatusRequestTimeout, "the " + part + " did not come in time"}
@@ -142,7 +140,7 @@
 	}
 	inv.Left = n.Deadlines[inv.Class]
 	if text, stated := req.Header[provider.HeaderDeadline]; stated {
-		ms, ok := digits(text[0])
+		ms, ok := framing.Digits(text[0])
 		if !ok {
 			return bad("malformed " + provider.HeaderDeadline)
 		}
--- /dev/null
+++ b/internal/framing/framing.go
@@ -0,0 +1,141 @@
+// Package framing finds where the parts of an HTTP/1.1 message end. It looks at
+// the very bytes of a head: what parses it afterwards repairs what it can, and
+// so hides what another reader would read otherwise.
+package framing
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+)
+
+// Faults of a message.
+var (
+	ErrHeadTooLarge = errors.New("the head is too large")
+	ErrLength       = errors.New("lengths that can be read in two ways")
+	ErrCoding       = errors.New("unknown Transfer-Encoding")
+	errTrailer      = errors.New("malformed trailer")
+)
+
+// ReadHead reads a message's head as it stands, up to and with its empty line.
+func ReadHead(r *bufio.Reader, limit int) ([]byte, error) {
+	var head []byte
+	for start := 0; ; {
+		part, err := r.ReadSlice('\n')
+		head = append(head, part...)
+		switch line := string(head[start:]); {
+		case len(head) > limit:
+			return nil, ErrHeadTooLarge
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
+		case err != nil:
+			return nil, err
+		case line == "\r\n" || line == "\n":
+			return head, nil
+		}
+		start = len(head)
+	}
+}
+
+// Body is how a message's body is delimited.
+type Body struct {
+	Stated  bool // by a length or by chunks
+	Length  int64
+	Chunked bool
+}
+
+// Judge says how the body behind a head is delimited. A length and a transfer
+// coding together, and a length that is not one plain number, are an error.
+func Judge(head []byte) (Body, error) {
+	var b Body
+	for line := range bytes.Lines(head) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		text := string(bytes.Trim(value, " \t\r\n"))
+		switch {
+		case strings.EqualFold(string(name), "Content-Length"):
+			n, ok := Digits(text)
+			if b.Stated || !ok {
+				return Body{}, ErrLength
+			}
+			b = Body{Stated: true, Length: n}
+		case strings.EqualFold(string(name), "Transfer-Encoding"):
+			if b.Stated {
+				return Body{}, ErrLength
+			}
+			if !strings.EqualFold(text, "chunked") {
+				return Body{}, ErrCoding
+			}
+			b = Body{Stated: true, Chunked: true}
+		}
+	}
+	return b, nil
+}
+
+// Digits reads a number that is written in digits alone: no sign, no spaces.
+func Digits(text string) (int64, bool) {
+	if strings.ContainsFunc(text, func(r rune) bool { return r < '0' || r > '9' }) {
+		return 0, false
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	return n, err == nil
+}
+
+// Reader returns a reader of the body, which leaves alone what follows.
+func (b Body) Reader(r *bufio.Reader) io.Reader {
+	if b.Chunked {
+		return &chunks{Reader: httputil.NewChunkedReader(r), r: r}
+	}
+	return &sized{r: r, left: b.Length}
+}
+
+// sized reads a body of a known length. An end before it is an error.
+type sized struct {
+	r    io.Reader
+	left int64
+}
+
+func (s *sized) Read(p []byte) (int, error) {
+	if s.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := s.r.Read(p[:min(int64(len(p)), s.left)])
+	if s.left -= int64(n); errors.Is(err, io.EOF) && s.left > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// chunks reads a body in chunks and then the trailer, which is not passed on.
+type chunks struct {
+	io.Reader
+	r    *bufio.Reader
+	over bool
+}
+
+func (c *chunks) Read(p []byte) (int, error) {
+	if c.over {
+		return 0, io.EOF
+	}
+	n, err := c.Reader.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	for {
+		line, err := c.r.ReadSlice('\n')
+		switch {
+		case errors.Is(err, io.EOF):
+			return n, io.ErrUnexpectedEOF
+		case err != nil:
+			return n, err
+		case bytes.Equal(line, []byte("\r\n")):
+			c.over = true
+			return n, io.EOF
+		case !bytes.HasSuffix(line, []byte("\r\n")) || !bytes.Contains(line, []byte(":")):
+			return n, errTrailer
+		}
+	}
+}
--- a/provider/call.go
+++ b/provider/call.go
@@ -1,26 +1,29 @@
 package provider
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"ryerill"
 	"ryerill/internal/buffer"
+	"ryerill/internal/framing"
 )
 
 const (
-	maxHead    = 32 << 10            // bytes of an answer's head
-	maxInterim = 5                   // answers of 1xx before the real one
-	maxAnswer  = maxHead + 3*MaxBody // bytes of an answer with the framing of its chunks
+	maxHead    = 32 << 10 // bytes of an answer's head
+	maxInterim = 5        // answers of 1xx before the real one
 )
 
 // Call is one invoker call: one attempt at one provider. It is used once.
 type Call struct {
 	Request  *Request
+	Provider uint64 // who is called: an address may pass to another
 	Address  string
 	Until    time.Time   // the proxy stops waiting
 	MayStart func() bool // asked right before the first byte is written
@@ -72,8 +75,11 @@
 // Do makes the call and returns how it ended, and the answer if it served. It
 // sends once at most.
 func (p *Pool) Do(c *Call) (ryerill.Outcome, *Response) {
-	conn, err := p.get(c.Address, c.Until)
-	if err != nil {
+	conn, err := p.get(place{c.Provider, c.Address}, c.Until)
+	switch {
+	case ownFault(err):
+		return ryerill.Moot, nil
+	case err != nil:
 		return ryerill.ConnectFailed, nil
 	}
 	// A dial takes its time: what the directory has told meanwhile is looked at again, since the rule on
@@ -108,24 +114,36 @@
 	if _, err := message.WriteTo(conn.TCPConn); err != nil {
 		return ryerill.ConnectFailed, nil, false // its last byte was never written: it cannot have run
 	}
-	conn.limit.N = maxAnswer
 	request := http.Request{Method: c.Request.method}
-	for range maxInterim {
-		resp, err := http.ReadResponse(conn.r, &request)
+	for range maxInterim + 1 {
+		conn.limit.N = maxHead
+		head, err := framing.ReadHead(conn.r, maxHead)
 		if err != nil {
 			return broken(err), nil, false
 		}
+		r := p.buffers.Reader(bytes.NewReader(head))
+		resp, err := http.ReadResponse(r, &request)
+		p.buffers.PutReader(r)
+		if err != nil {
+			return ryerill.Reset, nil, false
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		// The whole body is read before any of it is passed on: an answer that breaks off is an outcome
-		// like any other, and the consumer is not left with half of it.
-		body, err := p.buffers.ReadBody(resp.Body, MaxBody)
-		if errors.Is(err, buffer.ErrTooLarge) {
-			return ryerill.Error, nil, false
+		// like any other, and the consumer is not left with half of it. One that only a close would end
+		// could have been cut off anywhere.
+		frame, err := framing.Judge(head)
+		empty := resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+		if err != nil || frame.Length > MaxBody || !frame.Stated && !empty {
+			return ryerill.Reset, nil, false
 		}
-		if err != nil {
-			return broken(err), nil, false
+		var body *buffer.Body
+		if !empty {
+			conn.limit.N = 3 * MaxBody // with the framing of its chunks
+			if body, err = p.buffers.ReadBody(frame.Reader(conn.r), MaxBody); err != nil {
+				return broken(err), nil, false
+			}
 		}
 		again = !resp.Close && resp.ProtoAtLeast(1, 1) && conn.r.Buffered() == 0
 		if resp.StatusCode == http.StatusOK {
@@ -138,7 +156,21 @@
 		}
 		return ryerill.Error, nil, again
 	}
-	return ryerill.Error, nil, false
+	return ryerill.Reset, nil, false
+}
+
+// ownFault reports whether a connection could not be opened for want of something
+// here: that says nothing of the provider.
+func ownFault(err error) bool {
+	if errors.Is(err, errNoRoom) {
+		return true
+	}
+	for _, fault := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, fault) {
+			return true
+		}
+	}
+	return false
 }
 
 // broken tells how an attempt ended whose answer cannot be read.
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -33,33 +33,40 @@
 
 	mu      sync.Mutex
 	open    int
-	idle    map[string][]*conn // by address; the most recently used last
+	idle    map[place][]*conn // the most recently used last
 	closed  bool
 	sweeper *time.Timer // nil while none is idle
 }
 
+// place is where a connection leads: a provider at its address. When the
+// address passes to another provider, what leads to the first must not be used.
+type place struct {
+	provider uint64
+	address  string
+}
+
 type conn struct {
 	*net.TCPConn
-	address string
-	limit   io.LimitedReader
-	r       *bufio.Reader
-	since   time.Time // idle since
+	place place
+	limit io.LimitedReader
+	r     *bufio.Reader
+	since time.Time // idle since
 }
 
 // NewPool returns a pool of at most most connections, none of which is used
 // again close to idleClose after its last use.
 func NewPool(most int, idleClose, connectTimeout time.Duration, buffers *buffer.Pool) *Pool {
 	return &Pool{most: most, keep: max(idleClose-idleMargin, idleClose/2), connect: connectTimeout, buffers: buffers,
-		idle: make(map[string][]*conn)}
+		idle: make(map[place][]*conn)}
 }
 
-// get returns a connection to address: the one used last, if any is usable,
-// or a new one.
-func (p *Pool) get(address string, until time.Time) (*conn, error) {
+// get returns a connection to a place: the one used last, if any is usable, or
+// a new one.
+func (p *Pool) get(at place, until time.Time) (*conn, error) {
 	p.mu.Lock()
-	for list := p.idle[address]; len(list) > 0; list = p.idle[address] {
+	for list := p.idle[at]; len(list) > 0; list = p.idle[at] {
 		c := list[len(list)-1]
-		p.idle[address] = list[:len(list)-1]
+		p.idle[at] = list[:len(list)-1]
 		// Sound is a connection on which nothing has come in, neither bytes that no request asked for nor its end.
 		if time.Since(c.since) < p.keep && socket.Peek(c) == socket.Quiet {
 			p.mu.Unlock()
@@ -67,7 +74,7 @@
 		}
 		p.dropLocked(c)
 	}
-	delete(p.idle, address)
+	delete(p.idle, at)
 	if p.open >= p.most && !p.evictLocked() {
 		p.mu.Unlock()
 		return nil, errNoRoom
@@ -76,14 +83,14 @@
 	p.mu.Unlock()
 
 	dialer := net.Dialer{Timeout: p.connect, Deadline: until, KeepAlive: -1}
-	raw, err := dialer.Dial("tcp", address)
+	raw, err := dialer.Dial("tcp", at.address)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
 		return nil, err
 	}
-	c := &conn{TCPConn: raw.(*net.TCPConn), address: address}
+	c := &conn{TCPConn: raw.(*net.TCPConn), place: at}
 	c.limit.R = raw
 	c.r = p.buffers.Reader(&c.limit)
 	return c, nil
@@ -98,7 +105,7 @@
 		return
 	}
 	c.since = time.Now()
-	p.idle[c.address] = append(p.idle[c.address], c)
+	p.idle[c.place] = append(p.idle[c.place], c)
 	if p.sweeper == nil {
 		p.sweeper = time.AfterFunc(p.keep, p.sweep)
 	}
@@ -128,7 +135,7 @@
 	if oldest == nil {
 		return false
 	}
-	p.idle[oldest.address] = p.idle[oldest.address][1:]
+	p.idle[oldest.place] = p.idle[oldest.place][1:]
 	p.dropLocked(oldest)
 	return true
 }
@@ -139,16 +146,16 @@
 	defer p.mu.Unlock()
 	p.sweeper = nil
 	next := time.Duration(-1)
-	for address, list := range p.idle {
+	for at, list := range p.idle {
 		for len(list) > 0 && time.Since(list[0].since) >= p.keep {
 			p.dropLocked(list[0])
 			list = list[1:]
 		}
 		if len(list) == 0 {
-			delete(p.idle, address)
+			delete(p.idle, at)
 			continue
 		}
-		p.idle[address] = list
+		p.idle[at] = list
 		if left := p.keep - time.Since(list[0].since); next < 0 || left < next {
 			next = left
 		}
@@ -158,14 +165,22 @@
 	}
 }
 
-// CloseIdle closes the idle connections to address.
-func (p *Pool) CloseIdle(address string) {
+// CloseIdle closes the idle connections to a provider.
+func (p *Pool) CloseIdle(provider uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.idle[address] {
+	for at, list := range p.idle {
+		if at.provider == provider {
+			p.dropAllLocked(at, list)
+		}
+	}
+}
+
+func (p *Pool) dropAllLocked(at place, list []*conn) {
+	for _, c := range list {
 		p.dropLocked(c)
 	}
-	delete(p.idle, address)
+	delete(p.idle, at)
 }
 
 // Close closes all idle connections, and the others once their calls end.
@@ -173,10 +188,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	for address, list := range p.idle {
-		for _, c := range list {
-			p.dropLocked(c)
-		}
-		delete(p.idle, address)
+	for at, list := range p.idle {
+		p.dropAllLocked(at, list)
 	}
 }
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -109,9 +109,7 @@
 			c.happen(ryerill.Event{Kind: ryerill.Timer, Token: token})
 		})
 	case ryerill.CloseIdle:
-		if t := c.providers[a.Server]; t != nil {
-			go c.pool.CloseIdle(t.address)
-		}
+		go c.pool.CloseIdle(uint64(a.Server))
 	case ryerill.Subscribe:
 		c.directory.Subscribe(a.On)
 	case ryerill.FetchList:
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -259,6 +259,19 @@
 		{"breaks in the body", saysAndCloses("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfine"), 502},
 		{"breaks in a chunk", saysAndCloses("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nfine"), 502},
 		{"body too large", says("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\nx" + big), 502},
+		{"length beyond 64 KiB", says("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx"), 502}, // told by its head
+		{"no length and closed", saysAndCloses("HTTP/1.1 200 OK\r\n\r\nfine"), 502},
+		{"length and chunks", says("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"), 502},
+		{"two lengths", says("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nfine"), 502},
+		{"negative length", says("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nfine"), 502},
+		{"malformed chunk", says("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\nzz\r\n"), 502},
+		{"no status", says("HTTP/1.1 OK 200\r\nContent-Length: 4\r\n\r\nfine"), 502},
+		{"endless head", says("HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Pad: pppppppp\r\n", 3000)), 502},
+		{"five interim answers", says(strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 5) + okay), 200},
+		{"interim answers for ever", says(strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 6)), 502},
+		{"a report that can't be read", says("HTTP/1.1 200 OK\r\nX-Load: {\xff=,\r\nContent-Length: 4\r\n\r\nfine"), 200},
+		{"a second copy behind", says(okay + okay), 200},
+		{"noise behind", says(okay + "\x00\x01"), 200},
 		{"garbage", says("\x00\x01garbage\r\n\r\n"), 502},
 		{"silence", says(""), 504},
 	} {
@@ -386,6 +399,25 @@
 	}
 }
 
+// New providers come under new ids all day, and only changes tell of it: those
+// that are gone are forgotten, or the proxy grows until it is killed.
+func TestProvidersThatAreGoneAreForgotten(t *testing.T) {
+	t.Parallel()
+	c := &core{log: slog.New(slog.DiscardHandler), clock: clock{time.Now()}, balancer: ryerill.New(ryerill.Config{}, 1),
+		pool:      provider.NewPool(8, time.Second, time.Second, nil),
+		providers: make(map[ryerill.ServerID]*target)}
+	e := directory.Endpoint{Name: "first", Address: "127.0.0.1:1", Status: directory.Ready}
+	c.list(ryerill.ListFull, directory.List{Snapshot: true, Endpoints: []directory.Endpoint{e}})
+	for i := range 100 {
+		gone := directory.Endpoint{Name: e.Name, Status: directory.Gone}
+		e.Name = fmt.Sprint("s", i)
+		c.list(ryerill.ListChanges, directory.List{Index: uint64(i), Endpoints: []directory.Endpoint{gone, e}})
+	}
+	if len(c.providers) != 1 || c.providers[serverID(e.Name)] == nil {
+		t.Errorf("%d providers are known", len(c.providers))
+	}
+}
+
 // Rule 4: a provider that has just started gets little. It shows that since_ms
 // and the Balancer's time share their scale, or all starts would seem recent,
 // or long ago.
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -47,7 +47,7 @@
 			until = end
 		}
 	}
-	k.Call = provider.Call{Request: e.inv.Request, Address: t.address, Until: until, MayStart: t.ready.Load}
+	k.Call = provider.Call{Request: e.inv.Request, Provider: uint64(t.id), Address: t.address, Until: until, MayStart: t.ready.Load}
 	go c.send(k)
 }
 
@@ -89,6 +89,9 @@
 	c.happen(ryerill.Event{Kind: ryerill.ServerList, List: ryerill.ListFailed})
 }
 
+// list takes in what is known of the providers. Those that are gone are
+// forgotten with their idle connections: new ones come under new ids all day,
+// and an address may pass from one to another.
 func (c *core) list(kind ryerill.ListKind, list directory.List) {
 	if kind != ryerill.ListChanges {
 		for _, t := range c.providers {
@@ -98,6 +101,7 @@
 	servers := make([]ryerill.Server, 0, len(list.Endpoints))
 	states := map[string]ryerill.ServerState{directory.Ready: ryerill.Ready,
 		directory.Terminating: ryerill.Draining, directory.Gone: ryerill.Gone}
+	listed := make(map[ryerill.ServerID]bool, len(list.Endpoints))
 	for i := range list.Endpoints {
 		e := &list.Endpoints[i]
 		t := c.providers[serverID(e.Name)]
@@ -109,15 +113,16 @@
 			t.address = e.Address
 		}
 		t.ready.Store(e.Status == directory.Ready)
+		listed[t.id] = e.Status != directory.Gone
 		servers = append(servers, ryerill.Server{ID: t.id, State: states[e.Status], Cell: e.Group, Weight: e.Weight,
 			Zone: index(c.settings.Zones, e.Zone), Kind: index(c.settings.Kinds, e.Type),
 			Started: time.Duration(e.SinceMS) * time.Millisecond})
 	}
 	c.happen(ryerill.Event{Kind: ryerill.ServerList, List: kind, Version: list.Index, Servers: servers})
-	for id, t := range c.providers {
-		if kind != ryerill.ListChanges && !t.ready.Load() && !slices.ContainsFunc(servers,
-			func(s ryerill.Server) bool { return s.ID == id }) {
+	for id := range c.providers {
+		if there, named := listed[id]; !there && (named || kind != ryerill.ListChanges) {
 			delete(c.providers, id)
+			go c.pool.CloseIdle(uint64(id))
 		}
 	}
 }
