Serve kept connections on after SIGTERM, for half the time until the kill

A probe of connections and requests showed that each was served once more and closed (Connection: close on every answer after SIGTERM), while consumers would go on for up to 0.9 s on what stays open. Cause: consumer.Server answered with close from the first moment of stopping on. Excluded: that the listener should stay open for longer: no connection came after 0.4 s. Now kept connections are served for half of the time until the kill, and an invocation that comes late is given no more time than is left before it.

--- a/consumer/server.go
+++ b/consumer/server.go
@@ -23,6 +23,9 @@
 	writeTimeout = 5 * time.Second         // an answer is out in this time
 	leaveMargin  = 30 * time.Second        // a connection is watched this long beyond its invocation's time
 	acceptOn     = 550 * time.Millisecond  // connections keep arriving for up to 0.4 s after the word to stop
+	killedAfter  = 3 * time.Second         // the word to stop is followed by the kill after the longest deadline or this,
+	killedLater  = 700 * time.Millisecond  // and this on top; what came in up to then may go unanswered
+	killMargin   = 400 * time.Millisecond  // the last answers are out so long before
 	fresh        = 50 * time.Millisecond   // a new connection is about to ask, and a request to be whole, for so long
 	settled      = 2 * time.Second         // one idle for longer may be closed at any time
 	linger       = 500 * time.Millisecond  // what comes in after a last answer is read for so long, lest it be reset
@@ -37,13 +40,15 @@
 	buffers  *buffer.Pool
 	most     int // connections
 
-	mu       sync.Mutex
-	room     *sync.Cond // a connection has ended, or goes on after all
-	conns    map[*conn]struct{}
-	leaving  int              // connections that have been given up and not ended yet
-	ids      map[string]*conn // of the requests that are open
-	stopping bool             // no connection outlives its present invocation
-	closed   bool             // no connection is waited for either
+	killed time.Duration // after the word to stop, at the earliest
+
+	mu      sync.Mutex
+	room    *sync.Cond // a connection has ended, or goes on after all
+	conns   map[*conn]struct{}
+	leaving int              // connections that have been given up and not ended yet
+	ids     map[string]*conn // of the requests that are open
+	stopped time.Time        // when the word to stop came; zero before
+	closed  bool             // no connection outlives its present invocation
 }
 
 // Listen opens the address for consumers. Of the most connections that it may
@@ -56,6 +61,9 @@
 	s := &Server{listener: l.(*net.TCPListener), names: names, buffers: buffers, most: most - reserve,
 		conns: make(map[*conn]struct{}), ids: make(map[string]*conn)}
 	s.room = sync.NewCond(&s.mu)
+	for _, d := range names.Deadlines {
+		s.killed = max(s.killed, min(d, killedAfter)+killedLater)
+	}
 	return s, nil
 }
 
@@ -63,8 +71,10 @@
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
 // Serve hands invocations to intake until ctx ends. It then goes on accepting
-// for a while, since the word that this proxy stops spreads slowly, and
-// returns when all that was taken in has been answered.
+// for a while, since the word that this proxy stops spreads slowly, and serves
+// the connections that it has for half the time that is left to it: until
+// another proxy is back, there may be nobody else. It returns when all that was
+// taken in has been answered.
 func (s *Server) Serve(ctx context.Context, intake Intake) error {
 	s.intake = intake
 	defer s.listener.Close()
@@ -84,6 +94,24 @@
 		s.add(nc)
 	}
 	s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	defer time.AfterFunc(time.Until(s.stopped.Add(s.killed/2)), s.close).Stop()
+	for len(s.conns) > 0 {
+		s.room.Wait()
+	}
+	return nil
+}
+
+func (s *Server) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = time.Now()
+	s.listener.SetDeadline(s.stopped.Add(acceptOn))
+}
+
+// close lets all connections end that have no request open.
+func (s *Server) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
@@ -92,17 +120,16 @@
 			c.giveUp()
 		}
 	}
-	for len(s.conns) > 0 {
-		s.room.Wait()
-	}
-	return nil
 }
 
-func (s *Server) stop() {
+// left is how long an invocation taken now may take that would wait for d.
+func (s *Server) left(d time.Duration) time.Duration {
 	s.mu.Lock()
-	s.stopping = true
-	s.mu.Unlock()
-	s.listener.SetDeadline(time.Now().Add(acceptOn))
+	defer s.mu.Unlock()
+	if s.stopped.IsZero() || time.Since(s.stopped) < killedLater-killMargin/2 {
+		return d
+	}
+	return min(d, max(time.Until(s.stopped.Add(s.killed-killMargin)), 0))
 }
 
 // add starts a connection. At the limit another makes room; if all are busy
@@ -324,6 +351,7 @@
 			c.reject(&httpError{http.StatusConflict, headerID + " is open already"})
 			return
 		}
+		inv.Left = c.server.left(inv.Left)
 		closes := req.Close
 		inv.Reply = func(a Answer) { go c.answer(a, id, closes, answered) }
 		c.nc.SetReadDeadline(inv.Taken.Add(inv.Left + leaveMargin))
@@ -372,7 +400,7 @@
 	defer a.Response.Free()
 	c.server.release(id, c)
 	c.server.mu.Lock()
-	closes = closes || c.server.stopping
+	closes = closes || c.server.closed
 	c.server.mu.Unlock()
 	var header http.Header
 	var body *buffer.Body
@@ -401,7 +429,7 @@
 // first moment on, with the providers known from before.
 func (c *conn) ready(closes bool) bool {
 	c.server.mu.Lock()
-	stopping := c.server.stopping
+	stopping := !c.server.stopped.IsZero()
 	c.server.mu.Unlock()
 	status := http.StatusOK
 	if stopping {
--- a/consumer/server_test.go
+++ b/consumer/server_test.go
@@ -1,9 +1,11 @@
 package consumer
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"runtime"
 	"testing"
 	"time"
@@ -127,3 +129,61 @@
 		}
 	})
 }
+
+// prompt serves each invocation at once.
+type prompt struct{}
+
+func (prompt) Take(inv *Invocation) uint64 { inv.Reply(Answer{Verdict: Served}); return 0 }
+func (prompt) Leave(uint64)                {}
+
+// After the word to stop, consumers go on with the connections that they have:
+// until another proxy is back there may be nobody else. Then they are told.
+func TestKeptConnectionsAreServedAfterTheWordToStop(t *testing.T) {
+	s, err := Listen("127.0.0.1:0", 64, Names{Classes: names.Classes, Effects: names.Effects,
+		Deadlines: []time.Duration{time.Minute, 0, 0}}, new(buffer.Pool))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	over := make(chan error)
+	go func() { over <- s.Serve(ctx, prompt{}) }()
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	r := bufio.NewReader(c)
+	ask := func(id string) *http.Response {
+		io.WriteString(c, "GET /read HTTP/1.1\r\nHost: x\r\nReq-Id: "+id+"\r\n\r\n")
+		resp, _ := http.ReadResponse(r, nil)
+		return resp
+	}
+	if resp := ask("1"); resp == nil || resp.StatusCode != 200 {
+		t.Fatalf("before the word to stop: %+v", resp)
+	}
+	told := time.Now()
+	stop()
+	for s.left(time.Hour) == time.Hour && time.Since(told) < killedLater { // until the word is there, and past the grace
+		runtime.Gosched()
+	}
+	resp := ask("2")
+	switch late := time.Since(told) >= s.killed/2; { // on a busy machine: nothing is promised
+	case resp == nil && !late:
+		t.Error("after the word to stop there is no answer")
+	case resp != nil && (resp.StatusCode != 200 || resp.Close && !late):
+		t.Errorf("after the word to stop: %s, closes %v", resp.Status, resp.Close)
+	}
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Errorf("it ends with %v", err)
+	}
+	if err := <-over; err != nil {
+		t.Error(err)
+	}
+	for _, tc := range []struct{ since, want time.Duration }{{0, time.Hour}, {time.Second, s.killed - killMargin - time.Second}} {
+		s.stopped = time.Now().Add(-tc.since)
+		if got := s.left(time.Hour); got > tc.want || got < tc.want-10*time.Second {
+			t.Errorf("%v after the word to stop an invocation may take %v, want %v", tc.since, got, tc.want)
+		}
+	}
+}
