Move the limit with the number of servers, and end a quiet front's windows sooner

A probe of the limit at each answer: a release takes two of four gateways out, the ceiling falls from 48 to 24 and the limit with it; at 14 s three and at 15 s four are back, the ceiling is 48 again, and the limit stands at 24 to 27 for the three seconds that follow, 50 refusals each half second. Cause: settle cut maxIFR to a fallen ceiling and left it there when the ceiling rose again; adjust adds one a window, and 20 samples take a front with 20 answers a second a second.

--- a/balancer.go
+++ b/balancer.go
@@ -11,7 +11,7 @@
 // Settings: ratios of what Config states, so that they hold for deployments of any pace and size.
 const (
 	windowShare  = 0.125 // windowSize in shortest aims: a slow-down chokes servers within an aim or two
-	minRequests  = 20    // samples for a verdict, or as many as the ceiling holds: quiet copies are many
+	minRequests  = 8     // samples for a verdict, or as many as the ceiling holds: quiet copies are many
 	maxSamples   = 256   // buffered latencies; the oldest are overwritten
 	percentile   = 60    // above the median, yet slow or hung servers and chance hardly move it
 	lmaxShare    = 0.6   // Lmax in aims at the front: the rest is kept for what queues next
@@ -430,6 +430,9 @@
 	}
 	b.ready = len(fleet)
 	part := float64(b.ready) / float64(b.cfg.GroupSize) * float64(b.cfg.Tiers-b.cfg.Tier)
+	if b.ceiling > 0 { // the limit is for so many servers: it keeps its seats for each
+		b.maxIFR *= maxSeats * part / b.ceiling
+	}
 	b.floor, b.ceiling = minSeats*part, maxSeats*part
 	if b.maxIFR == 0 { // initialConcurrencyLimit: too high is cut in an aim, too low starves
 		b.maxIFR = b.ceiling
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -143,6 +143,29 @@
 	}
 }
 
+// A release takes servers out and brings others: the limit keeps its seats for
+// each, or it regrows by one a window while clients are refused; and a quiet
+// front, some 20 answers a second, ends a window within half of one.
+func TestLimitMovesWithTheServers(t *testing.T) {
+	n := newNode(t, testConfig(), fleet(8)...)
+	feed(n, 900*ms)
+	seats := n.b.maxIFR / 8
+	for _, servers := range []int{4, 2, 6, 8} {
+		n.handle(Event{Kind: ServerList, List: ListFull, Servers: fleet(servers)})
+		if got := n.b.maxIFR / float64(servers); got < 0.999*seats || got > 1.001*seats {
+			t.Errorf("%d servers: %v seats each, want %v", servers, got, seats)
+		}
+	}
+	was := n.b.maxIFR
+	for range 10 {
+		n.b.sample(&n.b.cfg.Classes[0], 100*ms)
+	}
+	n.now += time.Second
+	if n.handle(Event{Kind: Timer}); n.b.maxIFR <= was {
+		t.Errorf("ten quick answers leave the limit at %v", n.b.maxIFR)
+	}
+}
+
 // Each crossing of zones is priced. A copy whose zone has its part of the
 // servers stays there while they are idle, however few they are, and is not
 // sent home to another zone by its place on the ring; a zone with too few left
