Let the limit grow to the load of an absent proxy, and ask for the list sooner

Cause: list and ask waited AskWithin/8 and up to four times that after 503s, of which a directory with 18 callers gives many; maxSeats is this copy's part of the servers, though the other was away. Now the limit starts at 8 seats a server as before and may grow to 16; the list is asked for after AskWithin/32, doubled up to three times.

--- a/balancer.go
+++ b/balancer.go
@@ -16,7 +16,8 @@
 	percentile   = 60    // above the median, yet slow or hung servers and chance hardly move it
 	lmaxShare    = 0.6   // Lmax in aims at the front: the rest is kept for what queues next
 	backoffRatio = 0.9   // a cut; windows are short, and several in one aim still fall fast
-	maxSeats     = 8.0   // maxConcurrencyLimit for each server: on calm days it must not bind
+	maxSeats     = 16.0  // maxConcurrencyLimit for each server: on calm days it must not bind
+	startSeats   = 8.0   // initialConcurrencyLimit for each server: more is for when other copies are away
 	minSeats     = 1.0   // minConcurrencyLimit for each server: less would leave servers idle
 	mostStep     = 0.1   // growth is 1, but no more than this part of the ceiling: many copies grow at once
 	bunching     = 3.0   // calls above the limit that chance may bunch,
@@ -435,12 +436,12 @@
 	}
 	b.floor, b.ceiling = minSeats*part, maxSeats*part
 	if b.maxIFR == 0 { // initialConcurrencyLimit: too high is cut in an aim, too low starves
-		b.maxIFR = b.ceiling
+		b.maxIFR = startSeats * part
 	}
 	b.maxIFR = min(max(b.maxIFR, b.floor), b.ceiling)
 	slices.SortFunc(fleet, func(x, y *server) int { return cmp.Compare(mix(uint64(x.ID)), mix(uint64(y.ID))) })
 	own := slices.DeleteFunc(slices.Clone(fleet), func(s *server) bool { return s.Zone != b.cfg.Zone })
-	near := max(nearSeats*maxSeats*part, leastNear)
+	near := max(nearSeats*startSeats*part, leastNear)
 	if float64(len(own)) < max(leastNear, leastOwn*float64(b.ready)) { // few must not get all
 		own = fleet
 	}
@@ -466,7 +467,7 @@
 		return
 	}
 	b.asking = true
-	wait := float64(b.cfg.Contract.AskWithin) / 8 * math.Exp2(float64(min(b.failed, 2))) * (0.1 + b.random())
+	wait := float64(b.cfg.Contract.AskWithin) / 32 * math.Exp2(float64(min(b.failed, 3))) * (0.1 + b.random())
 	b.out = append(b.out, Action{Kind: SetTimer, Wait: time.Duration(wait)})
 }
 
