Notice a directory that falls silent in a watch after 3.2 s instead of 21.5

Cause: directory.watchFor was 20 s, and a call is overdue only 1.5 s after its wait; nothing else tells a silent directory from one without news. Excluded: the limit (42 to 90, never reached: 1/0 answers are few) and the directory's queue (no 503 in that time). Now a call of a watch waits 2 s and is overdue after 1.2 s more. The next call follows at once, so that the watch goes on and costs the directory no new start.

--- a/cmd/ryerill/main_test.go
+++ b/cmd/ryerill/main_test.go
@@ -247,7 +247,7 @@
 			t.Fatal("nothing happens on SIGHUP")
 		}
 	}
-	for _, query := range []string{"", "since=1&timeout_ms=20000"} {
+	for _, query := range []string{"", "since=1&timeout_ms=2000"} {
 		select {
 		case got := <-asked:
 			if got != query {
--- a/directory/client.go
+++ b/directory/client.go
@@ -16,8 +16,8 @@
 
 const (
 	path       = "/v1/endpoints"
-	watchFor   = 20 * time.Second        // a watch waits this long for something newer
-	answerIn   = 1500 * time.Millisecond // an answer is overdue after this, beyond what the call may wait
+	watchFor   = 2 * time.Second         // a call of a watch waits this long for something newer: silence is noticed soon after
+	answerIn   = 1200 * time.Millisecond // an answer is overdue after this, beyond what the call may wait
 	maxList    = 1 << 20                 // bytes of an answer
 	emptyPause = 50 * time.Millisecond   // before the next call when an answer without news came early
 )
--- a/directory/client_test.go
+++ b/directory/client_test.go
@@ -54,13 +54,13 @@
 		told   string
 	}{
 		{"", says(5, true), false, "list 5"}, // nothing is known: the whole list
-		{"since=5&timeout_ms=20000", closes, true, "list 6"},
-		{"since=6&timeout_ms=20000", fails, false, "failed"},
-		{"since=6&timeout_ms=20000", cut, false, "failed"},
-		{"since=6&timeout_ms=20000", says(3, false), false, "failed"}, // changes of another history
+		{"since=5&timeout_ms=2000", closes, true, "list 6"},
+		{"since=6&timeout_ms=2000", fails, false, "failed"},
+		{"since=6&timeout_ms=2000", cut, false, "failed"},
+		{"since=6&timeout_ms=2000", says(3, false), false, "failed"}, // changes of another history
 		{"", says(3, true), false, "list 3"},
-		{"since=3&timeout_ms=20000", says(0, true), true, "list 0"},
-		{"since=0&timeout_ms=20000", says(0, false), true, "list 0"}, // 0 is a version like any other
+		{"since=3&timeout_ms=2000", says(0, true), true, "list 0"},
+		{"since=0&timeout_ms=2000", says(0, false), true, "list 0"}, // 0 is a version like any other
 	} {
 		c.Subscribe(true) // of no effect while the watch goes on
 		var got call
@@ -136,7 +136,7 @@
 	defer cancel()
 	c := NewClient(ctx, old, List{Index: 41, Snapshot: true}, new(buffer.Pool), news)
 	c.Subscribe(true)
-	waiting := next(oldCalls, "since=41&timeout_ms=20000")
+	waiting := next(oldCalls, "since=41&timeout_ms=2000")
 	c.Move(old) // the same again changes nothing
 	c.Move(fresh)
 	<-waiting.left
@@ -144,7 +144,7 @@
 	if text := <-news; text != "list 3" {
 		t.Errorf("told %q", text)
 	}
-	failing := next(freshCalls, "since=3&timeout_ms=20000")
+	failing := next(freshCalls, "since=3&timeout_ms=2000")
 	failing.w.WriteHeader(http.StatusServiceUnavailable)
 	close(failing.done)
 	if text := <-news; text != "failed" {
@@ -156,3 +156,22 @@
 		t.Errorf("%d and %d more calls, %d more told", len(oldCalls), len(freshCalls), len(news))
 	}
 }
+
+// A directory that takes a watch and says nothing more is noticed long before
+// what it had to tell would have been missed.
+func TestSilenceIsNoticed(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	defer server.Close()
+	news := make(told, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	NewClient(ctx, server.Listener.Addr().String(), List{Snapshot: true}, new(buffer.Pool), news).Subscribe(true)
+	select {
+	case text := <-news:
+		if text != "failed" {
+			t.Errorf("told %q", text)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("nothing is told")
+	}
+}
