--- a/balancer.go
+++ b/balancer.go
@@ -16,7 +16,7 @@
 	percentile   = 60    // above the median, yet slow or hung servers and chance hardly move it
 	lmaxShare    = 0.6   // Lmax in aims at the front: the rest is kept for what queues next
 	backoffRatio = 0.9   // a cut; windows are short, and several in one aim still fall fast
-	maxSeats     = 16.0  // maxConcurrencyLimit for each server: on calm days it must not bind
+	maxSeats     = 10.0  // maxConcurrencyLimit for each server: on calm days it must not bind
 	startSeats   = 8.0   // initialConcurrencyLimit for each server: more is for when other copies are away
 	minSeats     = 1.0   // minConcurrencyLimit for each server: less would leave servers idle
 	mostStep     = 0.1   // growth is 1, but no more than this part of the ceiling: many copies grow at once
