--- /dev/null
+++ b/cmd/ryerill-lab/main.go
@@ -0,0 +1,11 @@
+// Command ryerill-lab is the laboratory of ryerill: it plays deployments in
+// virtual time and on sockets, and measures.
+package main
+
+import (
+	"os"
+
+	"ryerill/lab/command"
+)
+
+func main() { os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/lab/node/node.go
@@ -0,0 +1,321 @@
+// Package node models the machine of one provider: cores shared evenly by what
+// is in work, slots, a waiting room, a cold start, and slowing down when too
+// much waits for the cores. It is pure: time comes in as an argument, and both
+// hosts of the laboratory drive it, in virtual time and in real time.
+package node
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"ryerill/lab/world"
+)
+
+// Verdict is what becomes of a request that arrives.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Working Verdict = iota // it has a slot
+	Waiting                // it waits for a slot
+	Full                   // turned away unseen
+)
+
+// Job is one piece of work. The owner sets Left and Tag before it is offered.
+type Job struct {
+	Left float64 // seconds of one warm core still to do in the present phase
+	Tag  any     // the owner's
+
+	state state
+	due   float64 // of the node's virtual time, while on the cores
+	index int     // in the heap of the running
+	slot  bool
+}
+
+type state uint8
+
+const (
+	idle state = iota
+	running
+	queued
+	resting // holds its slot while it waits for another tier
+)
+
+// tick is how often the rate is reckoned anew while it moves by itself.
+const tick = 100 * time.Millisecond
+
+// Node is one machine. It is not safe for concurrent use.
+type Node struct {
+	spec    *world.Node
+	speed   float64 // of a core, this machine's draw
+	started time.Duration
+	warm    bool // since before the beginning
+	factor  float64
+	hung    bool
+
+	now      time.Duration
+	virtual  float64 // service that each running job has had since the start
+	jobs     runningJobs
+	queue    []*Job
+	held     int // slots taken
+	done     float64
+	crowded  time.Duration // since when too much waits; -1 is not
+	rested   time.Duration // since when little waits; -1 is not
+	slowed   time.Duration // since when it is slowed down; -1 is not
+	cold     []sent
+	tipped   bool
+	Conns    int     // connections open
+	Received float64 // work sent to it while cold, in the span that tips it
+}
+
+type sent struct {
+	at   time.Duration
+	work float64
+}
+
+type runningJobs []*Job
+
+func (r runningJobs) Len() int           { return len(r) }
+func (r runningJobs) Less(i, j int) bool { return r[i].due < r[j].due }
+func (r runningJobs) Swap(i, j int) {
+	r[i], r[j] = r[j], r[i]
+	r[i].index, r[j].index = i, j
+}
+func (r *runningJobs) Push(x any) {
+	j := x.(*Job)
+	j.index = len(*r)
+	*r = append(*r, j)
+}
+func (r *runningJobs) Pop() any {
+	old := *r
+	j := old[len(old)-1]
+	old[len(old)-1] = nil
+	*r = old[:len(old)-1]
+	return j
+}
+
+// New returns a warm machine, or a cold one that starts now.
+func New(spec *world.Node, speed float64, now time.Duration, warm bool) *Node {
+	return &Node{spec: spec, speed: speed, started: now, now: now, warm: warm, factor: 1, crowded: -1, rested: -1, slowed: -1}
+}
+
+// Capacity is the part of a warm machine's capacity that it has now, by its age.
+func (n *Node) Capacity(now time.Duration) float64 {
+	age := now - n.started
+	if n.warm || age >= n.spec.Cold.For {
+		return 1
+	}
+	return n.spec.Cold.From + (1-n.spec.Cold.From)*float64(age)/float64(n.spec.Cold.For)
+}
+
+// Cold tells whether it has not warmed up.
+func (n *Node) Cold() bool { return !n.warm && n.now-n.started < n.spec.Cold.For }
+
+// Rate is the work that the warm machine does in a second.
+func (n *Node) Rate() float64 { return n.spec.Cores * n.speed }
+
+// pace is the service that each running job gets in a second.
+func (n *Node) pace() float64 {
+	if len(n.jobs) == 0 || n.hung || n.tipped {
+		return 0
+	}
+	p := n.speed * n.Capacity(n.now) / n.factor * math.Min(1, n.spec.Cores/float64(len(n.jobs)))
+	if n.slowed >= 0 {
+		p /= n.spec.Crowd.Factor
+	}
+	return p
+}
+
+// Advance moves the machine's time to now. Jobs that are due by then wait in Pop.
+func (n *Node) Advance(now time.Duration) {
+	for n.now < now {
+		step := now
+		if n.moving() && step-n.now > tick {
+			step = n.now + tick
+		}
+		did := n.pace() * (step - n.now).Seconds()
+		n.virtual += did
+		n.done += did * float64(len(n.jobs))
+		n.now = step
+		n.crowd()
+	}
+}
+
+// moving tells whether the pace changes with time alone.
+func (n *Node) moving() bool { return n.Cold() || n.slowed >= 0 || n.crowded >= 0 }
+
+// crowd watches how much waits for the cores.
+func (n *Node) crowd() {
+	c := &n.spec.Crowd
+	if c.At == 0 {
+		return
+	}
+	load := float64(len(n.jobs)+len(n.queue)) / n.spec.Cores
+	mark := func(since *time.Duration, on bool) time.Duration {
+		if !on {
+			*since = -1
+		} else if *since < 0 {
+			*since = n.now
+		}
+		if *since < 0 {
+			return -1
+		}
+		return n.now - *since
+	}
+	if n.slowed < 0 {
+		if mark(&n.crowded, load > c.At) >= c.After {
+			n.slowed, n.rested = n.now, -1
+		}
+		return
+	}
+	if mark(&n.rested, load <= c.Below) >= c.Rest || n.now-n.slowed >= c.Most {
+		n.slowed, n.crowded, n.rested = -1, -1, -1
+	}
+}
+
+// Slowed tells whether the machine is slowed down by crowding.
+func (n *Node) Slowed() bool { return n.slowed >= 0 }
+
+// Tipped tells whether it fell over, pushed while cold.
+func (n *Node) Tipped() bool { return n.tipped }
+
+// Done is the work done since the start, in seconds of one warm core.
+func (n *Node) Done() float64 { return n.done }
+
+// Waiting is how many jobs wait for a slot; Running how many share the cores.
+func (n *Node) Waiting() int { return len(n.queue) }
+
+// Running is how many jobs share the cores.
+func (n *Node) Running() int { return len(n.jobs) }
+
+// Offer gives a job to the machine.
+func (n *Node) Offer(now time.Duration, j *Job) Verdict {
+	n.Advance(now)
+	n.push(j.Left)
+	switch {
+	case n.held < n.spec.Slots && len(n.queue) == 0:
+		n.held++
+		j.slot = true
+		n.run(j)
+		return Working
+	case len(n.queue) < n.spec.Room:
+		j.state = queued
+		n.queue = append(n.queue, j)
+		n.crowd()
+		return Waiting
+	}
+	return Full
+}
+
+// Extra is work that needs no slot, as a handshake does.
+func (n *Node) Extra(now time.Duration, work float64) {
+	n.Advance(now)
+	n.push(work)
+	n.run(&Job{Left: work})
+}
+
+// push books what is sent to a cold machine, and tips it over if that is too much for too long.
+func (n *Node) push(work float64) {
+	if !n.Cold() || n.tipped {
+		return
+	}
+	n.cold = append(n.cold, sent{n.now, work})
+	n.Received += work
+	for len(n.cold) > 0 && n.now-n.cold[0].at > n.spec.Cold.Within {
+		n.Received -= n.cold[0].work
+		n.cold = n.cold[1:]
+	}
+	budget := n.spec.Cold.Tips * n.Capacity(n.now) * n.Rate() * n.spec.Cold.Within.Seconds()
+	// Chance bunches arrivals: a fifth and four mean jobs of slack keep it from tipping a machine.
+	if mean := n.Received / float64(len(n.cold)); n.Received > 1.2*budget+4*mean {
+		n.tipped = true
+	}
+}
+
+func (n *Node) run(j *Job) {
+	j.state, j.due = running, n.virtual+j.Left
+	heap.Push(&n.jobs, j)
+	n.crowd()
+}
+
+// Resume puts a job that rested back on the cores.
+func (n *Node) Resume(now time.Duration, j *Job) {
+	n.Advance(now)
+	n.run(j)
+}
+
+// Next is when Pop is to be called next; ok is false if nothing is due by itself.
+func (n *Node) Next() (at time.Duration, ok bool) {
+	pace := n.pace()
+	if pace <= 0 {
+		return 0, false
+	}
+	left := (n.jobs[0].due - n.virtual) / pace
+	wait := time.Duration(math.Max(0, left)*float64(time.Second)) + 1
+	if n.moving() {
+		wait = min(wait, tick)
+	}
+	return n.now + wait, true
+}
+
+// Pop returns the next job whose phase is done by now; it rests in its slot
+// until Resume or End. Nil is none.
+func (n *Node) Pop(now time.Duration) *Job {
+	n.Advance(now)
+	const close = 1e-9 // seconds: rounding of times to nanoseconds
+	if len(n.jobs) == 0 || n.jobs[0].due > n.virtual+close {
+		return nil
+	}
+	j := heap.Pop(&n.jobs).(*Job)
+	j.state = resting
+	n.crowd()
+	return j
+}
+
+// End frees the slot of a job, whatever it was doing, and lets the next one in.
+func (n *Node) End(now time.Duration, j *Job) {
+	n.Advance(now)
+	switch j.state {
+	case running:
+		heap.Remove(&n.jobs, j.index)
+	case queued:
+		for i, q := range n.queue {
+			if q == j {
+				n.queue = append(n.queue[:i], n.queue[i+1:]...)
+				break
+			}
+		}
+	}
+	j.state = idle
+	if j.slot {
+		j.slot = false
+		n.held--
+	}
+	for n.held < n.spec.Slots && len(n.queue) > 0 {
+		next := n.queue[0]
+		n.queue = n.queue[1:]
+		n.held++
+		next.slot = true
+		n.run(next)
+	}
+	n.crowd()
+}
+
+// Queued and Busy tell where a job is.
+func (j *Job) Queued() bool { return j.state == queued }
+
+// Busy tells whether the job is on the cores.
+func (j *Job) Busy() bool { return j.state == running }
+
+// Slow makes the machine so many times slower; 1 ends that.
+func (n *Node) Slow(now time.Duration, factor float64) {
+	n.Advance(now)
+	n.factor = factor
+}
+
+// Hang stops all work, or lets it go on.
+func (n *Node) Hang(now time.Duration, on bool) {
+	n.Advance(now)
+	n.hung = on
+}
--- /dev/null
+++ b/lab/rules/rules.go
@@ -0,0 +1,261 @@
+// Package rules watches what proxies take in, send and answer, and names each
+// breach of the rules that every proxy must keep. It is an oracle for both
+// hosts of the laboratory, knows neither of them, and is pure: times come in as
+// arguments. It is not safe for concurrent use.
+package rules
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"ryerill"
+)
+
+// The rules by name.
+const (
+	OneAnswer = "one-answer"     // one final answer for each request, before the consumer gives up
+	NoRepeat  = "no-repeat"      // nothing goes out again, or is called harmless, against its class
+	Drained   = "drained"        // nothing new to a provider some time after word of its drain
+	Pushed    = "pushed-over"    // no cold provider is pushed over
+	Foreign   = "foreign-answer" // an answer is one that a provider made for that request
+)
+
+// All lists the rules.
+var All = []string{OneAnswer, NoRepeat, Drained, Pushed, Foreign}
+
+const (
+	mostKept     = 100     // violations kept with their evidence; the rest are counted
+	mostFinished = 1 << 17 // finished requests remembered, to notice a second answer
+)
+
+// Violation is one breach with its evidence.
+type Violation struct {
+	Rule     string        `json:"rule"`
+	At       time.Duration `json:"at"`
+	Evidence string        `json:"evidence"`
+}
+
+// Verdict is what a final answer says.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Served Verdict = iota
+	Refused
+	Failed
+)
+
+func (v Verdict) String() string { return [...]string{"served", "refused", "failed"}[v] }
+
+// Provider is what the rules need to know of one.
+type Provider struct {
+	ID    uint64
+	Name  string
+	Zone  int
+	Group int
+}
+
+// Config holds the figures of the rules.
+type Config struct {
+	Slack   time.Duration // an answer counts this long after the deadline
+	Grace   time.Duration // after word of a drain
+	Classes []ryerill.Class
+	Name    func(proxy int) string
+}
+
+// Watch is the oracle of one run.
+type Watch struct {
+	cfg      Config
+	open     map[key]*request
+	told     map[key]time.Duration // by proxy and provider: since when it is known to drain or be gone
+	finished []key
+	next     int // in finished, once it is full
+	kept     []Violation
+	counts   map[string]int
+}
+
+type key struct {
+	proxy int
+	id    uint64
+}
+
+type request struct {
+	class    int
+	until    time.Duration
+	attempts []attempt
+	over     bool // answered, or nobody waits for it
+	left     bool
+}
+
+type attempt struct {
+	provider Provider
+	at       time.Duration
+	ended    bool
+	neverRan bool
+}
+
+// New returns an oracle.
+func New(cfg Config) *Watch {
+	if cfg.Name == nil {
+		cfg.Name = func(proxy int) string { return fmt.Sprintf("proxy %d", proxy) }
+	}
+	return &Watch{cfg: cfg, open: map[key]*request{}, told: map[key]time.Duration{}, counts: map[string]int{}}
+}
+
+func (w *Watch) broken(rule string, at time.Duration, format string, args ...any) {
+	w.counts[rule]++
+	if len(w.kept) < mostKept {
+		w.kept = append(w.kept, Violation{rule, at, fmt.Sprintf(format, args...)})
+	}
+}
+
+// Took notes that a proxy took a request whose consumer waits until a time.
+func (w *Watch) Took(at time.Duration, proxy int, id uint64, class int, until time.Duration) {
+	w.open[key{proxy, id}] = &request{class: class, until: until}
+}
+
+// Sent notes a new attempt. Attempts of a request count from 0 in the order of
+// their Sent; the number is returned.
+func (w *Watch) Sent(at time.Duration, proxy int, id uint64, p Provider) int {
+	r := w.open[key{proxy, id}]
+	if r == nil {
+		w.broken(OneAnswer, at, "%s sent request %d to %s, which it had not taken or which was over", w.cfg.Name(proxy), id, p.Name)
+		return -1
+	}
+	if r.over && !r.left {
+		w.broken(OneAnswer, at, "%s sent request %d to %s after its final answer", w.cfg.Name(proxy), id, p.Name)
+	}
+	if since, ok := w.told[key{proxy, p.ID}]; ok && at > since+w.cfg.Grace {
+		w.broken(Drained, at, "%s sent request %d to %s, told %v ago that it drains or is gone", w.cfg.Name(proxy), id, p.Name, at-since)
+	}
+	c := &w.cfg.Classes[r.class]
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if a.neverRan {
+			continue
+		}
+		within := at-a.at <= c.Memory && (c.Group == ryerill.GroupAll ||
+			c.Group == ryerill.GroupZone && a.provider.Zone == p.Zone ||
+			c.Group == ryerill.GroupCell && a.provider.Group == p.Group)
+		if c.Effect == ryerill.Unsafe || c.Effect == ryerill.Keyed && !within {
+			w.broken(NoRepeat, at, "%s sent request %d of class %s to %s although attempt %d at %s may have run",
+				w.cfg.Name(proxy), id, c.Name, p.Name, i, a.provider.Name)
+			break
+		}
+	}
+	r.attempts = append(r.attempts, attempt{provider: p, at: at})
+	return len(r.attempts) - 1
+}
+
+// Ended notes how an attempt ended, as far as its proxy can know.
+func (w *Watch) Ended(at time.Duration, proxy int, id uint64, number int, neverRan bool) {
+	if r := w.open[key{proxy, id}]; r != nil && number >= 0 && number < len(r.attempts) {
+		a := &r.attempts[number]
+		a.ended, a.neverRan = true, neverRan
+		w.release(key{proxy, id}, r)
+	}
+}
+
+// Answered notes a final answer; by is the provider whose answer was served, 0 is not known.
+func (w *Watch) Answered(at time.Duration, proxy int, id uint64, v Verdict, by uint64) {
+	k := key{proxy, id}
+	r := w.open[k]
+	if r == nil || r.over && !r.left {
+		w.broken(OneAnswer, at, "%s answered request %d (%v), which it had not taken or had answered", w.cfg.Name(proxy), id, v)
+		return
+	}
+	if r.left {
+		return // nobody heard it
+	}
+	if at > r.until+w.cfg.Slack {
+		w.broken(OneAnswer, at, "%s answered request %d (%v) %v after its consumer gave up", w.cfg.Name(proxy), id, v, at-r.until)
+	}
+	c := &w.cfg.Classes[r.class]
+	switch v {
+	case Refused:
+		for i, a := range r.attempts {
+			if !a.neverRan && (c.Effect == ryerill.Unsafe || c.Effect == ryerill.Keyed && c.Group != ryerill.GroupAll) {
+				w.broken(NoRepeat, at, "%s called a retry of request %d of class %s harmless although attempt %d at %s may have run",
+					w.cfg.Name(proxy), id, c.Name, i, a.provider.Name)
+				break
+			}
+		}
+	case Served:
+		if by != 0 && !slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.provider.ID == by && !a.neverRan }) {
+			w.broken(Foreign, at, "%s served request %d with an answer that no provider made for it", w.cfg.Name(proxy), id)
+		}
+	}
+	r.over = true
+	w.release(k, r)
+}
+
+// Left notes that the consumer of a request has gone, so that no answer is owed.
+func (w *Watch) Left(at time.Duration, proxy int, id uint64) {
+	if r := w.open[key{proxy, id}]; r != nil && !r.over {
+		r.over, r.left = true, true
+		w.release(key{proxy, id}, r)
+	}
+}
+
+// Spoilt notes that a consumer was served with what no provider made for its request.
+func (w *Watch) Spoilt(at time.Duration, proxy int, id uint64, what string) {
+	w.broken(Foreign, at, "%s served request %d with %s", w.cfg.Name(proxy), id, what)
+}
+
+// Told notes what a proxy has learnt of a provider: that it is ready, or that it drains or is gone.
+func (w *Watch) Told(at time.Duration, proxy int, provider uint64, ready bool) {
+	k := key{proxy, provider}
+	if ready {
+		delete(w.told, k)
+	} else if _, ok := w.told[k]; !ok {
+		w.told[k] = at
+	}
+}
+
+// Tipped notes that a cold provider was pushed over.
+func (w *Watch) Tipped(at time.Duration, provider string, sent, budget float64) {
+	w.broken(Pushed, at, "%s fell over: sent %.2f s of work within its span, its budget was %.2f s", provider, sent, budget)
+}
+
+// Died forgets what a proxy had open: it was killed, and owes nothing.
+func (w *Watch) Died(proxy int) {
+	maps.DeleteFunc(w.open, func(k key, _ *request) bool { return k.proxy == proxy })
+	maps.DeleteFunc(w.told, func(k key, _ time.Duration) bool { return k.proxy == proxy })
+}
+
+func (w *Watch) release(k key, r *request) {
+	if !r.over || slices.ContainsFunc(r.attempts, func(a attempt) bool { return !a.ended }) {
+		return
+	}
+	// A finished request stays for a while: a second answer is a breach, not a stranger's.
+	if len(w.finished) < mostFinished {
+		w.finished = append(w.finished, k)
+		return
+	}
+	delete(w.open, w.finished[w.next])
+	w.finished[w.next] = k
+	w.next = (w.next + 1) % mostFinished
+}
+
+// Finish names the requests that were never answered and returns all breaches
+// that were kept and the count by rule.
+func (w *Watch) Finish(at time.Duration) ([]Violation, map[string]int) {
+	keys := make([]key, 0)
+	for k, r := range w.open {
+		if !r.over && at > r.until+w.cfg.Slack {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b key) int {
+		if a.proxy != b.proxy {
+			return a.proxy - b.proxy
+		}
+		return int(int64(a.id - b.id))
+	})
+	for _, k := range keys {
+		w.broken(OneAnswer, at, "%s never answered request %d, due %v ago", w.cfg.Name(k.proxy), k.id, at-w.open[k].until)
+	}
+	return w.kept, w.counts
+}
