Play worlds on sockets round real proxies, a demo, and what a proxy costs

A claim shown in virtual time alone says nothing of the sockets, and a newcomer could not start the program at all. lab/live has stand-ins for providers (the same machine model), directory, network and consumers on loopback, round proxies in processes of their own or embedded, with the same oracle and figures. 'demo' plays 30 s with troubles, 'overhead' compares the pinned, saturated proxy with a plain relay and httputil.ReverseProxy.

--- a/lab/command/command.go
+++ b/lab/command/command.go
@@ -32,6 +32,9 @@
 
 // Run runs the laboratory with arguments and returns its exit status.
 func Run(args []string, stdout, stderr io.Writer) int {
+	if status, ok := inner(args, stdout, stderr); ok {
+		return status
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{
@@ -43,8 +46,8 @@
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	root.AddCommand(runCommand(stdout, stderr), reportCommand(stdout), compareCommand(stdout), worldCommand(stdout), schemaCommand(stdout))
-	root.AddCommand(realCommands(stdout, stderr)...)
+	root.AddCommand(demoCommand(stdout, stderr), runCommand(stdout, stderr), overheadCommand(stdout, stderr),
+		reportCommand(stdout), compareCommand(stdout), worldCommand(stdout), schemaCommand(stdout))
 	err := root.ExecuteContext(ctx)
 	var short shortError
 	switch {
@@ -93,11 +96,10 @@
 			progressbar.OptionShowCount(), progressbar.OptionClearOnFinish())
 		step = func() { bar.Add(1) }
 	}
-	hosts, closeHosts, err := hosts(e)
+	hosts, err := hosts()
 	if err != nil {
 		return err
 	}
-	defer closeHosts()
 	res, failed := e.Play(ctx, hosts, step)
 	res.Short = short
 	held := true
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -7,6 +7,7 @@
 	"math"
 	"runtime"
 	"slices"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -196,3 +197,21 @@
 	}
 	return Differ(p, q)
 }
+
+// Single is one run as results, to be reported.
+func Single(w *world.World, arm string, r *measure.Result) *Results {
+	return &Results{Name: w.Name, About: w.About, Arms: []string{arm}, Seeds: 1, Spans: spans(w), Runs: []Run{{arm, 1, r}}}
+}
+
+// CostExperiment compares what proxies cost.
+func CostExperiment(rounds int, length time.Duration, connections []int) *Experiment {
+	e := &Experiment{File: File{Name: "overhead", Seeds: rounds, Tables: []string{"cpu_us", "rps", "p50", "p99", "busy"},
+		About: "CPU of one pinned, saturated proxy for each request of 512 bytes, the proxies taking turns in each round."}}
+	for _, n := range connections {
+		for _, build := range []string{"ryerill", "relay", "reverseproxy"} {
+			e.Arms = append(e.Arms, Arm{Name: fmt.Sprintf("%s_%d", build, n), Host: Overhead, Build: build, Connections: n})
+			e.Worlds = append(e.Worlds, &world.World{Length: length})
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/lab/live/trouble.go
@@ -0,0 +1,273 @@
+package live
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	"ryerill/directory"
+	"ryerill/lab/load"
+	"ryerill/lab/node"
+	"ryerill/lab/world"
+)
+
+// troubles does what goes wrong, each in its time.
+func (r *run) troubles(ctx context.Context) {
+	rng := load.Stream(r.seed, 6)
+	var all sync.WaitGroup
+	defer all.Wait()
+	begin := func(at time.Duration, f func()) {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if r.until(ctx, at) {
+				f()
+			}
+		}()
+	}
+	for i := range r.w.Troubles {
+		t := &r.w.Troubles[i]
+		var chosen []*provider
+		switch t.Kind {
+		case world.ZoneLoss:
+			for _, tier := range r.tiers {
+				for _, p := range tier {
+					if r.w.Network.Zones[p.zone] == t.Zone {
+						chosen = append(chosen, p)
+					}
+				}
+			}
+		case world.Slow, world.Hang, world.Spoil, world.Silent, world.Release, world.Replace:
+			for k, tier := range r.tiers {
+				if t.Tier != "all" && t.Tier != r.w.Tiers[k].Name {
+					continue
+				}
+				n := max(1, int(math.Round(t.Part*float64(len(tier)))))
+				for _, j := range rng.Perm(len(tier))[:n] {
+					chosen = append(chosen, tier[j])
+				}
+			}
+		}
+		begin(t.At, func() { r.say(describe(t, len(chosen))) })
+		switch t.Kind {
+		case world.Release:
+			for k, p := range chosen {
+				begin(t.At+time.Duration(float64(t.For)*float64(k)/float64(len(chosen))), func() { r.release(ctx, p, t) })
+			}
+			continue
+		case world.Restart:
+			n := max(1, int(math.Round(t.Part*float64(len(r.slots)))))
+			for _, k := range rng.Perm(len(r.slots))[:n] {
+				begin(t.At, func() { r.restart(ctx, k, t) })
+			}
+			continue
+		case world.DirSilent:
+			g := r.registries[max(r.w.TierIndex(t.Tier), 0)]
+			begin(t.At, func() { g.silent(true) })
+			begin(t.At+t.For, func() { g.silent(false); r.say("the directory answers again") })
+			continue
+		case world.Replace:
+			for _, p := range chosen {
+				begin(t.At, func() { r.replace(ctx, p, t) })
+			}
+			continue
+		case world.Burst:
+			begin(t.At+t.For, func() { r.say("the burst is over") })
+			continue
+		}
+		for _, p := range chosen {
+			begin(t.At, func() { r.during(ctx, p, t) })
+		}
+	}
+}
+
+func describe(t *world.Trouble, n int) string {
+	switch t.Kind {
+	case world.Burst:
+		return fmt.Sprintf("a burst to %g times the load", t.Factor)
+	case world.Slow:
+		return fmt.Sprintf("%d providers run %g times slower", n, t.Factor)
+	case world.Release:
+		return fmt.Sprintf("a release: %d providers drain and restart in turn", n)
+	case world.Restart:
+		return "proxies restart"
+	case world.DirSilent:
+		return "the directory falls silent"
+	case world.ZoneLoss:
+		return fmt.Sprintf("zone %s is lost: %d providers go silent", t.Zone, n)
+	}
+	return fmt.Sprintf("%s: %d providers", t.Kind, n)
+}
+
+// until waits for a time of the run; false if the run ends before.
+func (r *run) until(ctx context.Context, at time.Duration) bool {
+	t := time.NewTimer(at - time.Since(r.began))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *run) during(ctx context.Context, p *provider, t *world.Trouble) {
+	proc := p.current()
+	if proc == nil {
+		return
+	}
+	switch t.Kind {
+	case world.Slow:
+		proc.machine.do(func(n *node.Node, now time.Duration) { n.Slow(now, t.Factor) })
+		if r.until(ctx, t.At+t.For) {
+			proc.machine.do(func(n *node.Node, now time.Duration) { n.Slow(now, 1) })
+		}
+	case world.Hang:
+		proc.machine.do(func(n *node.Node, now time.Duration) { n.Hang(now, true) })
+		if r.until(ctx, t.At+t.For) {
+			proc.machine.do(func(n *node.Node, now time.Duration) { n.Hang(now, false) })
+		}
+	case world.Spoil:
+		proc.spoil.Store(uint64(t.Factor * 1e6))
+		if r.until(ctx, t.At+t.For) {
+			proc.spoil.Store(0)
+		}
+	case world.Silent, world.ZoneLoss:
+		proc.silent.Store(true)
+		proc.machine.do(func(n *node.Node, now time.Duration) { n.Hang(now, true) })
+		p.dropProxy()
+		g := r.registries[p.tier]
+		if noticed := t.At + r.w.Directory.Silent; noticed < t.At+t.For {
+			if !r.until(ctx, noticed) {
+				return
+			}
+			g.know(p, directory.Gone)
+		}
+		if r.until(ctx, t.At+t.For) {
+			p.stop()
+			r.again(ctx, p)
+		}
+	}
+}
+
+// again starts a provider's next process, cold, and lets the directory know late.
+func (r *run) again(ctx context.Context, p *provider) {
+	if err := p.start(false); err != nil {
+		r.crash(err)
+		return
+	}
+	if p.tier+1 < len(r.tiers) {
+		index := 0
+		for j, q := range r.tiers[p.tier] {
+			if q == p {
+				index = j
+			}
+		}
+		inst, err := r.newProxy(ctx, p.tier+1, index, p.zone, p.name+"-proxy")
+		if err != nil {
+			if ctx.Err() == nil {
+				r.crash(err)
+			}
+			return
+		}
+		p.mu.Lock()
+		p.proxy = inst
+		p.mu.Unlock()
+	}
+	if r.until(ctx, time.Since(r.began)+r.w.Directory.Add) {
+		r.registries[p.tier].know(p, directory.Ready)
+	}
+}
+
+func (r *run) crash(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.crashed == nil {
+		r.crashed = err
+	}
+}
+
+// dropProxy ends the proxy that belongs to a provider's process.
+func (p *provider) dropProxy() {
+	p.mu.Lock()
+	inst := p.proxy
+	p.proxy = nil
+	p.mu.Unlock()
+	if inst != nil {
+		inst.kill()
+		p.run.mu.Lock()
+		p.run.oracle.Died(inst.number)
+		p.run.mu.Unlock()
+	}
+}
+
+func (r *run) release(ctx context.Context, p *provider, t *world.Trouble) {
+	proc := p.current()
+	if proc == nil {
+		return
+	}
+	start := time.Since(r.began)
+	proc.draining.Store(true)
+	if lag := r.w.Directory.Lag; lag < t.Drain {
+		if !r.until(ctx, start+lag) {
+			return
+		}
+		r.registries[p.tier].know(p, directory.Terminating)
+	}
+	if !r.until(ctx, start+t.Drain) {
+		return
+	}
+	p.dropProxy()
+	p.stop()
+	if r.until(ctx, start+t.Drain+t.Pause) {
+		r.again(ctx, p)
+	}
+}
+
+// replace ends a process and starts one of another name at its address.
+func (r *run) replace(ctx context.Context, p *provider, t *world.Trouble) {
+	start := time.Since(r.began)
+	p.dropProxy()
+	p.stop()
+	go func() {
+		if r.until(ctx, start+r.w.Directory.Lag) {
+			r.registries[p.tier].know(p, directory.Gone)
+		}
+	}()
+	if !r.until(ctx, start+t.Pause) {
+		return
+	}
+	next := &provider{run: r, tier: p.tier, name: p.name + "-next", zone: p.zone, group: p.group, speed: p.speed, addresses: p.addresses}
+	r.mu.Lock()
+	r.extra = append(r.extra, next)
+	r.mu.Unlock()
+	r.again(ctx, next)
+}
+
+// restart ends a front proxy by SIGTERM and starts the next one in its place.
+func (r *run) restart(ctx context.Context, k int, t *world.Trouble) {
+	r.mu.Lock()
+	old := r.slots[k]
+	r.slots[k] = nil
+	zone := r.slotOf[k]
+	r.mu.Unlock()
+	if old == nil {
+		return
+	}
+	old.leave()
+	if !r.until(ctx, time.Since(r.began)+t.Pause) {
+		return
+	}
+	inst, err := r.newProxy(ctx, 0, k, zone, fmt.Sprintf("front-%d", k))
+	if err != nil {
+		if ctx.Err() == nil {
+			r.crash(err)
+		}
+		return
+	}
+	r.mu.Lock()
+	r.slots[k] = inst
+	r.mu.Unlock()
+}
--- a/lab/report/charts.go
+++ b/lab/report/charts.go
@@ -70,13 +70,24 @@
 		if x1 <= x0 {
 			continue
 		}
-		c.FillPolygon(color.RGBA{255, 214, 150, 110}, []vg.Point{{X: x0, Y: c.Min.Y}, {X: x1, Y: c.Min.Y}, {X: x1, Y: c.Max.Y}, {X: x0, Y: c.Max.Y}})
+		c.FillPolygon(color.NRGBA{255, 214, 150, 110}, []vg.Point{{X: x0, Y: c.Min.Y}, {X: x1, Y: c.Min.Y}, {X: x1, Y: c.Max.Y}, {X: x0, Y: c.Max.Y}})
 		c.FillText(sty, vg.Point{X: x0 + 3, Y: c.Max.Y - 3 - vg.Length(i%3)*11}, span.Kind)
 	}
 }
 
+// style gives the line of an arm a colour and, once the colours are used up, dashes.
+func style(l *plotter.Line, n int) {
+	l.Color, l.Width = palette[n%len(palette)], 1.6
+	if n >= len(palette) {
+		l.Dashes = []vg.Length{4, 3}
+	}
+}
+
+// mostBands is how many arms are drawn with their ranges: more would hide each other.
+const mostBands = 3
+
 // band is a line with the range between two others shaded.
-func band(p *plot.Plot, n int, name string, xs, mid, low, high []float64) error {
+func band(p *plot.Plot, n int, shaded bool, name string, xs, mid, low, high []float64) error {
 	c := palette[n%len(palette)]
 	var line, edge plotter.XYs
 	for i := range xs {
@@ -90,13 +101,17 @@
 	if err != nil {
 		return err
 	}
-	area.Color, area.LineStyle.Width = color.RGBA{c.R / 8, c.G / 8, c.B / 8, 32}, 0
+	area.LineStyle.Color = color.Transparent
+	area.Color, area.LineStyle.Width = color.NRGBA{c.R, c.G, c.B, 40}, 0
 	l, err := plotter.NewLine(line)
 	if err != nil {
 		return err
 	}
-	l.Color, l.Width = c, 1.6
-	p.Add(area, l)
+	style(l, n)
+	if shaded {
+		p.Add(area)
+	}
+	p.Add(l)
 	p.Legend.Add(name, l)
 	return nil
 }
@@ -139,7 +154,7 @@
 		if len(xs) < 2 {
 			continue
 		}
-		if err := band(p, n, arm, xs, mid, low, high); err != nil {
+		if err := band(p, n, len(res.Arms) <= mostBands, arm, xs, mid, low, high); err != nil {
 			return nil, err
 		}
 	}
@@ -154,7 +169,6 @@
 func cdf(res *experiment.Results, class string) (*plot.Plot, error) {
 	p := newPlot("Latency of "+class+": answers served within a time", "latency (s, logarithmic)", "part of the answers served")
 	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
-	p.Legend.Top = false
 	drawn := false
 	for n, arm := range res.Arms {
 		var pts plotter.XYs
@@ -176,7 +190,7 @@
 		if err != nil {
 			return nil, err
 		}
-		l.Color, l.Width = palette[n%len(palette)], 1.6
+		style(l, n)
 		p.Add(l)
 		p.Legend.Add(arm, l)
 		drawn = true
@@ -271,14 +285,14 @@
 		}
 		c := Chart{Name: m.name, Title: m.p.Title.Text}
 		svg := vgsvg.New(width, height)
-		m.p.Draw(draw.New(svg))
+		paint(draw.New(svg), m.p)
 		var b bytes.Buffer
 		if _, err := svg.WriteTo(&b); err != nil {
 			return nil, fmt.Errorf("chart %s: %w", m.name, err)
 		}
 		c.SVG = b.String()
 		img := vgimg.NewWith(vgimg.UseWH(width, height), vgimg.UseDPI(dpi))
-		m.p.Draw(draw.New(img))
+		paint(draw.New(img), m.p)
 		var png bytes.Buffer
 		if _, err := (vgimg.PngCanvas{Canvas: img}).WriteTo(&png); err != nil {
 			return nil, fmt.Errorf("chart %s: %w", m.name, err)
@@ -289,6 +303,22 @@
 	return charts, nil
 }
 
+// paint draws a plot with its legend beside it, where it hides nothing.
+func paint(c draw.Canvas, p *plot.Plot) {
+	legend := p.Legend
+	p.Legend = plot.NewLegend()
+	p.Legend.TextStyle = legend.TextStyle // troubles are named in it
+	defer func() { p.Legend = legend }()
+	const room = 1.45 * vg.Inch
+	if legend.Rectangle(c).Size().X == 0 || legend.Rectangle(c).Size().Y == 0 {
+		p.Draw(c)
+		return
+	}
+	p.Draw(draw.Crop(c, 0, -room, 0, 0))
+	legend.Top, legend.Left = true, true
+	legend.Draw(draw.Crop(c, c.Size().X-room+6, 0, 0, -24))
+}
+
 func (c *Chart) save(dir string) error {
 	if err := os.WriteFile(filepath.Join(dir, c.Name+".svg"), []byte(c.SVG), 0o644); err != nil {
 		return err
--- a/lab/rules/rules.go
+++ b/lab/rules/rules.go
@@ -194,11 +194,25 @@
 // Left notes that the consumer of a request has gone, so that no answer is owed.
 func (w *Watch) Left(at time.Duration, proxy int, id uint64) {
 	if r := w.open[key{proxy, id}]; r != nil && !r.over {
+		if at > r.until+w.cfg.Slack {
+			w.broken(OneAnswer, at, "%s had not answered request %d when its consumer left, %v after its time", w.cfg.Name(proxy), id, at-r.until)
+		}
 		r.over, r.left = true, true
 		w.release(key{proxy, id}, r)
 	}
 }
 
+// Forget drops a request that no proxy took, or whose proxy ended: nothing is owed.
+func (w *Watch) Forget(proxy int, id uint64) { delete(w.open, key{proxy, id}) }
+
+// Broken is how many breaches there were until now.
+func (w *Watch) Broken() (n int) {
+	for _, c := range w.counts {
+		n += c
+	}
+	return n
+}
+
 // Spoilt notes that a consumer was served with what no provider made for its request.
 func (w *Watch) Spoilt(at time.Duration, proxy int, id uint64, what string) {
 	w.broken(Foreign, at, "%s served request %d with %s", w.cfg.Name(proxy), id, what)
--- /dev/null
+++ b/lab/worlds/worlds.go
@@ -0,0 +1,9 @@
+// Package worlds holds the worlds that come with the laboratory.
+package worlds
+
+import "embed"
+
+// Files are the worlds, by file name.
+//
+//go:embed *.yaml
+var Files embed.FS
