--- /dev/null
+++ b/lab/baseline/baseline_test.go
@@ -0,0 +1,90 @@
+package baseline
+
+import (
+	"testing"
+	"time"
+
+	"ryerill"
+)
+
+func config() ryerill.Config {
+	return ryerill.Config{GroupSize: 2, Classes: []ryerill.Class{{Effect: ryerill.Safe, Aim: time.Second, Deadline: 2 * time.Second},
+		{Effect: ryerill.Unsafe, Aim: time.Second, Deadline: 2 * time.Second}}, Limits: ryerill.Limits{Attempts: 6}}
+}
+
+func list(states ...ryerill.ServerState) ryerill.Event {
+	ev := ryerill.Event{Kind: ryerill.ServerList, List: ryerill.ListFull}
+	for i, s := range states {
+		ev.Servers = append(ev.Servers, ryerill.Server{ID: ryerill.ServerID(i + 1), State: s})
+	}
+	return ev
+}
+
+func arrive(id ryerill.RequestID, class int) ryerill.Event {
+	return ryerill.Event{Kind: ryerill.Arrival, Request: id, Class: class, Remaining: time.Second}
+}
+
+func TestPickersSpreadOverReadyProvidersOnly(t *testing.T) {
+	for _, picker := range Pickers {
+		d, err := New(picker, config(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.Handle(0, list(ryerill.Ready, ryerill.Draining, ryerill.Ready, ryerill.Gone), nil)
+		sent := map[ryerill.ServerID]int{}
+		for id := range ryerill.RequestID(40) {
+			for _, a := range d.Handle(0, arrive(id, 0), nil) {
+				sent[a.Server]++
+			}
+		}
+		if sent[1] < 5 || sent[3] < 5 || len(sent) != 2 {
+			t.Errorf("%s sent %v", picker, sent)
+		}
+	}
+}
+
+func TestLimitsRefuse(t *testing.T) {
+	d, err := New("least/fixed:3", config(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Handle(0, list(ryerill.Ready, ryerill.Ready), nil)
+	kinds := map[ryerill.ActionKind]int{}
+	for id := range ryerill.RequestID(5) {
+		kinds[d.Handle(0, arrive(id, 0), nil)[0].Kind]++
+	}
+	// 3 for each of 2 providers, shared by 2 proxies.
+	if kinds[ryerill.Send] != 3 || kinds[ryerill.Refuse] != 2 {
+		t.Errorf("got %v", kinds)
+	}
+}
+
+func TestGradientFallsWithLatencyAndRecovers(t *testing.T) {
+	g := newGradient()
+	calls := func(n int, took time.Duration) float64 {
+		for range n {
+			g.ended(took, int(g.limit()), false, true)
+		}
+		return g.limit()
+	}
+	high := calls(2000, 100*time.Millisecond)
+	low := calls(60, 900*time.Millisecond)
+	if high < 100 || low > high/2 {
+		t.Errorf("limit %v in calm, %v as latency climbs", high, low)
+	}
+	if back := calls(4000, 100*time.Millisecond); back < high/2 {
+		t.Errorf("limit %v after the trouble, %v before", back, high)
+	}
+}
+
+func TestNothingIsRepeatedAgainstItsClass(t *testing.T) {
+	for class, want := range []ryerill.ActionKind{ryerill.Send, ryerill.Fail} {
+		d, _ := New("random", config(), 1)
+		d.Handle(0, list(ryerill.Ready, ryerill.Ready), nil)
+		a := d.Handle(0, arrive(1, class), nil)[0]
+		got := d.Handle(1, ryerill.Event{Kind: ryerill.AttemptEnded, Request: 1, Server: a.Server, Outcome: ryerill.Reset}, nil)
+		if len(got) != 1 || got[0].Kind != want {
+			t.Errorf("class %d: %+v", class, got)
+		}
+	}
+}
--- a/lab/experiment/expect.go
+++ b/lab/experiment/expect.go
@@ -27,7 +27,13 @@
 
 // shorthands are metrics that may stand as functions of an arm.
 var shorthands = []string{"goodput", "worst_class", "worst10", "in_aim", "late", "refused", "failed", "overdue", "p50", "p95", "p99",
-	"attempts", "tries", "crossings", "connections", "waste", "recover", "jammed", "violations", "cpu_us"}
+	"attempts", "tries", "crossings", "connections", "firsts", "waste", "recover", "jammed", "violations", "cpu_us"}
+
+// reserved tells whether a name is a word of expectations, which no arm may take.
+func reserved(name string) bool {
+	_, taken := environment(nil, nil, nil)[name]
+	return taken
+}
 
 // environment gives an expectation its words. Without results it serves to
 // compile; asked notes the figures that were asked for.
@@ -54,7 +60,7 @@
 	for _, m := range shorthands {
 		env[m] = func(arm string) (float64, error) { return mean(m, arm) }
 	}
-	env["mean"], env["least"], env["most"] = mean, of(least, "least "), of(most, "most ")
+	env["mean"], env["lowest"], env["highest"] = mean, of(least, "lowest "), of(most, "highest ")
 	env["spread"] = of(Deviation, "spread of ")
 	paired := func(name string, pick func(Difference) float64) func(string, string, string) (float64, error) {
 		return func(metric, a, b string) (float64, error) {
@@ -72,7 +78,7 @@
 	if err != nil {
 		first, _, _ := strings.Cut(err.Error(), "\n")
 		return check{}, fmt.Errorf("unexpected value %q (%s), want a condition on metrics of arms, as in goodput(%s) >= 0.9; metrics: %s; "+
-			"or mean, least, most, spread(\"metric\", arm) and diff, diff_low, diff_high(\"metric\", arm, arm)",
+			"or mean, lowest, highest, spread(\"metric\", arm) and diff, diff_low, diff_high(\"metric\", arm, arm)",
 			text, first, arms[0].Name, strings.Join(shorthands, ", "))
 	}
 	return check{text, program}, nil
--- a/lab/experiment/file.go
+++ b/lab/experiment/file.go
@@ -115,6 +115,9 @@
 		if !armName.MatchString(a.Name) || names[a.Name] {
 			bad(at+".name", a.Name, "a name that stands once: small letters, digits and underscores, a letter first")
 		}
+		if reserved(a.Name) {
+			bad(at+".name", a.Name, "another name: expectations use it as a word")
+		}
 		names[a.Name] = true
 		if a.Host == "" {
 			a.Host = e.Host
@@ -126,7 +129,7 @@
 			a.Connections = 16
 		}
 		if _, err := baseline.New(a.Decider, ryerill.Config{}, 0); err != nil {
-			bad(at+".decider", a.Decider, err.Error())
+			bad(at+".decider", a.Decider, "ryerill, or a picker and a limit as in p2c/fixed:20 ("+err.Error()+")")
 		}
 		if a.Host != Sim && a.Decider != "" && a.Decider != "ryerill" {
 			bad(at+".decider", a.Decider, "ryerill: other deciders play in virtual time only")
--- a/lab/live/instance.go
+++ b/lab/live/instance.go
@@ -142,7 +142,10 @@
 	i.stop = stop
 	go func() {
 		defer close(i.ended)
-		i.err = p.Run(ctx)
+		err := p.Run(ctx)
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		i.err = err
 	}()
 	return nil
 }
--- /dev/null
+++ b/lab/load/load_test.go
@@ -0,0 +1,66 @@
+package load
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"ryerill/lab/world"
+)
+
+func demand(l world.Load, troubles ...world.Trouble) *world.World {
+	w := &world.World{Name: "w", Length: 400 * time.Second, Load: l, Troubles: troubles,
+		Tiers:   []world.Tier{{Name: "one", Proxies: 1, Providers: 1}},
+		Classes: []world.Class{{Name: "a", Share: 3, Work: 100 * time.Millisecond, Aim: time.Second, Deadline: time.Second}, {Name: "b", Share: 1, Work: time.Second, Aim: time.Second, Deadline: time.Second}}}
+	w.Complete()
+	return w
+}
+
+func TestWhatIsDrawnIsWhatIsAsked(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		w    *world.World
+		want float64 // first tries
+	}{
+		{"steady", demand(world.Load{Rate: 50}), 20000},
+		{"wave", demand(world.Load{Rate: 50, Shape: "wave", Swing: 0.5, Period: 20 * time.Second}), 20000},
+		{"steps", demand(world.Load{Rate: 50, Steps: []world.Step{{At: 100 * time.Second, Factor: 2}, {At: 200 * time.Second, Factor: 0}}}), 15000},
+		{"burst", demand(world.Load{Rate: 50}, world.Trouble{Kind: world.Burst, At: time.Second, For: 100 * time.Second, Factor: 3}), 30000},
+	} {
+		all := Draw(tc.w, 1)
+		if n := float64(len(all)); math.Abs(n-tc.want) > 5*math.Sqrt(tc.want) {
+			t.Errorf("%s: drew %v, want about %v", tc.name, n, tc.want)
+		}
+		share, work := 0.0, 0.0
+		for i, r := range all {
+			if i > 0 && (r.At < all[i-1].At || r.ID != all[i-1].ID+1) {
+				t.Fatalf("%s: request %d is out of order", tc.name, i)
+			}
+			if r.Class == 0 {
+				share++
+				work += r.Work
+			}
+		}
+		if math.Abs(share/float64(len(all))-0.75) > 0.02 || math.Abs(work/share-0.1) > 0.005 {
+			t.Errorf("%s: share %v, mean work %v", tc.name, share/float64(len(all)), work/share)
+		}
+	}
+}
+
+func TestQuotasMarkWhatGoesBeyond(t *testing.T) {
+	w := demand(world.Load{Rate: 50})
+	w.Tenants = []world.Tenant{{Name: "all", Share: 1, Quota: 25}}
+	over := 0
+	all := Draw(w, 1)
+	for _, r := range all {
+		if r.Over {
+			over++
+			if r.Worth != w.Consumers.OverWorth {
+				t.Fatalf("worth %v", r.Worth)
+			}
+		}
+	}
+	if part := float64(over) / float64(len(all)); math.Abs(part-0.5) > 0.03 {
+		t.Errorf("%v is beyond a quota of half", part)
+	}
+}
--- /dev/null
+++ b/lab/measure/measure_test.go
@@ -0,0 +1,72 @@
+package measure
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"ryerill/lab/load"
+	"ryerill/lab/world"
+)
+
+func world20(troubles ...world.Trouble) *world.World {
+	return &world.World{Length: 20 * time.Second, Classes: []world.Class{{Name: "read", Late: 0.5, Worth: 1}},
+		Tenants: []world.Tenant{{Name: "all"}}, Tiers: []world.Tier{{Name: "one"}}, Troubles: troubles}
+}
+
+// book books ten first tries a second, served as a time says.
+func book(w *world.World, verdict func(at time.Duration) Verdict) *Result {
+	r := New(w)
+	for at := time.Duration(0); at < w.Length; at += 100 * time.Millisecond {
+		r.Final(&load.Request{At: at, Worth: 2}, verdict(at), 300*time.Millisecond)
+	}
+	return r.Result(nil, nil)
+}
+
+func TestWorthIsCounted(t *testing.T) {
+	r := book(world20(), func(at time.Duration) Verdict {
+		return []Verdict{InAim, Late, Refused, InAim}[int(at/(100*time.Millisecond))%4]
+	})
+	for name, want := range map[string]float64{"goodput": 0.625, "in_aim": 0.5, "late": 0.25, "refused": 0.25, "p50": 0.3, "class.read.goodput": 0.625} {
+		if got := r.Metrics[name]; math.Abs(got-want) > 0.01 {
+			t.Errorf("%s is %v, want %v", name, got, want)
+		}
+	}
+}
+
+func TestRecoveryIsTimedFromTheEndOfTheTrouble(t *testing.T) {
+	tr := world.Trouble{Kind: world.Slow, At: 4 * time.Second, For: 4 * time.Second}
+	for _, tc := range []struct {
+		name            string
+		until           time.Duration // it fails from the trouble's start until here
+		recover, jammed float64
+	}{
+		{"at once", 8 * time.Second, 0, 0},
+		{"three seconds later", 11 * time.Second, 3, 0},
+		{"never", 20 * time.Second, 12, 1},
+	} {
+		r := book(world20(tr), func(at time.Duration) Verdict {
+			if at >= tr.At && at < tc.until {
+				return Failed
+			}
+			return InAim
+		})
+		if got := r.Metrics["recover"]; math.Abs(got-tc.recover) > 0.51 || r.Metrics["jammed"] != tc.jammed {
+			t.Errorf("%s: recover %v, jammed %v", tc.name, got, r.Metrics["jammed"])
+		}
+	}
+}
+
+func TestWarmupIsNotCounted(t *testing.T) {
+	w := world20()
+	w.Warmup = 10 * time.Second
+	r := book(w, func(at time.Duration) Verdict {
+		if at < w.Warmup {
+			return Failed
+		}
+		return InAim
+	})
+	if r.Metrics["goodput"] != 1 || r.Metrics["firsts"] != 100 {
+		t.Errorf("goodput %v of %v", r.Metrics["goodput"], r.Metrics["firsts"])
+	}
+}
--- a/lab/node/node.go
+++ b/lab/node/node.go
@@ -7,6 +7,7 @@
 import (
 	"container/heap"
 	"math"
+	"slices"
 	"time"
 
 	"ryerill/lab/world"
@@ -39,6 +40,7 @@
 	idle state = iota
 	running
 	queued
+	done    // its phase is done, and Pop has not returned it yet
 	resting // holds its slot while it waits for another tier
 )
 
@@ -57,9 +59,10 @@
 	now      time.Duration
 	virtual  float64 // service that each running job has had since the start
 	jobs     runningJobs
+	finished []*Job // in order of their ends
 	queue    []*Job
 	held     int // slots taken
-	done     float64
+	did      float64
 	crowded  time.Duration // since when too much waits; -1 is not
 	rested   time.Duration // since when little waits; -1 is not
 	slowed   time.Duration // since when it is slowed down; -1 is not
@@ -127,21 +130,40 @@
 	return p
 }
 
-// Advance moves the machine's time to now. Jobs that are due by then wait in Pop.
+// Advance moves the machine's time to now. Phases end at their very time on the
+// way, however late that is noticed, and wait in Pop.
 func (n *Node) Advance(now time.Duration) {
 	for n.now < now {
 		step := now
 		if n.moving() && step-n.now > tick {
 			step = n.now + tick
 		}
-		did := n.pace() * (step - n.now).Seconds()
-		n.virtual += did
-		n.done += did * float64(len(n.jobs))
+		pace := n.pace()
+		if pace > 0 {
+			step = min(step, n.now+n.wait(pace))
+		}
+		each := pace * (step - n.now).Seconds()
+		n.virtual += each
+		n.did += each * float64(len(n.jobs))
 		n.now = step
+		for len(n.jobs) > 0 && n.jobs[0].due <= n.virtual+rounding {
+			j := heap.Pop(&n.jobs).(*Job)
+			j.state = done
+			n.finished = append(n.finished, j)
+		}
 		n.crowd()
 	}
 }
 
+// rounding is what times in nanoseconds may take from a job, in seconds of work.
+const rounding = 1e-9
+
+// wait is the time until the next phase ends at a pace, at least a nanosecond.
+func (n *Node) wait(pace float64) time.Duration {
+	left := math.Max(0, n.jobs[0].due-n.virtual) / pace * float64(time.Second)
+	return time.Duration(math.Min(left, float64(time.Hour))) + 1
+}
+
 // moving tells whether the pace changes with time alone.
 func (n *Node) moving() bool { return n.Cold() || n.slowed >= 0 || n.crowded >= 0 }
 
@@ -181,7 +203,7 @@
 func (n *Node) Tipped() bool { return n.tipped }
 
 // Done is the work done since the start, in seconds of one warm core.
-func (n *Node) Done() float64 { return n.done }
+func (n *Node) Done() float64 { return n.did }
 
 // Waiting is how many jobs wait for a slot; Running how many share the cores.
 func (n *Node) Waiting() int { return len(n.queue) }
@@ -247,12 +269,14 @@
 
 // Next is when Pop is to be called next; ok is false if nothing is due by itself.
 func (n *Node) Next() (at time.Duration, ok bool) {
+	if len(n.finished) > 0 {
+		return n.now, true
+	}
 	pace := n.pace()
 	if pace <= 0 {
 		return 0, false
 	}
-	left := (n.jobs[0].due - n.virtual) / pace
-	wait := time.Duration(math.Max(0, left)*float64(time.Second)) + 1
+	wait := n.wait(pace)
 	if n.moving() {
 		wait = min(wait, tick)
 	}
@@ -263,13 +287,12 @@
 // until Resume or End. Nil is none.
 func (n *Node) Pop(now time.Duration) *Job {
 	n.Advance(now)
-	const close = 1e-9 // seconds: rounding of times to nanoseconds
-	if len(n.jobs) == 0 || n.jobs[0].due > n.virtual+close {
+	if len(n.finished) == 0 {
 		return nil
 	}
-	j := heap.Pop(&n.jobs).(*Job)
+	j := n.finished[0]
+	n.finished = n.finished[1:]
 	j.state = resting
-	n.crowd()
 	return j
 }
 
@@ -280,12 +303,9 @@
 	case running:
 		heap.Remove(&n.jobs, j.index)
 	case queued:
-		for i, q := range n.queue {
-			if q == j {
-				n.queue = append(n.queue[:i], n.queue[i+1:]...)
-				break
-			}
-		}
+		n.queue = slices.DeleteFunc(n.queue, func(q *Job) bool { return q == j })
+	case done:
+		n.finished = slices.DeleteFunc(n.finished, func(q *Job) bool { return q == j })
 	}
 	j.state = idle
 	if j.slot {
--- /dev/null
+++ b/lab/node/node_test.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ryerill/lab/world"
+)
+
+func spec() world.Node {
+	return world.Node{Cores: 2, Slots: 3, Room: 2, Speed: 1, Cancel: "queued",
+		Cold:  world.Cold{From: 0.5, For: 10 * time.Second, Tips: 2, Within: time.Second},
+		Crowd: world.Crowd{At: 2, After: time.Second, Factor: 4, Below: 0.5, Rest: 2 * time.Second, Most: time.Minute}}
+}
+
+func warm() *Node { s := spec(); return New(&s, 1, 0, true) }
+
+// run moves on until the next phase ends and returns its time.
+func run(t *testing.T, n *Node) (time.Duration, *Job) {
+	t.Helper()
+	for range 10_000 {
+		at, ok := n.Next()
+		if !ok {
+			t.Fatal("nothing is due")
+		}
+		if j := n.Pop(at); j != nil {
+			return at, j
+		}
+	}
+	t.Fatal("nothing ever ends")
+	return 0, nil
+}
+
+func near(a, b time.Duration) bool { return (a - b).Abs() < time.Millisecond }
+
+// Three jobs share two cores evenly; as they end, the rest speeds up to one core each.
+func TestCoresAreShared(t *testing.T) {
+	n := warm()
+	for _, work := range []float64{0.2, 0.4, 0.4} {
+		if v := n.Offer(0, &Job{Left: work}); v != Working {
+			t.Fatal(v)
+		}
+	}
+	at, first := run(t, n)
+	if !near(at, 300*time.Millisecond) {
+		t.Errorf("the first ended at %v, want 300ms", at)
+	}
+	n.End(at, first)
+	if at, _ := run(t, n); !near(at, 500*time.Millisecond) {
+		t.Errorf("the second ended at %v, want 500ms", at)
+	}
+}
+
+func TestWhatFindsNoSlotWaitsOrIsTurnedAway(t *testing.T) {
+	n := warm()
+	var jobs []*Job
+	for i := range 6 {
+		jobs = append(jobs, &Job{Left: 1})
+		want := []Verdict{Working, Working, Working, Waiting, Waiting, Full}[i]
+		if v := n.Offer(0, jobs[i]); v != want {
+			t.Errorf("job %d: %v, want %v", i, v, want)
+		}
+	}
+	n.End(0, jobs[3]) // one that waits leaves
+	n.End(0, jobs[0])
+	if !jobs[4].Busy() {
+		t.Error("a freed slot does not let the next one in")
+	}
+}
+
+// What is noticed late has ended in time all the same, and costs the others nothing.
+func TestLateNoticeChangesNothing(t *testing.T) {
+	n := warm()
+	n.Offer(0, &Job{Left: 0.1})
+	n.Offer(0, &Job{Left: 0.1})
+	n.Offer(0, &Job{Left: 0.1})
+	n.Advance(5 * time.Second)
+	if got := n.Done(); math.Abs(got-0.3) > 1e-6 {
+		t.Errorf("did %v of work, want 0.3", got)
+	}
+	for range 3 {
+		if n.Pop(5*time.Second) == nil {
+			t.Fatal("a phase that ended is not told")
+		}
+	}
+}
+
+func TestColdMachineIsSlowAndFallsOverWhenPushed(t *testing.T) {
+	s := spec()
+	s.Slots, s.Room = 100, 100
+	n := New(&s, 1, 0, false)
+	n.Offer(0, &Job{Left: 0.25})
+	if at, _ := run(t, n); at < 400*time.Millisecond || at > 500*time.Millisecond {
+		t.Errorf("at half of its capacity a job of 250ms took %v", at)
+	}
+	// 2 cores at about 0.55: within a second 2.2 s of work are its budget, with slack for chance.
+	for i := 0; i < 12 && !n.Tipped(); i++ {
+		n.Offer(time.Second, &Job{Left: 0.5})
+	}
+	if !n.Tipped() {
+		t.Error("6 s of work in an instant did not push it over")
+	}
+	if _, ok := n.Next(); ok {
+		t.Error("one that fell over goes on working")
+	}
+}
+
+func TestCrowdedMachineSlowsDownAndRecovers(t *testing.T) {
+	n := warm()
+	var jobs []*Job
+	for range 5 { // more than 2 for each of 2 cores
+		j := &Job{Left: 100}
+		jobs = append(jobs, j)
+		n.Offer(0, j)
+	}
+	n.Advance(900 * time.Millisecond)
+	if n.Slowed() {
+		t.Error("slowed down before its time")
+	}
+	n.Advance(1100 * time.Millisecond)
+	if !n.Slowed() {
+		t.Fatal("crowded for over a second, not slowed down")
+	}
+	for _, j := range jobs {
+		n.End(1200*time.Millisecond, j)
+	}
+	n.Advance(3 * time.Second)
+	if !n.Slowed() {
+		t.Error("recovered before it had rested")
+	}
+	n.Advance(3500 * time.Millisecond)
+	if n.Slowed() {
+		t.Error("never recovered")
+	}
+}
+
+// Whatever happens in whatever order, no work is made or lost and slots are kept.
+func TestWorkIsConserved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := warm()
+		now, given, taken := time.Duration(0), 0.0, 0.0
+		var in []*Job
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0, 1:
+				j := &Job{Left: float64(rapid.IntRange(1, 500).Draw(t, "work")) / 1000}
+				if n.Offer(now, j) != Full {
+					given += j.Left
+					in = append(in, j)
+				}
+			case 2:
+				for j := n.Pop(now); j != nil; j = n.Pop(now) {
+					taken += j.Left
+					n.End(now, j)
+				}
+			case 3:
+				n.Slow(now, float64(rapid.IntRange(1, 5).Draw(t, "factor")))
+			}
+			if n.held > n.spec.Slots || len(n.queue) > n.spec.Room {
+				t.Fatalf("%d slots and %d places are taken", n.held, len(n.queue))
+			}
+		}
+		if n.Done() > given+1e-6 || n.Done() < taken-1e-6 {
+			t.Fatalf("did %v, was given %v, %v of it ended", n.Done(), given, taken)
+		}
+		n.Slow(now, 1)
+		n.Advance(now + time.Hour)
+		for range in {
+			for j := n.Pop(now + time.Hour); j != nil; j = n.Pop(now + time.Hour) {
+				taken += j.Left
+				n.End(now+time.Hour, j)
+			}
+			now += time.Hour
+		}
+		if math.Abs(taken-given) > 1e-6 || math.Abs(n.Done()-given) > 1e-5 || n.held != 0 {
+			t.Fatalf("given %v, ended %v, did %v, %d slots held", given, taken, n.Done(), n.held)
+		}
+	})
+}
--- a/lab/sim/sim_test.go
+++ b/lab/sim/sim_test.go
@@ -3,10 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"runtime"
 	"testing"
 	"time"
 
+	"ryerill"
+	"ryerill/lab/baseline"
 	"ryerill/lab/measure"
+	"ryerill/lab/rules"
 	"ryerill/lab/world"
 )
 
@@ -51,6 +56,158 @@
 		start := time.Now()
 		r := play(b, w, Options{Seed: uint64(i)})
 		b.ReportMetric(w.Length.Seconds()/time.Since(start).Seconds(), "x-real-time")
-		b.Logf("%v", r.Metrics)
+		b.ReportMetric(r.Metrics["goodput"], "goodput")
+	}
+}
+
+// broken does something wrong to a decider's actions.
+type broken struct {
+	baseline.Decider
+	spoil func(ev *ryerill.Event, out []ryerill.Action) []ryerill.Action
+}
+
+func (b broken) Handle(now time.Duration, ev ryerill.Event, out []ryerill.Action) []ryerill.Action {
+	return b.spoil(&ev, b.Decider.Handle(now, ev, out))
+}
+
+// Each rule is broken by a decider made for it, and the oracle names that rule.
+func TestBrokenDecidersAreCaught(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		rule     string
+		troubles []world.Trouble
+		spoil    func(cfg ryerill.Config) func(ev *ryerill.Event, out []ryerill.Action) []ryerill.Action
+	}{
+		{rules.OneAnswer, nil, func(ryerill.Config) func(*ryerill.Event, []ryerill.Action) []ryerill.Action {
+			n := 0
+			return func(ev *ryerill.Event, out []ryerill.Action) []ryerill.Action {
+				if ev.Kind == ryerill.Arrival {
+					if n++; n%50 == 0 { // holds a request for ever
+						return out[:0]
+					}
+				}
+				return out
+			}
+		}},
+		{rules.NoRepeat, []world.Trouble{{Kind: world.Spoil, At: 2 * time.Second, For: 4 * time.Second, Part: 0.3, Factor: 0.5}},
+			func(ryerill.Config) func(*ryerill.Event, []ryerill.Action) []ryerill.Action {
+				var servers []ryerill.ServerID
+				return func(ev *ryerill.Event, out []ryerill.Action) []ryerill.Action {
+					for _, s := range ev.Servers {
+						servers = append(servers, s.ID)
+					}
+					// Sends what failed to whoever comes next, whatever its class.
+					if ev.Kind == ryerill.AttemptEnded && ev.Outcome == ryerill.Reset && !ev.Closed {
+						return []ryerill.Action{{Kind: ryerill.Send, Request: ev.Request, Server: servers[int(ev.Request)%len(servers)]}}
+					}
+					return out
+				}
+			}},
+		{rules.Drained, []world.Trouble{{Kind: world.Release, At: time.Second, For: time.Second, Part: 0.5, Drain: 6 * time.Second, Pause: time.Second}},
+			func(ryerill.Config) func(*ryerill.Event, []ryerill.Action) []ryerill.Action {
+				var drains []ryerill.ServerID
+				return func(ev *ryerill.Event, out []ryerill.Action) []ryerill.Action {
+					for _, s := range ev.Servers {
+						if s.State == ryerill.Draining {
+							drains = append(drains, s.ID)
+						}
+					}
+					for i := range out {
+						if out[i].Kind == ryerill.Send && len(drains) > 0 {
+							out[i].Server = drains[int(out[i].Request)%len(drains)]
+						}
+					}
+					return out
+				}
+			}},
+		{rules.Pushed, []world.Trouble{{Kind: world.Release, At: time.Second, For: time.Second, Part: 0.2, Drain: time.Second, Pause: 200 * time.Millisecond}},
+			func(ryerill.Config) func(*ryerill.Event, []ryerill.Action) []ryerill.Action {
+				var cold []ryerill.ServerID
+				return func(ev *ryerill.Event, out []ryerill.Action) []ryerill.Action {
+					for _, s := range ev.Servers {
+						if s.State == ryerill.Ready && s.Started > 0 {
+							cold = append(cold, s.ID)
+						}
+					}
+					for i := range out { // the newest gets everything
+						if out[i].Kind == ryerill.Send && len(cold) > 0 {
+							out[i].Server = cold[0]
+						}
+					}
+					return out
+				}
+			}},
+	} {
+		t.Run(tc.rule, func(t *testing.T) {
+			t.Parallel()
+			w := read(t, "pair.yaml")
+			w.Length, w.Troubles = 10*time.Second, tc.troubles
+			for i := range w.Troubles {
+				w.Troubles[i].Tier = w.Tiers[0].Name
+			}
+			honest := play(t, w, Options{Seed: 3})
+			if n := honest.Metrics["violations"]; n != 0 {
+				t.Errorf("the Balancer itself broke rules: %v", honest.Violations)
+			}
+			r := play(t, w, Options{Seed: 3, New: func(cfg ryerill.Config, seed uint64) baseline.Decider {
+				d := ryerill.New(cfg, seed)
+				if cfg.Tier > 0 {
+					return d
+				}
+				return broken{d, tc.spoil(cfg)}
+			}})
+			if r.Metrics["broken."+tc.rule] == 0 {
+				t.Errorf("%s was broken and not noticed; found %v", tc.rule, r.Violations)
+			}
+		})
+	}
+}
+
+// Every kind of trouble is played, by each decider, without a stuck run.
+func TestEveryTroubleIsPlayed(t *testing.T) {
+	t.Parallel()
+	for _, kind := range world.Kinds {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			w := read(t, "pair.yaml")
+			w.Length = 9 * time.Second
+			w.Troubles = []world.Trouble{{Kind: kind, At: 3 * time.Second, For: 3 * time.Second, Part: 0.4, Factor: 0.5, Zone: "west"}}
+			w.Complete()
+			if p := w.Check(); len(p) > 0 {
+				t.Fatal(p)
+			}
+			for _, d := range []string{"ryerill", "roundrobin", "least/fixed:10", "p2c/gradient"} {
+				r := play(t, w, Options{Seed: 2, Decider: d})
+				if n := r.Metrics["broken.one-answer"] + r.Metrics["broken.no-repeat"] + r.Metrics["broken.foreign-answer"]; n > 0 {
+					t.Errorf("%s: %v", d, r.Violations)
+				}
+				if r.Metrics["goodput"] < 0.2 {
+					t.Errorf("%s: goodput %v: the run is stuck", d, r.Metrics["goodput"])
+				}
+			}
+		})
+	}
+}
+
+func TestARunStopsWhenItsContextEnds(t *testing.T) {
+	t.Parallel()
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	if _, err := Run(ctx, read(t, "roster.yaml"), Options{}); !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// A thousand proxies and ten thousand providers in one process.
+func BenchmarkLarge(b *testing.B) {
+	w := read(b, "large.yaml")
+	for i := range b.N {
+		start := time.Now()
+		r := play(b, w, Options{Seed: uint64(i)})
+		b.ReportMetric(w.Length.Seconds()/time.Since(start).Seconds(), "x-real-time")
+		b.ReportMetric(r.Metrics["goodput"], "goodput")
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		b.ReportMetric(float64(m.Sys)/(1<<30), "GiB")
 	}
 }
