Take what belongs to no protocol out of front and back, and test who imports whom

The front held a provider.Request, so it knew the back, and another protocol on either side would have to know HTTP/1.1's. Request, Response, Invocation, Answer and Intake are now the package invocation; which headers pass is internal/http1. A provider's head is written when the call is made and no longer in the front. A test holds the list of pure packages and fails where one reads a clock, starts a goroutine or imports a host.

--- /dev/null
+++ b/architecture_test.go
@@ -0,0 +1,111 @@
+package ryerill_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// pure are the packages that decide: no clock, socket, file, goroutine or
+// global. Time and events come to them as arguments.
+var pure = []string{".", "lab/node", "lab/load", "lab/rules", "lab/measure", "lab/baseline"}
+
+// impure are what a pure package must not import, and functions that it must not call.
+var (
+	impure      = []string{"net", "net/http", "os", "os/exec", "os/signal", "syscall", "sync", "runtime", "log", "log/slog", "math/rand", "io/ioutil"}
+	impureCalls = []string{"time.Now", "time.Since", "time.Until", "time.Sleep", "time.After", "time.AfterFunc", "time.NewTimer", "time.NewTicker", "time.Tick"}
+)
+
+// strangers must not import each other: what they share lies in invocation.
+var strangers = [][2]string{{"consumer", "provider"}, {"provider", "consumer"}, {"invocation", "consumer"}, {"invocation", "provider"}}
+
+type source struct {
+	dir     string
+	file    *ast.File
+	imports []string
+}
+
+func sources(t *testing.T) (all []source) {
+	t.Helper()
+	err := filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if d.IsDir() && (d.Name() == "journal" || strings.HasPrefix(d.Name(), ".") && path != ".") {
+			return filepath.SkipDir
+		}
+		if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		if err != nil {
+			return err
+		}
+		s := source{dir: filepath.ToSlash(filepath.Dir(path)), file: f}
+		for _, i := range f.Imports {
+			name, _ := strconv.Unquote(i.Path.Value)
+			s.imports = append(s.imports, name)
+		}
+		all = append(all, s)
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return all
+}
+
+func TestPurePackagesArePure(t *testing.T) {
+	seen := map[string]bool{}
+	for _, s := range sources(t) {
+		if !slices.Contains(pure, s.dir) {
+			continue
+		}
+		seen[s.dir] = true
+		for _, i := range s.imports {
+			if slices.Contains(impure, i) {
+				t.Errorf("%s imports %s", s.dir, i)
+			}
+			if rest, ours := strings.CutPrefix(i, "ryerill/"); ours && !slices.Contains(pure, rest) && rest != "lab/world" {
+				t.Errorf("%s imports %s, which is not pure", s.dir, i)
+			}
+		}
+		ast.Inspect(s.file, func(n ast.Node) bool {
+			switch n := n.(type) {
+			case *ast.GoStmt:
+				t.Errorf("%s starts a goroutine", s.dir)
+			case *ast.SelectorExpr:
+				if x, ok := n.X.(*ast.Ident); ok && slices.Contains(impureCalls, x.Name+"."+n.Sel.Name) {
+					t.Errorf("%s uses %s.%s", s.dir, x.Name, n.Sel.Name)
+				}
+			}
+			return true
+		})
+	}
+	for _, p := range pure {
+		if !seen[p] {
+			t.Errorf("no package at %s", p)
+		}
+	}
+}
+
+func TestWhoMayImportWhom(t *testing.T) {
+	for _, s := range sources(t) {
+		for _, i := range s.imports {
+			for _, pair := range strangers {
+				if s.dir == pair[0] && i == "ryerill/"+pair[1] {
+					t.Errorf("%s imports %s", s.dir, i)
+				}
+			}
+			if strings.HasPrefix(i, "ryerill/lab") && !strings.HasPrefix(s.dir, "lab") && s.dir != "cmd/ryerill-lab" {
+				t.Errorf("%s imports %s: nothing that serves depends on the laboratory", s.dir, i)
+			}
+		}
+	}
+}
--- a/consumer/head.go
+++ b/consumer/head.go
@@ -6,12 +6,13 @@
 	"strings"
 
 	"ryerill/internal/framing"
-	"ryerill/provider"
+	"ryerill/internal/http1"
+	"ryerill/invocation"
 )
 
 // once are the headers that a request may carry once at most: of two, a
 // provider might read another one than this proxy.
-var once = [...]string{"Host", headerID, headerKind, headerOwner, headerRetry, headerKey, provider.HeaderDeadline}
+var once = [...]string{"Host", http1.HeaderID, http1.HeaderKind, http1.HeaderOwner, http1.HeaderRetry, http1.HeaderKey, http1.HeaderDeadline}
 
 // judge checks a request's head by its very bytes and says how its body is
 // delimited. [http.ReadRequest] would repair what it can and drop a length
@@ -28,7 +29,7 @@
 	}
 	seen := make(map[string]bool, len(once))
 	for i, line := range lines {
-		if !provider.Clean(line) { // bare CR or LF among others
+		if !http1.Clean(line) { // bare CR or LF among others
 			return bad("control character in the head")
 		}
 		if i == 0 {
@@ -55,7 +56,7 @@
 		return bad(err.Error())
 	case body.Chunked && !strings.HasSuffix(lines[0], " HTTP/1.1"):
 		return bad("Transfer-Encoding before HTTP/1.1")
-	case body.Length > provider.MaxBody:
+	case body.Length > invocation.MaxBody:
 		return framing.Body{}, &httpError{http.StatusRequestEntityTooLarge, "the body is too large"}
 	}
 	return body, nil
--- a/consumer/http.go
+++ b/consumer/http.go
@@ -15,18 +15,12 @@
 	"ryerill"
 	"ryerill/internal/buffer"
 	"ryerill/internal/framing"
-	"ryerill/provider"
+	"ryerill/internal/http1"
+	"ryerill/invocation"
 )
 
-// Names of the headers between consumer and proxy.
-const (
-	headerID    = "Req-Id"
-	headerKind  = "Req-Kind"
-	headerOwner = "Req-Owner"
-	headerRetry = "Req-Retry"
-	headerKey   = "Idempotency-Key"
-	keyQuery    = "k" // names what the request concerns
-)
+// keyQuery names what the request concerns.
+const keyQuery = "k"
 
 const (
 	readyPath = "/ready"
@@ -71,8 +65,8 @@
 	case !c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"), nil):
 		return nil, nil, io.ErrClosedPipe
 	}
-	c.N = 3 * provider.MaxBody // with the framing of its chunks
-	body, err := c.server.buffers.ReadBody(f.Reader(c.r), provider.MaxBody)
+	c.N = 3 * invocation.MaxBody // with the framing of its chunks
+	body, err := c.server.buffers.ReadBody(f.Reader(c.r), invocation.MaxBody)
 	if err != nil {
 		return nil, nil, c.fault(err, "body", http.StatusRequestEntityTooLarge)
 	}
@@ -93,56 +87,56 @@
 }
 
 // parse turns a request into an invocation. It takes over the body.
-func (n *Names) parse(req *http.Request, body *buffer.Body, taken time.Time) (*Invocation, error) {
-	inv, err := n.invocation(req, body, taken)
+func (n *Names) parse(req *http.Request, body *buffer.Body, taken time.Time) (*invocation.Invocation, error) {
+	inv, err := n.read(req, body, taken)
 	if err != nil {
 		body.Free()
 		return nil, err
 	}
-	inv.Request = provider.NewRequest(req.Method, req.RequestURI, req.Host, req.Header, body)
+	inv.Request = &invocation.Request{Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header, Body: body}
 	return inv, nil
 }
 
-func (n *Names) invocation(req *http.Request, body *buffer.Body, taken time.Time) (*Invocation, error) {
-	bad := func(text string) (*Invocation, error) { return nil, &httpError{http.StatusBadRequest, text} }
-	id := req.Header.Get(headerID)
+func (n *Names) read(req *http.Request, body *buffer.Body, taken time.Time) (*invocation.Invocation, error) {
+	bad := func(text string) (*invocation.Invocation, error) { return nil, &httpError{http.StatusBadRequest, text} }
+	id := req.Header.Get(http1.HeaderID)
 	switch {
 	case req.ProtoMajor != 1:
 		return nil, &httpError{http.StatusHTTPVersionNotSupported, "not HTTP/1"}
 	case req.Host == "" && req.ProtoAtLeast(1, 1), !strings.HasPrefix(req.RequestURI, "/"):
 		return bad("malformed request")
 	case id == "" || len(id) > maxID || strings.ContainsFunc(id, func(r rune) bool { return r <= ' ' || r > '~' }):
-		return bad(headerID + " is missing or malformed")
+		return bad(http1.HeaderID + " is missing or malformed")
 	}
 	first, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
-	kind := req.Header.Get(headerKind)
+	kind := req.Header.Get(http1.HeaderKind)
 	if kind == "" {
 		kind = first
 	}
-	inv := &Invocation{Class: slices.Index(n.Classes, kind), Tenant: slices.Index(n.Tenants, req.Header.Get(headerOwner)),
-		Repeat: req.Header.Get(headerRetry) == "1", Write: req.Method != http.MethodGet, Taken: taken}
+	inv := &invocation.Invocation{Class: slices.Index(n.Classes, kind), Tenant: slices.Index(n.Tenants, req.Header.Get(http1.HeaderOwner)),
+		Repeat: req.Header.Get(http1.HeaderRetry) == "1", Write: req.Method != http.MethodGet, Taken: taken}
 	switch {
 	case inv.Class < 0:
-		return nil, &httpError{http.StatusNotFound, "unknown " + headerKind}
+		return nil, &httpError{http.StatusNotFound, "unknown " + http1.HeaderKind}
 	case kind != first:
-		return bad(headerKind + " is not the first part of the path")
+		return bad(http1.HeaderKind + " is not the first part of the path")
 	}
 	// What the class allows is decided by its effect; a method that says otherwise cannot be meant.
 	switch effect := n.Effects[inv.Class]; {
 	case effect == ryerill.Safe && req.Method != http.MethodGet,
 		effect != ryerill.Safe && !slices.Contains(writes, req.Method),
 		effect == ryerill.Keyed && req.Method != http.MethodPost:
-		return nil, &httpError{http.StatusMethodNotAllowed, "method does not fit " + headerKind}
+		return nil, &httpError{http.StatusMethodNotAllowed, "method does not fit " + http1.HeaderKind}
 	case effect == ryerill.Safe && body.Len() > 0:
 		return bad("a body where none belongs")
-	case effect == ryerill.Keyed && req.Header.Get(headerKey) == "":
-		return bad(headerKey + " is missing")
+	case effect == ryerill.Keyed && req.Header.Get(http1.HeaderKey) == "":
+		return bad(http1.HeaderKey + " is missing")
 	}
 	inv.Left = n.Deadlines[inv.Class]
-	if text, stated := req.Header[provider.HeaderDeadline]; stated {
+	if text, stated := req.Header[http1.HeaderDeadline]; stated {
 		ms, ok := framing.Digits(text[0])
 		if !ok {
-			return bad("malformed " + provider.HeaderDeadline)
+			return bad("malformed " + http1.HeaderDeadline)
 		}
 		inv.Left = time.Duration(min(ms, maxLeft.Milliseconds())) * time.Millisecond
 	}
@@ -158,12 +152,12 @@
 var writes = []string{http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
 
 // head returns the head of an answer.
-func head(status, length int, header http.Header, retryAfter time.Duration, closes bool) []byte {
+func head(code, length int, header http.Header, retryAfter time.Duration, closes bool) []byte {
 	b := make([]byte, 0, 256)
-	b = append(strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(status), 10), ' ')
-	b = append(append(b, http.StatusText(status)...), "\r\nContent-Length: "...)
+	b = append(strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(code), 10), ' ')
+	b = append(append(b, http.StatusText(code)...), "\r\nContent-Length: "...)
 	b = append(strconv.AppendInt(b, int64(length), 10), "\r\n"...)
-	b = provider.AppendHeader(b, header)
+	b = http1.AppendHeader(b, header)
 	if retryAfter > 0 {
 		b = strconv.AppendFloat(append(b, "Retry-After: "...), retryAfter.Seconds(), 'f', 3, 64)
 		b = append(b, "\r\n"...)
@@ -175,13 +169,13 @@
 }
 
 // status is the status code of a verdict.
-func (v Verdict) status() int {
+func status(v invocation.Verdict) int {
 	switch v {
-	case Served:
+	case invocation.Served:
 		return http.StatusOK
-	case Refused:
+	case invocation.Refused:
 		return http.StatusServiceUnavailable
-	case Overdue:
+	case invocation.Overdue:
 		return http.StatusGatewayTimeout
 	}
 	return http.StatusBadGateway
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -13,7 +13,9 @@
 	"time"
 
 	"ryerill/internal/buffer"
+	"ryerill/internal/http1"
 	"ryerill/internal/socket"
+	"ryerill/invocation"
 )
 
 const (
@@ -36,7 +38,7 @@
 type Server struct {
 	listener *net.TCPListener
 	names    Names
-	intake   Intake
+	intake   invocation.Intake
 	buffers  *buffer.Pool
 	most     int // connections
 
@@ -75,7 +77,7 @@
 // the connections that it has for half the time that is left to it: until
 // another proxy is back, there may be nobody else. It returns when all that was
 // taken in has been answered.
-func (s *Server) Serve(ctx context.Context, intake Intake) error {
+func (s *Server) Serve(ctx context.Context, intake invocation.Intake) error {
 	s.intake = intake
 	defer s.listener.Close()
 	defer context.AfterFunc(ctx, s.stop)()
@@ -345,15 +347,15 @@
 			c.lingerClose()
 			return
 		}
-		id := req.Header.Get(headerID)
+		id := req.Header.Get(http1.HeaderID)
 		if !c.server.hold(id, c) {
 			inv.Request.Free()
-			c.reject(&httpError{http.StatusConflict, headerID + " is open already"})
+			c.reject(&httpError{http.StatusConflict, http1.HeaderID + " is open already"})
 			return
 		}
 		inv.Left = c.server.left(inv.Left)
 		closes := req.Close
-		inv.Reply = func(a Answer) { go c.answer(a, id, closes, answered) }
+		inv.Reply = func(a invocation.Answer) { go c.answer(a, id, closes, answered) }
 		c.nc.SetReadDeadline(inv.Taken.Add(inv.Left + leaveMargin))
 		c.N = maxHead
 		ticket := c.server.intake.Take(inv)
@@ -396,7 +398,7 @@
 
 // answer writes a final answer and tells the reader whether the connection
 // goes on.
-func (c *conn) answer(a Answer, id string, closes bool, answered chan<- bool) {
+func (c *conn) answer(a invocation.Answer, id string, closes bool, answered chan<- bool) {
 	defer a.Response.Free()
 	c.server.release(id, c)
 	c.server.mu.Lock()
@@ -407,7 +409,7 @@
 	if a.Response != nil {
 		header, body = a.Response.Header, a.Response.Body
 	}
-	goesOn := c.write(head(a.Verdict.status(), body.Len(), header, a.RetryAfter, closes), body) && !closes
+	goesOn := c.write(head(status(a.Verdict), body.Len(), header, a.RetryAfter, closes), body) && !closes
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	answered <- goesOn
@@ -431,11 +433,11 @@
 	c.server.mu.Lock()
 	stopping := !c.server.stopped.IsZero()
 	c.server.mu.Unlock()
-	status := http.StatusOK
+	code := http.StatusOK
 	if stopping {
-		status, closes = http.StatusServiceUnavailable, true
+		code, closes = http.StatusServiceUnavailable, true
 	}
-	if !c.write(head(status, 0, nil, 0, closes), nil) || closes {
+	if !c.write(head(code, 0, nil, 0, closes), nil) || closes {
 		return false
 	}
 	c.server.mu.Lock()
--- a/consumer/server_test.go
+++ b/consumer/server_test.go
@@ -12,6 +12,7 @@
 
 	"ryerill/internal/buffer"
 	"ryerill/internal/socket"
+	"ryerill/invocation"
 )
 
 // A request that has reached this machine counts as taken: giving up its
@@ -133,8 +134,11 @@
 // prompt serves each invocation at once.
 type prompt struct{}
 
-func (prompt) Take(inv *Invocation) uint64 { inv.Reply(Answer{Verdict: Served}); return 0 }
-func (prompt) Leave(uint64)                {}
+func (prompt) Take(inv *invocation.Invocation) uint64 {
+	inv.Reply(invocation.Answer{Verdict: invocation.Served})
+	return 0
+}
+func (prompt) Leave(uint64) {}
 
 // After the word to stop, consumers go on with the connections that they have:
 // until another proxy is back there may be nobody else. Then they are told.
--- /dev/null
+++ b/invocation/invocation.go
@@ -0,0 +1,85 @@
+// Package invocation holds what a request is to the proxy, whatever protocol
+// brought it in and whatever protocol carries it on: a front makes Invocations
+// and is given Answers, a back sends Requests and returns Responses, and neither
+// knows the other.
+package invocation
+
+import (
+	"net/http"
+	"time"
+
+	"ryerill/internal/buffer"
+)
+
+// MaxBody is the most bytes that a body may hold, of a request or an answer.
+const MaxBody = 64 << 10
+
+// Request is what is asked for, the same at each invoker call but for the time
+// left. Names of its header are in canonical form; the body may be nil.
+type Request struct {
+	Method string
+	Target string // path and query as they came
+	Host   string
+	Header http.Header
+	Body   *buffer.Body
+}
+
+// Free gives the body back once no invoker call needs it any more.
+func (r *Request) Free() {
+	if r != nil {
+		r.Body.Free()
+	}
+}
+
+// Response is a provider's whole answer that served. A nil Response is empty.
+type Response struct {
+	Header http.Header
+	Body   *buffer.Body
+}
+
+// Free gives the body back.
+func (r *Response) Free() {
+	if r != nil {
+		r.Body.Free()
+	}
+}
+
+// Invocation is one request as it was taken in.
+type Invocation struct {
+	Class   int // index in the settings of its pool
+	Tenant  int // index in the settings of its pool; -1 is none of them
+	Key     uint64
+	Repeat  bool // marked as a retry
+	Write   bool
+	Taken   time.Time     // when its last byte was in
+	Left    time.Duration // from then until the consumer gives up
+	Request *Request
+
+	// Reply carries the one final answer to the consumer. It must not block.
+	Reply func(Answer)
+}
+
+// Verdict is what a final answer says.
+type Verdict uint8
+
+// The final answers.
+const (
+	Served  Verdict = iota
+	Refused         // trying again is harmless
+	Failed          // nothing is promised
+	Overdue         // failed, as no answer came in time
+)
+
+// Answer is the final answer to an invocation.
+type Answer struct {
+	Verdict    Verdict
+	Response   *Response     // if served; the receiver frees it
+	RetryAfter time.Duration // 0 is no advice
+}
+
+// Intake is what stands behind a front: it takes invocations in and sees to it
+// that each gets its answer.
+type Intake interface {
+	Take(*Invocation) (ticket uint64)
+	Leave(ticket uint64) // the consumer has gone away
+}
--- a/provider/call.go
+++ b/provider/call.go
@@ -13,6 +13,8 @@
 	"ryerill"
 	"ryerill/internal/buffer"
 	"ryerill/internal/framing"
+	"ryerill/internal/http1"
+	"ryerill/invocation"
 )
 
 const (
@@ -22,7 +24,7 @@
 
 // Call is one invoker call: one attempt at one provider. It is used once.
 type Call struct {
-	Request  *Request
+	Request  *invocation.Request
 	Provider uint64 // who is called: an address may pass to another
 	Address  string
 	Until    time.Time   // the proxy stops waiting
@@ -59,22 +61,9 @@
 	return c.cancelled
 }
 
-// Response is a provider's whole answer that served. A nil Response is empty.
-type Response struct {
-	Header http.Header
-	Body   *buffer.Body
-}
-
-// Free gives the body back.
-func (r *Response) Free() {
-	if r != nil {
-		r.Body.Free()
-	}
-}
-
 // Do makes the call and returns how it ended, and the answer if it served. It
 // sends once at most.
-func (p *Pool) Do(c *Call) (ryerill.Outcome, *Response) {
+func (p *Pool) Do(c *Call) (ryerill.Outcome, *invocation.Response) {
 	conn, err := p.get(place{c.Provider, c.Address}, c.Until)
 	switch {
 	case ownFault(err):
@@ -109,12 +98,12 @@
 
 // exchange writes the request and reads the answer whole. It reports whether
 // the connection may be used again.
-func (p *Pool) exchange(conn *conn, c *Call) (outcome ryerill.Outcome, response *Response, again bool) {
-	message := c.Request.body.AppendTo(net.Buffers{c.Request.withTime(time.Until(c.Until))})
+func (p *Pool) exchange(conn *conn, c *Call) (outcome ryerill.Outcome, response *invocation.Response, again bool) {
+	message := c.Request.Body.AppendTo(net.Buffers{encode(c.Request, time.Until(c.Until))})
 	if _, err := message.WriteTo(conn.TCPConn); err != nil {
 		return ryerill.ConnectFailed, nil, false // its last byte was never written: it cannot have run
 	}
-	request := http.Request{Method: c.Request.method}
+	request := http.Request{Method: c.Request.Method}
 	for range maxInterim + 1 {
 		conn.limit.N = maxHead
 		head, err := framing.ReadHead(conn.r, maxHead)
@@ -135,23 +124,23 @@
 		// could have been cut off anywhere.
 		frame, err := framing.Judge(head)
 		empty := resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
-		if err != nil || frame.Length > MaxBody || !frame.Stated && !empty {
+		if err != nil || frame.Length > invocation.MaxBody || !frame.Stated && !empty {
 			return ryerill.Reset, nil, false
 		}
 		var body *buffer.Body
 		if !empty {
-			conn.limit.N = 3 * MaxBody // with the framing of its chunks
-			if body, err = p.buffers.ReadBody(frame.Reader(conn.r), MaxBody); err != nil {
+			conn.limit.N = 3 * invocation.MaxBody // with the framing of its chunks
+			if body, err = p.buffers.ReadBody(frame.Reader(conn.r), invocation.MaxBody); err != nil {
 				return broken(err), nil, false
 			}
 		}
 		again = !resp.Close && resp.ProtoAtLeast(1, 1) && conn.r.Buffered() == 0
 		if resp.StatusCode == http.StatusOK {
-			return ryerill.OK, &Response{Header: resp.Header, Body: body}, again
+			return ryerill.OK, &invocation.Response{Header: resp.Header, Body: body}, again
 		}
 		body.Free()
 		declined := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
-		if declined && resp.Header.Get(headerDeclined) == "1" {
+		if declined && resp.Header.Get(http1.HeaderDeclined) == "1" {
 			return ryerill.Full, nil, again
 		}
 		return ryerill.Error, nil, again
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -12,6 +12,7 @@
 
 	"ryerill"
 	"ryerill/internal/buffer"
+	"ryerill/invocation"
 )
 
 const okay = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -52,7 +53,7 @@
 }
 
 func newCall(address string) *Call {
-	return &Call{Request: NewRequest("GET", "/x", "h", http.Header{}, nil), Address: address,
+	return &Call{Request: &invocation.Request{Method: "GET", Target: "/x", Host: "h"}, Address: address,
 		Until: time.Now().Add(20 * time.Second), MayStart: func() bool { return true }}
 }
 
@@ -133,7 +134,7 @@
 	p := NewPool(8, time.Hour, 5*time.Second, buffers)
 	defer p.Close()
 	c := newCall(l.Addr().String())
-	c.Request = NewRequest("POST", "/x", "h", http.Header{}, body)
+	c.Request = &invocation.Request{Method: "POST", Target: "/x", Host: "h", Body: body}
 	if outcome, _ := p.Do(c); outcome != ryerill.ConnectFailed || !outcome.NeverRan() {
 		t.Errorf("booked as: %v", outcome)
 	}
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -2,16 +2,15 @@
 
 import (
 	"ryerill"
-	"ryerill/consumer"
-	"ryerill/provider"
+	"ryerill/invocation"
 )
 
 // book notes how an invoker call ended. The first answer that served goes to
 // the consumer at once and ends the invocation.
-func (c *core) book(k *call, outcome ryerill.Outcome, response *provider.Response) {
+func (c *core) book(k *call, outcome ryerill.Outcome, response *invocation.Response) {
 	e := k.entry
 	e.out--
-	if outcome != ryerill.OK || !c.relay(e, consumer.Answer{Verdict: consumer.Served, Response: response}) {
+	if outcome != ryerill.OK || !c.relay(e, invocation.Answer{Verdict: invocation.Served, Response: response}) {
 		response.Free()
 	}
 	c.happen(ryerill.Event{Kind: ryerill.AttemptEnded, Request: e.id, Attempt: k.attempt, Server: k.server,
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -8,8 +8,8 @@
 
 	"ryerill"
 	"ryerill/config"
-	"ryerill/consumer"
 	"ryerill/directory"
+	"ryerill/invocation"
 	"ryerill/provider"
 )
 
@@ -46,7 +46,7 @@
 // entry is an invocation that has not been answered or has invoker calls out.
 type entry struct {
 	id    ryerill.RequestID
-	inv   *consumer.Invocation
+	inv   *invocation.Invocation
 	until time.Time // the consumer gives up
 	calls []*call
 	out   int  // calls out
@@ -94,9 +94,9 @@
 	case ryerill.Send:
 		c.route(a)
 	case ryerill.Refuse:
-		c.relay(c.open[a.Request], consumer.Answer{Verdict: consumer.Refused, RetryAfter: a.Wait})
+		c.relay(c.open[a.Request], invocation.Answer{Verdict: invocation.Refused, RetryAfter: a.Wait})
 	case ryerill.Fail:
-		c.relay(c.open[a.Request], consumer.Answer{Verdict: consumer.Failed})
+		c.relay(c.open[a.Request], invocation.Answer{Verdict: invocation.Failed})
 	case ryerill.Cancel:
 		if e := c.open[a.Request]; e != nil && a.Attempt < len(e.calls) {
 			e.calls[a.Attempt].Cancel()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"ryerill/consumer"
 	"ryerill/directory"
 	"ryerill/internal/buffer"
+	"ryerill/invocation"
 	"ryerill/provider"
 )
 
@@ -30,7 +31,7 @@
 // their answers out.
 type front interface {
 	// Serve hands invocations over until ctx ends and all of them have been answered.
-	Serve(ctx context.Context, intake consumer.Intake) error
+	Serve(ctx context.Context, intake invocation.Intake) error
 	Address() string
 }
 
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -18,8 +18,8 @@
 
 	"ryerill"
 	"ryerill/config"
-	"ryerill/consumer"
 	"ryerill/directory"
+	"ryerill/invocation"
 	"ryerill/provider"
 )
 
@@ -309,13 +309,13 @@
 func TestBreakdownOfDecisionsIsAnswered(t *testing.T) {
 	t.Parallel()
 	c := &core{log: slog.New(slog.DiscardHandler), clock: clock{time.Now()}, open: make(map[ryerill.RequestID]*entry)}
-	answers := make(chan consumer.Answer, 2)
+	answers := make(chan invocation.Answer, 2)
 	for range 2 {
-		c.Take(&consumer.Invocation{Taken: time.Now(), Left: time.Hour, Reply: func(a consumer.Answer) { answers <- a },
-			Request: provider.NewRequest("GET", "/", "x", nil, nil)})
+		c.Take(&invocation.Invocation{Taken: time.Now(), Left: time.Hour, Reply: func(a invocation.Answer) { answers <- a },
+			Request: &invocation.Request{Method: "GET", Target: "/", Host: "x"}})
 	}
 	for range 2 {
-		if a := <-answers; a.Verdict != consumer.Failed {
+		if a := <-answers; a.Verdict != invocation.Failed {
 			t.Errorf("answered %+v", a)
 		}
 	}
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -4,11 +4,11 @@
 	"time"
 
 	"ryerill"
-	"ryerill/consumer"
+	"ryerill/invocation"
 )
 
 // Take takes an invocation in. From here on it is owed one final answer.
-func (c *core) Take(inv *consumer.Invocation) uint64 {
+func (c *core) Take(inv *invocation.Invocation) uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.newest++
@@ -35,7 +35,7 @@
 	defer c.mu.Unlock()
 	if !e.done {
 		c.log.Warn("no decision in time")
-		e.inv.Reply(consumer.Answer{Verdict: consumer.Overdue})
+		e.inv.Reply(invocation.Answer{Verdict: invocation.Overdue})
 		c.depart(e)
 	}
 }
