Divide what a machine has among pools: guarantees, and the rest lent by max-min

Pools in one process would take sockets, memory and goroutines from each other. The pure package budget gives each pool a guarantee that is never lent, and lends the rest by weighted max-min fairness.

Property tests: the total is never exceeded by pools that take all they may in any order, through reloads; guarantees hold; what is lent comes back.

--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,183 @@
+package budget
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+func TestSharesAreMaxMin(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		amount  int
+		wants   []int
+		weights []float64
+		want    []int
+	}{
+		{"enough", 10, []int{2, 3, 4}, []float64{1, 1, 1}, []int{2, 3, 4}},
+		{"evenly", 9, []int{9, 9, 9}, []float64{1, 1, 1}, []int{3, 3, 3}},
+		{"who wants little frees some", 10, []int{1, 9, 9}, []float64{1, 1, 1}, []int{1, 5, 4}},
+		{"by weight", 12, []int{99, 99}, []float64{2, 1}, []int{8, 4}},
+		{"no weight", 10, []int{5, 5}, []float64{0, 1}, []int{0, 5}},
+		{"nothing", 0, []int{5}, []float64{1}, []int{0}},
+		{"nobody", 5, nil, nil, []int{}},
+	} {
+		if diff := cmp.Diff(tc.want, Share(tc.amount, tc.wants, tc.weights)); diff != "" {
+			t.Errorf("%s: %s", tc.name, diff)
+		}
+	}
+}
+
+// Nobody gets more than it wants, all is given if it is wanted, and no part can
+// grow but at the cost of one that has less for its weight.
+func TestSharesHoldTheDefinition(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(t, "n")
+		amount := rapid.IntRange(0, 100).Draw(t, "amount")
+		var wants []int
+		var weights []float64
+		all := 0
+		for range n {
+			wants = append(wants, rapid.IntRange(0, 50).Draw(t, "want"))
+			weights = append(weights, float64(rapid.IntRange(1, 4).Draw(t, "weight")))
+			all += wants[len(wants)-1]
+		}
+		parts := Share(amount, wants, weights)
+		sum := 0
+		for i, p := range parts {
+			sum += p
+			if p > wants[i] {
+				t.Fatalf("%d got %d and wants %d", i, p, wants[i])
+			}
+		}
+		if sum != min(amount, all) {
+			t.Fatalf("gave %d of %d, %d are wanted", sum, amount, all)
+		}
+		for i := range parts {
+			for j := range parts {
+				// One unit of rounding each is allowed.
+				if parts[i] < wants[i] && float64(parts[i]+1)/weights[i] < float64(parts[j]-1)/weights[j]-1e-9 {
+					t.Fatalf("%v of %v by %v: %d goes short while %d has more", parts, wants, weights, i, j)
+				}
+			}
+		}
+	})
+}
+
+// greedy are pools that take what they may in any order, and give back what they will.
+func TestGuaranteesHoldAndTheTotalIsNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(10, 60).Draw(t, "total")
+		l := NewLedger(total)
+		draw := func() map[string]Claim {
+			claims, left := map[string]Claim{}, total
+			for i := range rapid.IntRange(1, 4).Draw(t, "pools") {
+				g := rapid.IntRange(0, left/2).Draw(t, "guarantee")
+				left -= g
+				claims[fmt.Sprint(i)] = Claim{Guarantee: g, Weight: float64(rapid.IntRange(0, 3).Draw(t, "weight")),
+					Most: rapid.SampledFrom([]int{0, 5, 20}).Draw(t, "most")}
+			}
+			return claims
+		}
+		claims := draw()
+		if !l.Set(claims) {
+			t.Fatal("claims within the total are refused")
+		}
+		used, allowed := map[string]int{}, l.Step(nil)
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			if rapid.IntRange(0, 9).Draw(t, "reload") == 0 {
+				claims = draw()
+				l.Set(claims)
+			}
+			wanted := map[string]int{}
+			for range rapid.IntRange(0, 30).Draw(t, "acts") {
+				name := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "pool"))
+				switch {
+				case rapid.Bool().Draw(t, "gives back"):
+					used[name] = max(used[name]-rapid.IntRange(1, 5).Draw(t, "n"), 0)
+				case used[name] < allowed[name]:
+					used[name]++
+				default:
+					wanted[name]++
+				}
+			}
+			usage, sum := map[string]Usage{}, 0
+			for name, n := range used {
+				usage[name] = Usage{n, wanted[name]}
+				sum += n
+			}
+			if sum > total {
+				t.Fatalf("step %d: %d of %d are in use: %v", step, sum, total, used)
+			}
+			allowed = l.Step(usage)
+			reach := 0
+			for name := range map[string]bool{"0": true, "1": true, "2": true, "3": true} {
+				reach += max(used[name], allowed[name])
+			}
+			if reach > total {
+				t.Fatalf("step %d: pools may come to use %d of %d: used %v, allowed %v", step, reach, total, used, allowed)
+			}
+		}
+		// Once all is given back, each has its guarantee at the next step but one.
+		l.Step(nil)
+		allowed = l.Step(nil)
+		for name, c := range claims {
+			if allowed[name] < c.Guarantee {
+				t.Fatalf("%s is allowed %d, guaranteed %d", name, allowed[name], c.Guarantee)
+			}
+		}
+	})
+}
+
+// What was lent is called back when its owner's neighbour wants it, as fast as it is given back.
+func TestWhatIsLentIsCalledBack(t *testing.T) {
+	l := NewLedger(100)
+	l.Set(map[string]Claim{"calm": {Guarantee: 20, Weight: 1}, "flood": {Guarantee: 20, Weight: 1}})
+	// The flood wants everything and gets the rest; the guarantee of the calm pool is not touched.
+	var allowed map[string]int
+	for range 3 {
+		allowed = l.Step(map[string]Usage{"flood": {Used: min(allowed["flood"], 500), Wanted: 400}})
+	}
+	if allowed["flood"] != 80 || allowed["calm"] != 20 {
+		t.Fatalf("alone, the flood is allowed %v", allowed)
+	}
+	// The calm pool takes its guarantee and wants more: half of the rest is its own.
+	allowed = l.Step(map[string]Usage{"flood": {80, 400}, "calm": {20, 30}})
+	if allowed["flood"] != 50 || allowed["calm"] != 20 {
+		t.Fatalf("called back: %v", allowed)
+	}
+	// The flood drags: what it holds on to is not given twice.
+	allowed = l.Step(map[string]Usage{"flood": {70, 400}, "calm": {20, 30}})
+	if allowed["calm"] != 30 {
+		t.Fatalf("10 were given back, and the other is allowed %v", allowed)
+	}
+	allowed = l.Step(map[string]Usage{"flood": {50, 400}, "calm": {30, 30}})
+	if allowed["calm"] != 50 || allowed["flood"] != 50 {
+		t.Fatalf("in the end: %v", allowed)
+	}
+}
+
+func TestGuaranteesBeyondTheTotalAreRefused(t *testing.T) {
+	l := NewLedger(10)
+	if l.Set(map[string]Claim{"a": {Guarantee: 6}, "b": {Guarantee: 5}}) {
+		t.Error("11 are guaranteed of 10")
+	}
+}
+
+func BenchmarkStep(b *testing.B) {
+	for _, n := range []int{10, 500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l, claims, usage := NewLedger(10_000), map[string]Claim{}, map[string]Usage{}
+			for i := range n {
+				claims[fmt.Sprint(i)] = Claim{Guarantee: 2, Weight: 1}
+				usage[fmt.Sprint(i)] = Usage{i, i % 7}
+			}
+			l.Set(claims)
+			for b.Loop() {
+				l.Step(usage)
+			}
+		})
+	}
+}
