--- a/config/config.go
+++ b/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 	"time"
 
 	"ryerill/directory"
+	"ryerill/route"
 )
 
 // The environment variables that a proxy reads. What they set goes before what
@@ -35,15 +37,41 @@
 	defaultSlack     = 20 * time.Millisecond
 )
 
-// Config is all that a proxy is told at its start.
+// Config is all that a proxy is told at its start, whatever form it was written in.
 type Config struct {
 	Name      string
-	Listen    string // address for consumers
-	Directory string // address of the directory
 	Seed      uint64
 	Limits    Limits
+	Listeners []Listener
+	Routes    []Route
+	Pools     []Pool
+}
+
+// Listener is an address for consumers.
+type Listener struct {
+	Name    string
+	Address string
+}
+
+// Route sends requests to a pool.
+type Route struct {
+	route.Rule
+	Class string // of its requests, where they state none
+}
+
+// Pool is a set of providers with all that belongs to it.
+type Pool struct {
+	Name      string
+	Directory string         // address of the directory; empty is none, and Known is the whole list
 	Known     directory.List // the providers as last heard of, perhaps long ago
 	Settings  Settings
+	Guarantee Shares
+	Weight    float64
+	Drain     time.Duration // how long it may finish its calls once a reload has taken it away
+
+	// PaysDirectory says that the connection to the directory is one of the pool's
+	// sockets. In the platform's form the spare ones hold it.
+	PaysDirectory bool
 }
 
 // Limits is what the machine allows the program.
@@ -53,27 +81,48 @@
 	Sockets int
 }
 
-// Load reads the configuration that the environment names.
-func Load(getenv func(string) string) (Config, error) { return load(getenv, false) }
+// Load reads the configuration that the environment names: the platform's JSON,
+// or a file as [File] has it. It returns warnings too, which are no reason to
+// refuse it.
+func Load(getenv func(string) string) (Config, []string, error) { return load(getenv, false) }
 
 // Reload reads the configuration anew while a proxy runs. The environment is
-// still that of the start and cannot follow the file: a directory that the
-// file names goes before it now.
-func Reload(getenv func(string) string) (Config, error) { return load(getenv, true) }
+// still that of the start and cannot follow the file: in the platform's form a
+// directory that the file names goes before it now.
+func Reload(getenv func(string) string) (Config, []string, error) { return load(getenv, true) }
 
-func load(getenv func(string) string, again bool) (Config, error) {
+func load(getenv func(string) string, again bool) (Config, []string, error) {
 	file := getenv(EnvFile)
 	if file == "" {
-		return Config{}, fmt.Errorf("%s: not set", EnvFile)
+		return Config{}, nil, fmt.Errorf("%s: not set", EnvFile)
 	}
 	text, err := os.ReadFile(file)
 	if err != nil {
-		return Config{}, fmt.Errorf("%s: %w", EnvFile, err)
+		return Config{}, nil, fmt.Errorf("%s: %w", EnvFile, err)
+	}
+	if !Platform(text) {
+		return parseFile(file, text, getenv)
+	}
+	cfg, err := parse(text, getenv, again)
+	return cfg, nil, err
+}
+
+// Platform tells whether a text is the platform's JSON: an object that begins
+// as JSON does and has no pools.
+func Platform(text []byte) bool {
+	if trimmed := bytes.TrimSpace(text); len(trimmed) > 0 && trimmed[0] != '{' {
+		return false
+	}
+	var keys map[string]json.RawMessage
+	if json.Unmarshal(text, &keys) != nil {
+		return true // told as what it seems to be
 	}
-	return parse(text, getenv, again)
+	_, pools := keys["pools"]
+	return !pools
 }
 
-// Parse reads a configuration from its JSON text and the environment.
+// Parse reads a configuration in the platform's JSON and the environment. It
+// becomes one listener, one route that meets everything, and one pool.
 func Parse(text []byte, getenv func(string) string) (Config, error) {
 	return parse(text, getenv, false)
 }
@@ -99,14 +148,13 @@
 		}
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
-	cfg := Config{
-		Name:      orElse(getenv(EnvName), file.Name),
-		Listen:    orElse(getenv(EnvListen), file.Listen),
-		Directory: orElse(getenv(EnvDirectory), file.Discovery),
-	}
+	pool := Pool{Name: only, Directory: orElse(getenv(EnvDirectory), file.Discovery), Weight: 1}
 	if again {
-		cfg.Directory = orElse(file.Discovery, cfg.Directory)
+		pool.Directory = orElse(file.Discovery, pool.Directory)
 	}
+	cfg := Config{Name: orElse(getenv(EnvName), file.Name),
+		Listeners: []Listener{{Name: only, Address: orElse(getenv(EnvListen), file.Listen)}},
+		Routes:    []Route{{Rule: route.Rule{Name: only, Pool: only}}}}
 	var problems []error
 	bad := func(key string, value any, want string) {
 		problems = append(problems, fmt.Errorf("%s: unexpected value %q, want %s", key, fmt.Sprint(value), want))
@@ -116,13 +164,11 @@
 			bad(key, value, "an IP address and a port")
 		}
 	}
-	address("listen", cfg.Listen)
-	address("discovery", cfg.Directory)
+	address("listen", cfg.Listeners[0].Address)
+	address("discovery", pool.Directory)
 	var err error
-	if file.Seed != "" {
-		if cfg.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
-			bad("seed", file.Seed, "at most 16 hexadecimal digits")
-		}
+	if cfg.Seed, err = parseSeed(file.Seed); err != nil {
+		bad("seed", file.Seed, "at most 16 hexadecimal digits")
 	}
 	cores, memory := valueOr(file.Limits.Cores, defaultCores), valueOr(file.Limits.MemoryMB, defaultMemoryMB)
 	if !(cores > 0 && cores <= 1024) {
@@ -136,20 +182,34 @@
 		bad("limits.sockets", cfg.Limits.Sockets, fmt.Sprintf("%d or more", leastSockets))
 	}
 	if len(file.Known) > 0 && string(file.Known) != "null" {
-		if cfg.Known, err = directory.Parse(file.Known); err != nil {
+		if pool.Known, err = directory.Parse(file.Known); err != nil {
 			problems = append(problems, fmt.Errorf("known: %w", err))
 		}
 	}
 	if len(file.Settings) == 0 {
 		problems = append(problems, errors.New("settings: missing"))
-	} else if cfg.Settings, err = SettingsFromJSON(file.Settings); err != nil {
+	} else if pool.Settings, err = SettingsFromJSON(file.Settings); err != nil {
 		problems = append(problems, err)
 	} else {
-		cfg.Settings.complete(bad)
+		pool.Settings.complete(bad)
 	}
+	for _, c := range pool.Settings.Balancer.Classes {
+		pool.Drain = max(pool.Drain, c.Deadline+time.Second)
+	}
+	cfg.Pools = []Pool{pool}
 	return cfg, errors.Join(problems...)
 }
 
+// only names the one listener, route and pool of the platform's form.
+const only = "main"
+
+func parseSeed(text string) (uint64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	return strconv.ParseUint(text, 16, 64)
+}
+
 // complete checks what the settings say and fills in what they leave out.
 func (s *Settings) complete(bad func(key string, value any, want string)) {
 	b := &s.Balancer
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -55,11 +55,11 @@
 	cfg, err := Parse([]byte(whole), func(name string) string {
 		return map[string]string{EnvName: "n9", EnvListen: "127.0.0.9:1"}[name]
 	})
-	if err != nil || cfg.Name != "n9" || cfg.Listen != "127.0.0.9:1" || cfg.Directory != "127.0.0.1:8500" {
+	if err != nil || cfg.Name != "n9" || cfg.Listeners[0].Address != "127.0.0.9:1" || cfg.Pools[0].Directory != "127.0.0.1:8500" {
 		t.Errorf("%+v, %v", cfg, err)
 	}
 	for _, file := range []string{"", "/nonexistent/config.json"} {
-		if _, err := Load(func(string) string { return file }); err == nil || !strings.Contains(err.Error(), EnvFile) {
+		if _, _, err := Load(func(string) string { return file }); err == nil || !strings.Contains(err.Error(), EnvFile) {
 			t.Errorf("file %q: %v", file, err)
 		}
 	}
@@ -83,13 +83,13 @@
 		if err := os.WriteFile(file, []byte(tc.text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		cfg, err := Reload(getenv)
-		if tc.err == "" && (err != nil || cfg.Directory != tc.directory || cfg.Listen != "127.0.0.9:1") ||
+		cfg, _, err := Reload(getenv)
+		if tc.err == "" && (err != nil || cfg.Pools[0].Directory != tc.directory || cfg.Listeners[0].Address != "127.0.0.9:1") ||
 			tc.err != "" && (err == nil || !strings.Contains(err.Error(), tc.err)) {
 			t.Errorf("%s: %+v, %v", tc.name, cfg, err)
 		}
-		if first, err := Load(getenv); err == nil && first.Directory != "127.0.0.1:9" {
-			t.Errorf("%s: at the start %q", tc.name, first.Directory)
+		if first, _, err := Load(getenv); err == nil && first.Pools[0].Directory != "127.0.0.1:9" {
+			t.Errorf("%s: at the start %q", tc.name, first.Pools[0].Directory)
 		}
 	}
 }
@@ -105,7 +105,7 @@
 		"Classes.0.Effect=pure\nClasses.0.Worth=3.5\nCustomers.count=1\nCustomers.0.Name=big one\n" +
 		"Customers.0.QuotaPerS=75.5\nExtra.PassesDeadline=false\nLimits.IdleClose=5000000\nLimits.MayCancel=true\n" +
 		"Limits.ConnectTimeout=100000\nContract.AnswerSlack=20000\n")
-	if err != nil || !reflect.DeepEqual(cfg.Settings, pairs) || pairs.IdleClose != 5*time.Second {
-		t.Errorf("%v\nJSON  %+v\npairs %+v", err, cfg.Settings, pairs)
+	if err != nil || !reflect.DeepEqual(cfg.Pools[0].Settings, pairs) || pairs.IdleClose != 5*time.Second {
+		t.Errorf("%v\nJSON  %+v\npairs %+v", err, cfg.Pools[0].Settings, pairs)
 	}
 }
--- a/config/settings.go
+++ b/config/settings.go
@@ -21,6 +21,7 @@
 	Zones     []string
 	Kinds     []string
 	IdleClose time.Duration // a provider's machine closes idle connections after this
+	AnyPath   bool          // a class need not be the first part of the path
 }
 
 // SettingsFromPairs reads settings in the form of the simulator's wire, a
--- a/consumer/head_test.go
+++ b/consumer/head_test.go
@@ -29,12 +29,15 @@
 		return string(buffered) + string(more)
 	}
 	var wrong *httpError
-	req, b, err := c.readRequest()
+	req, frame, err := c.readHead()
 	if err == nil {
-		for _, block := range b.AppendTo(nil) {
-			body += string(block)
+		b, fault := c.readBody(req, frame)
+		if err = fault; err == nil {
+			for _, block := range b.AppendTo(nil) {
+				body += string(block)
+			}
+			_, err = names.read(req, b, time.Now(), "")
 		}
-		_, err = names.parse(req, b, time.Now())
 	}
 	if errors.As(err, &wrong) {
 		return wrong.status, "", ""
--- a/consumer/http.go
+++ b/consumer/http.go
@@ -17,6 +17,7 @@
 	"ryerill/internal/framing"
 	"ryerill/internal/http1"
 	"ryerill/invocation"
+	"ryerill/route"
 )
 
 // keyQuery names what the request concerns.
@@ -37,40 +38,74 @@
 
 func (e *httpError) Error() string { return e.text }
 
-// readRequest reads the next request with its body. An error that is not an
-// httpError means that the consumer broke off.
-func (c *conn) readRequest() (*http.Request, *buffer.Body, error) {
+// retryAfter is when to come back, where that helps.
+func (e *httpError) retryAfter() time.Duration {
+	if e.status == http.StatusServiceUnavailable {
+		return time.Second
+	}
+	return 0
+}
+
+// readHead reads the head of the next request and says how its body is
+// delimited. An error that is not an httpError means that the consumer broke off.
+func (c *conn) readHead() (*http.Request, framing.Body, error) {
 	c.N = maxHead
 	text, err := framing.ReadHead(c.r, maxHead)
 	if err != nil {
-		return nil, nil, c.fault(err, "head", http.StatusRequestHeaderFieldsTooLarge)
+		return nil, framing.Body{}, c.fault(err, "head", http.StatusRequestHeaderFieldsTooLarge)
 	}
 	f, err := judge(text)
 	if err != nil {
-		return nil, nil, err
+		return nil, f, err
 	}
 	r := c.server.buffers.Reader(bytes.NewReader(text))
 	req, err := http.ReadRequest(r)
 	c.server.buffers.PutReader(r)
 	if err != nil {
-		return nil, nil, &httpError{http.StatusBadRequest, "malformed head"}
+		return nil, f, &httpError{http.StatusBadRequest, "malformed head"}
 	}
+	return req, f, nil
+}
+
+// readBody reads the body of a request whose head is in.
+func (c *conn) readBody(req *http.Request, f framing.Body) (*buffer.Body, error) {
 	if f.Length == 0 && !f.Chunked {
-		return req, nil, nil
+		return nil, nil
 	}
 	switch expect := req.Header.Get("Expect"); {
 	case expect == "":
 	case !strings.EqualFold(expect, "100-continue"):
-		return nil, nil, &httpError{http.StatusExpectationFailed, "unknown expectation"}
+		return nil, &httpError{http.StatusExpectationFailed, "unknown expectation"}
 	case !c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"), nil):
-		return nil, nil, io.ErrClosedPipe
+		return nil, io.ErrClosedPipe
 	}
 	c.N = 3 * invocation.MaxBody // with the framing of its chunks
 	body, err := c.server.buffers.ReadBody(f.Reader(c.r), invocation.MaxBody)
 	if err != nil {
-		return nil, nil, c.fault(err, "body", http.StatusRequestEntityTooLarge)
+		return nil, c.fault(err, "body", http.StatusRequestEntityTooLarge)
 	}
-	return req, body, nil
+	return body, nil
+}
+
+// find returns the way of a request.
+func (s *Server) find(req *http.Request) (Way, error) {
+	class := req.Header.Get(http1.HeaderKind)
+	if class == "" {
+		class = firstPart(req)
+	}
+	way, err := s.services.Find(req, class)
+	switch {
+	case errors.Is(err, route.ErrPath):
+		return way, &httpError{http.StatusBadRequest, err.Error()}
+	case err != nil:
+		return way, &httpError{http.StatusNotFound, err.Error()}
+	}
+	return way, nil
+}
+
+func firstPart(req *http.Request) string {
+	first, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
+	return first
 }
 
 // fault tells why a part of a request could not be read.
@@ -86,18 +121,18 @@
 	return &httpError{http.StatusBadRequest, "malformed " + part}
 }
 
-// parse turns a request into an invocation. It takes over the body.
-func (n *Names) parse(req *http.Request, body *buffer.Body, taken time.Time) (*invocation.Invocation, error) {
-	inv, err := n.read(req, body, taken)
+// parse turns a request into an invocation. Where it can't, what it was given
+// is still the caller's.
+func (w *Way) parse(req *http.Request, body *buffer.Body, taken time.Time) (*invocation.Invocation, error) {
+	inv, err := w.Service.Names().read(req, body, taken, w.Class)
 	if err != nil {
-		body.Free()
 		return nil, err
 	}
-	inv.Request = &invocation.Request{Method: req.Method, Target: req.RequestURI, Host: req.Host, Header: req.Header, Body: body}
+	inv.Request = &invocation.Request{Method: req.Method, Target: w.Target, Host: req.Host, Header: req.Header, Body: body}
 	return inv, nil
 }
 
-func (n *Names) read(req *http.Request, body *buffer.Body, taken time.Time) (*invocation.Invocation, error) {
+func (n *Names) read(req *http.Request, body *buffer.Body, taken time.Time, class string) (*invocation.Invocation, error) {
 	bad := func(text string) (*invocation.Invocation, error) { return nil, &httpError{http.StatusBadRequest, text} }
 	id := req.Header.Get(http1.HeaderID)
 	switch {
@@ -108,17 +143,18 @@
 	case id == "" || len(id) > maxID || strings.ContainsFunc(id, func(r rune) bool { return r <= ' ' || r > '~' }):
 		return bad(http1.HeaderID + " is missing or malformed")
 	}
-	first, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
-	kind := req.Header.Get(http1.HeaderKind)
+	first, kind := firstPart(req), req.Header.Get(http1.HeaderKind)
 	if kind == "" {
-		kind = first
+		if kind = class; kind == "" {
+			kind = first
+		}
 	}
 	inv := &invocation.Invocation{Class: slices.Index(n.Classes, kind), Tenant: slices.Index(n.Tenants, req.Header.Get(http1.HeaderOwner)),
 		Repeat: req.Header.Get(http1.HeaderRetry) == "1", Write: req.Method != http.MethodGet, Taken: taken}
 	switch {
 	case inv.Class < 0:
 		return nil, &httpError{http.StatusNotFound, "unknown " + http1.HeaderKind}
-	case kind != first:
+	case kind != first && !n.AnyPath:
 		return bad(http1.HeaderKind + " is not the first part of the path")
 	}
 	// What the class allows is decided by its effect; a method that says otherwise cannot be meant.
--- a/consumer/names.go
+++ b/consumer/names.go
@@ -3,9 +3,11 @@
 package consumer
 
 import (
+	"net/http"
 	"time"
 
 	"ryerill"
+	"ryerill/invocation"
 )
 
 // Names are the words of the settings that headers carry, by index.
@@ -14,4 +16,31 @@
 	Deadlines []time.Duration // by class: where an invocation states none
 	Effects   []ryerill.Effect
 	Tenants   []string
+	AnyPath   bool // a class need not be the first part of the path
+}
+
+// Service is what a request goes to.
+type Service interface {
+	invocation.Intake
+	Names() *Names
+
+	// Hold takes room for a body of so many bytes at most, and returns what gives
+	// it back. It reports false if there is no room now.
+	Hold(bytes int) (give func(), ok bool)
+}
+
+// Way is where a request goes.
+type Way struct {
+	Service Service
+	Class   string // of requests that state none; empty is the first part of the path
+	Target  string // path and query as they go on
+}
+
+// Services stand behind a front.
+type Services interface {
+	// Find returns the way of a request of a class as it states it, or an error of
+	// package route.
+	Find(req *http.Request, class string) (Way, error)
+	// Longest is the longest deadline of all classes.
+	Longest() time.Duration
 }
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"ryerill/internal/buffer"
+	"ryerill/internal/framing"
 	"ryerill/internal/http1"
 	"ryerill/internal/socket"
 	"ryerill/invocation"
@@ -37,8 +38,7 @@
 // Server accepts the consumers' connections and speaks HTTP/1.1 on them.
 type Server struct {
 	listener *net.TCPListener
-	names    Names
-	intake   invocation.Intake
+	services Services
 	buffers  *buffer.Pool
 	most     int // connections
 
@@ -55,30 +55,38 @@
 
 // Listen opens the address for consumers. Of the most connections that it may
 // hold, a few are kept for telling consumers that there is no room.
-func Listen(address string, most int, names Names, buffers *buffer.Pool) (*Server, error) {
+func Listen(address string, most int, buffers *buffer.Pool) (*Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for consumers: %w", err)
 	}
-	s := &Server{listener: l.(*net.TCPListener), names: names, buffers: buffers, most: most - reserve,
+	s := &Server{listener: l.(*net.TCPListener), buffers: buffers, most: max(most-reserve, 1),
 		conns: make(map[*conn]struct{}), ids: make(map[string]*conn)}
 	s.room = sync.NewCond(&s.mu)
-	for _, d := range names.Deadlines {
-		s.killed = max(s.killed, min(d, killedAfter)+killedLater)
-	}
 	return s, nil
 }
 
+// SetMost changes how many connections the server may hold. Those beyond it
+// stay until they end or make room.
+func (s *Server) SetMost(most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.most = max(most-reserve, 1)
+}
+
+// Close ends a server that never served.
+func (s *Server) Close() { s.listener.Close() }
+
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Serve hands invocations to intake until ctx ends. It then goes on accepting
+// Serve hands invocations to services until ctx ends. It then goes on accepting
 // for a while, since the word that this proxy stops spreads slowly, and serves
 // the connections that it has for half the time that is left to it: until
 // another proxy is back, there may be nobody else. It returns when all that was
 // taken in has been answered.
-func (s *Server) Serve(ctx context.Context, intake invocation.Intake) error {
-	s.intake = intake
+func (s *Server) Serve(ctx context.Context, services Services) error {
+	s.services = services
 	defer s.listener.Close()
 	defer context.AfterFunc(ctx, s.stop)()
 	for {
@@ -109,6 +117,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopped = time.Now()
+	if longest := s.services.Longest(); longest > 0 {
+		s.killed = min(longest, killedAfter) + killedLater
+	}
 	s.listener.SetDeadline(s.stopped.Add(acceptOn))
 }
 
@@ -323,20 +334,25 @@
 		if !c.begin() {
 			return
 		}
-		req, body, err := c.readRequest()
+		req, frame, err := c.readHead()
 		if err != nil {
 			c.reject(err)
 			return
 		}
-		c.taken()
 		if req.Method == http.MethodGet && req.RequestURI == readyPath {
+			body, err := c.readBody(req, frame)
+			if err != nil {
+				c.reject(err)
+				return
+			}
 			body.Free()
+			c.taken()
 			if !c.ready(req.Close) {
 				return
 			}
 			continue
 		}
-		inv, err := c.server.names.parse(req, body, time.Now())
+		way, inv, err := c.invocation(req, frame)
 		if err != nil {
 			c.reject(err)
 			return
@@ -358,14 +374,14 @@
 		inv.Reply = func(a invocation.Answer) { go c.answer(a, id, closes, answered) }
 		c.nc.SetReadDeadline(inv.Taken.Add(inv.Left + leaveMargin))
 		c.N = maxHead
-		ticket := c.server.intake.Take(inv)
+		ticket := way.Service.Take(inv)
 		_, err = c.r.Peek(1) // the next request, which comes after the answer, or the consumer's end
 		if err != nil {
 			c.server.mu.Lock() // an answer that is through lets go of it after all is booked
 			settled := len(answered) > 0
 			c.server.mu.Unlock()
 			if !settled {
-				c.server.intake.Leave(ticket)
+				way.Service.Leave(ticket)
 				c.server.release(id, c)
 				return
 			}
@@ -376,6 +392,34 @@
 	}
 }
 
+// invocation reads what is left of a request whose head is in, and finds its way.
+func (c *conn) invocation(req *http.Request, frame framing.Body) (way Way, inv *invocation.Invocation, err error) {
+	if way, err = c.server.find(req); err != nil {
+		return way, nil, err
+	}
+	give := func() {}
+	if size := frame.Length; size > 0 || frame.Chunked {
+		if frame.Chunked {
+			size = invocation.MaxBody
+		}
+		var ok bool
+		if give, ok = way.Service.Hold(int(size)); !ok {
+			return way, nil, &httpError{http.StatusServiceUnavailable, "no room for the body"}
+		}
+	}
+	body, err := c.readBody(req, frame)
+	if err == nil {
+		c.taken()
+		if inv, err = way.parse(req, body, time.Now()); err == nil {
+			inv.Request.Done = give
+			return way, inv, nil
+		}
+		body.Free()
+	}
+	give()
+	return way, nil, err
+}
+
 // hold notes that a request with this id is open. It reports false if another
 // one is: ids are fresh on every request, and providers tell requests by them.
 func (s *Server) hold(id string, c *conn) bool {
@@ -449,7 +493,7 @@
 // reject answers what is no invocation, if there is still somebody to answer.
 func (c *conn) reject(err error) {
 	var e *httpError
-	if errors.As(err, &e) && c.write(head(e.status, 0, nil, 0, true), nil) {
+	if errors.As(err, &e) && c.write(head(e.status, 0, nil, e.retryAfter(), true), nil) {
 		c.lingerClose()
 	}
 }
--- a/consumer/server_test.go
+++ b/consumer/server_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 		text string
 		want bool
 	}{{"", false}, {"GET", true}} {
-		s, err := Listen("127.0.0.1:0", 16, Names{}, new(buffer.Pool))
+		s, err := Listen("127.0.0.1:0", 16, new(buffer.Pool))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -96,13 +97,13 @@
 	if firstTimeout < settled || firstTimeout >= 3*time.Second || readTimeout >= 3*time.Second {
 		t.Errorf("waits %v for a request to begin and %v for its end", firstTimeout, readTimeout)
 	}
-	s, err := Listen("127.0.0.1:0", 64, names, new(buffer.Pool))
+	s, err := Listen("127.0.0.1:0", 64, new(buffer.Pool))
 	if err != nil {
 		t.Fatal(err)
 	}
 	over := make(chan error)
 	ctx, stop := context.WithCancel(t.Context())
-	go func() { over <- s.Serve(ctx, nil) }()
+	go func() { over <- s.Serve(ctx, prompt{names}) }()
 	for _, tc := range []struct{ text, want string }{
 		{"", ""},
 		{"GET /read HTTP/1.1\r\nHo", "HTTP/1.1 408"},
@@ -132,8 +133,14 @@
 }
 
 // prompt serves each invocation at once.
-type prompt struct{}
+type prompt struct{ names Names }
 
+func (p prompt) Names() *Names                 { return &p.names }
+func (prompt) Hold(int) (give func(), ok bool) { return func() {}, true }
+func (p prompt) Longest() time.Duration        { return slices.Max(p.names.Deadlines) }
+func (p prompt) Find(req *http.Request, _ string) (Way, error) {
+	return Way{Service: p, Target: req.RequestURI}, nil
+}
 func (prompt) Take(inv *invocation.Invocation) uint64 {
 	inv.Reply(invocation.Answer{Verdict: invocation.Served})
 	return 0
@@ -143,14 +150,15 @@
 // After the word to stop, consumers go on with the connections that they have:
 // until another proxy is back there may be nobody else. Then they are told.
 func TestKeptConnectionsAreServedAfterTheWordToStop(t *testing.T) {
-	s, err := Listen("127.0.0.1:0", 64, Names{Classes: names.Classes, Effects: names.Effects,
-		Deadlines: []time.Duration{time.Minute, 0, 0}}, new(buffer.Pool))
+	s, err := Listen("127.0.0.1:0", 64, new(buffer.Pool))
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(t.Context())
 	over := make(chan error)
-	go func() { over <- s.Serve(ctx, prompt{}) }()
+	go func() {
+		over <- s.Serve(ctx, prompt{Names{Classes: names.Classes, Effects: names.Effects, Deadlines: []time.Duration{time.Minute, 0, 0}}})
+	}()
 	c, err := net.Dial("tcp", s.Address())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -43,16 +43,8 @@
 		&cobra.Command{Use: "serve", Short: "Serve until SIGTERM, then finish what was taken; SIGHUP reloads the configuration", Args: cobra.NoArgs,
 			RunE: func(*cobra.Command, []string) error { return serve(getenv, stderr) }},
 		&cobra.Command{Use: "check", Short: "Read the configuration and name what is at fault", Args: cobra.NoArgs,
-			RunE: func(*cobra.Command, []string) error {
-				cfg, err := config.Load(getenv)
-				if err != nil {
-					return err
-				}
-				fmt.Fprintf(stdout, "%s: tier %d of %d, %d classes, %d providers known\n", cfg.Name,
-					cfg.Settings.Balancer.Tier+1, cfg.Settings.Balancer.Tiers, len(cfg.Settings.Balancer.Classes),
-					len(cfg.Known.Endpoints))
-				return nil
-			}},
+			RunE: func(*cobra.Command, []string) error { return check("", getenv, stdout) }},
+		configCommand(getenv, stdout),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(*cobra.Command, []string) { fmt.Fprintln(stdout, "ryerill", version()) }},
 	)
@@ -69,6 +61,18 @@
 	return exitConfig
 }
 
+// told says in a few lines what a configuration is.
+func told(out io.Writer, cfg config.Config, warnings []string) {
+	for _, w := range warnings {
+		fmt.Fprintln(out, "warning:", w)
+	}
+	for _, p := range cfg.Pools {
+		b := &p.Settings.Balancer
+		fmt.Fprintf(out, "%s: pool %s, tier %d of %d, %d classes, %d providers known\n", cfg.Name, p.Name, b.Tier+1, b.Tiers,
+			len(b.Classes), len(p.Known.Endpoints))
+	}
+}
+
 // runError marks errors of a proxy that was configured well.
 type runError struct{ error }
 
@@ -84,7 +88,7 @@
 	// Caught from the first moment on and until the process is gone: by itself the signal would end it.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	cfg, err := config.Load(getenv)
+	cfg, warnings, err := config.Load(getenv)
 	if err != nil {
 		return err
 	}
@@ -94,16 +98,24 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log := logging.New(stderr)
+	for _, w := range warnings {
+		log.Warn("configuration", "warning", w)
+	}
 	p, err := proxy.New(cfg, proxy.WithLogger(log))
 	if err != nil {
 		return runError{err}
 	}
 	go func() {
 		for range reload {
-			if cfg, err := config.Reload(getenv); err != nil {
+			cfg, warnings, err := config.Reload(getenv)
+			if err == nil {
+				err = p.Reload(cfg)
+			}
+			if err != nil {
 				log.Error("configuration not reloaded, the old one holds", "error", err)
-			} else {
-				p.Reload(cfg)
+			}
+			for _, w := range warnings {
+				log.Warn("configuration", "warning", w)
 			}
 		}
 	}()
--- a/invocation/invocation.go
+++ b/invocation/invocation.go
@@ -22,12 +22,20 @@
 	Host   string
 	Header http.Header
 	Body   *buffer.Body
+
+	// Done is called once by Free; it may be nil.
+	Done func()
 }
 
 // Free gives the body back once no invoker call needs it any more.
 func (r *Request) Free() {
-	if r != nil {
-		r.Body.Free()
+	if r == nil {
+		return
+	}
+	r.Body.Free()
+	if r.Done != nil {
+		r.Done()
+		r.Done = nil
 	}
 }
 
--- a/lab/experiment/file.go
+++ b/lab/experiment/file.go
@@ -15,12 +15,11 @@
 	"strings"
 
 	"github.com/goccy/go-yaml"
-	"github.com/goccy/go-yaml/parser"
 
+	"ryerill"
+	"ryerill/internal/yamlfile"
 	"ryerill/lab/baseline"
 	"ryerill/lab/world"
-
-	"ryerill"
 )
 
 // The hosts that can play an arm.
@@ -79,16 +78,13 @@
 		return nil, fmt.Errorf("experiment: %w", err)
 	}
 	e := &Experiment{Path: path}
-	if err := yaml.UnmarshalWithOptions(text, &e.File, yaml.Strict()); err != nil {
-		return nil, world.Located(path, err)
-	}
-	tree, err := parser.ParseBytes(text, 0)
+	tree, err := yamlfile.Decode(path, text, &e.File)
 	if err != nil {
-		return nil, world.Located(path, err)
+		return nil, err
 	}
 	var problems []error
 	bad := func(key string, value any, want string) {
-		problems = append(problems, fmt.Errorf("%s%s: %w", path, world.Position(tree, key), world.Problem{Key: key, Value: value, Want: want}))
+		problems = append(problems, fmt.Errorf("%s%s: %w", path, tree.Position(key), world.Problem{Key: key, Value: value, Want: want}))
 	}
 	if !regexp.MustCompile(`^[a-z0-9-]+$`).MatchString(e.Name) {
 		bad("name", e.Name, "small letters, digits and dashes")
@@ -107,7 +103,7 @@
 	}
 	base, from, err := e.base()
 	if err != nil {
-		return nil, fmt.Errorf("%s%s: world: %w", path, world.Position(tree, "world"), err)
+		return nil, fmt.Errorf("%s%s: world: %w", path, tree.Position("world"), err)
 	}
 	names := map[string]bool{}
 	for i := range e.Arms {
@@ -148,7 +144,7 @@
 		}
 		w, err := world.Parse(fmt.Sprintf("%s with what %s sets, as text", from, a.Name), text)
 		if err != nil {
-			problems = append(problems, fmt.Errorf("%s%s: %w", path, world.Position(tree, at), err))
+			problems = append(problems, fmt.Errorf("%s%s: %w", path, tree.Position(at), err))
 		}
 		e.Worlds = append(e.Worlds, w)
 	}
@@ -156,7 +152,7 @@
 		c, err := compile(text, e.Arms)
 		if err != nil {
 			key := fmt.Sprintf("expect[%d]", i)
-			problems = append(problems, fmt.Errorf("%s%s: %s: %w", path, world.Position(tree, key), key, err))
+			problems = append(problems, fmt.Errorf("%s%s: %s: %w", path, tree.Position(key), key, err))
 		}
 		e.checks = append(e.checks, c)
 	}
@@ -173,8 +169,8 @@
 			return nil, "", err
 		}
 		tree := map[string]any{}
-		if err := yaml.Unmarshal(text, &tree); err != nil {
-			return nil, "", world.Located(file, err)
+		if _, err := yamlfile.Decode(file, text, &tree); err != nil {
+			return nil, "", err
 		}
 		return tree, file, nil
 	case map[string]any:
--- a/lab/world/check.go
+++ b/lab/world/check.go
@@ -10,10 +10,9 @@
 	"strings"
 	"time"
 
-	"github.com/goccy/go-yaml"
-	"github.com/goccy/go-yaml/ast"
-	"github.com/goccy/go-yaml/parser"
 	"github.com/invopop/jsonschema"
+
+	"ryerill/internal/yamlfile"
 )
 
 // The most that a world may hold: a run's memory grows with them.
@@ -37,34 +36,21 @@
 // Parse is Read for a text; file is only named in errors.
 func Parse(file string, text []byte) (*World, error) {
 	var w World
-	if err := yaml.UnmarshalWithOptions(text, &w, yaml.Strict()); err != nil {
-		return nil, Located(file, err)
-	}
-	w.Complete()
-	tree, err := parser.ParseBytes(text, 0)
+	tree, err := yamlfile.Decode(file, text, &w)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", file, err)
+		return nil, err
 	}
+	w.Complete()
 	if problems := w.Check(); len(problems) > 0 {
 		var all []error
 		for _, p := range problems {
-			all = append(all, fmt.Errorf("%s%s: %w", file, Position(tree, p.Key), p))
+			all = append(all, fmt.Errorf("%s%s: %w", file, tree.Position(p.Key), p))
 		}
 		return nil, errors.Join(all...)
 	}
 	return &w, nil
 }
 
-// Located puts the file, line and column of a YAML error before its message.
-func Located(file string, err error) error {
-	var at yaml.Error
-	if errors.As(err, &at) && at.GetToken() != nil {
-		p := at.GetToken().Position
-		return fmt.Errorf("%s:%d:%d: %s", file, p.Line, p.Column, at.GetMessage())
-	}
-	return fmt.Errorf("%s: %w", file, err)
-}
-
 // inherit fills the zero fields of a node from another.
 func inherit(to, from reflect.Value) {
 	for i := range to.NumField() {
@@ -76,21 +62,6 @@
 	}
 }
 
-// Position returns ":line:column" of a key like tiers[0].node.cores, or of its
-// nearest parent that the text has.
-func Position(tree *ast.File, key string) string {
-	for key != "" {
-		if path, err := yaml.PathString("$." + key); err == nil {
-			if node, err := path.FilterFile(tree); err == nil && node != nil && node.GetToken() != nil {
-				at := node.GetToken().Position
-				return fmt.Sprintf(":%d:%d", at.Line, at.Column)
-			}
-		}
-		key = key[:max(strings.LastIndexAny(key, ".["), 0)]
-	}
-	return ":1:1"
-}
-
 // Problem is one thing that is wrong with a world.
 type Problem struct {
 	Key   string // as in tiers[0].providers
--- a/observe.go
+++ b/observe.go
@@ -3,3 +3,9 @@
 // Standing tells the limit on calls in flight and how many are: for those who
 // watch a Balancer. It changes nothing and decides nothing.
 func (b *Balancer) Standing() (limit float64, inFlight int) { return b.maxIFR, b.ifr }
+
+// Adjust replaces what the deployment allows, from the next event on. What the
+// Balancer has learnt stays. Figures that are missing get New's defaults.
+func (b *Balancer) Adjust(limits Limits) {
+	b.cfg.Limits = New(Config{Limits: limits}, 0).cfg.Limits
+}
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -24,15 +24,21 @@
 // none of them is idle.
 var errNoRoom = errors.New("no room for another connection to a provider")
 
+// Room is what a pool may hold of the machine's descriptors. Both methods are
+// safe for concurrent use and don't block.
+type Room interface {
+	Take(n int) bool // false if there is none now
+	Give(n int)
+}
+
 // Pool keeps the connections to providers.
 type Pool struct {
-	most    int // connections, idle or not
+	room    Room
 	keep    time.Duration
 	connect time.Duration
 	buffers *buffer.Pool
 
 	mu      sync.Mutex
-	open    int
 	idle    map[place][]*conn // the most recently used last
 	closed  bool
 	sweeper *time.Timer // nil while none is idle
@@ -53,11 +59,28 @@
 	since time.Time // idle since
 }
 
-// NewPool returns a pool of at most most connections, none of which is used
-// again close to idleClose after its last use.
-func NewPool(most int, idleClose, connectTimeout time.Duration, buffers *buffer.Pool) *Pool {
-	return &Pool{most: most, keep: max(idleClose-idleMargin, idleClose/2), connect: connectTimeout, buffers: buffers,
-		idle: make(map[place][]*conn)}
+// NewPool returns a pool that holds as many connections as it finds room for,
+// none of which is used again close to idleClose after its last use.
+func NewPool(room Room, idleClose, connectTimeout time.Duration, buffers *buffer.Pool) *Pool {
+	p := &Pool{room: room, buffers: buffers, idle: make(map[place][]*conn)}
+	p.Set(idleClose, connectTimeout)
+	return p
+}
+
+// Set changes how long connections are kept and waited for, from the next on.
+func (p *Pool) Set(idleClose, connectTimeout time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keep, p.connect = max(idleClose-idleMargin, idleClose/2), connectTimeout
+}
+
+// Shed closes up to n idle connections, those idle for longest first: room that
+// was lent is called back.
+func (p *Pool) Shed(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for ; n > 0 && p.evictLocked(); n-- {
+	}
 }
 
 // get returns a connection to a place: the one used last, if any is usable, or
@@ -75,19 +98,18 @@
 		p.dropLocked(c)
 	}
 	delete(p.idle, at)
-	if p.open >= p.most && !p.evictLocked() {
-		p.mu.Unlock()
-		return nil, errNoRoom
+	for !p.room.Take(1) {
+		if !p.evictLocked() {
+			p.mu.Unlock()
+			return nil, errNoRoom
+		}
 	}
-	p.open++
+	dialer := net.Dialer{Timeout: p.connect, Deadline: until, KeepAlive: -1}
 	p.mu.Unlock()
 
-	dialer := net.Dialer{Timeout: p.connect, Deadline: until, KeepAlive: -1}
 	raw, err := dialer.Dial("tcp", at.address)
 	if err != nil {
-		p.mu.Lock()
-		p.open--
-		p.mu.Unlock()
+		p.room.Give(1)
 		return nil, err
 	}
 	c := &conn{TCPConn: raw.(*net.TCPConn), place: at}
@@ -121,7 +143,7 @@
 func (p *Pool) dropLocked(c *conn) {
 	c.Close()
 	p.buffers.PutReader(c.r)
-	p.open--
+	p.room.Give(1)
 }
 
 // evictLocked makes room by closing the connection idle for longest.
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -52,6 +53,27 @@
 	return l.Addr().String(), conns, requests
 }
 
+// room is so many connections.
+type room struct{ left, most atomic.Int64 }
+
+func newRoom(n int64) *room {
+	r := &room{}
+	r.left.Store(n)
+	r.most.Store(n)
+	return r
+}
+
+func (r *room) Take(n int) bool {
+	if r.left.Add(-int64(n)) < 0 {
+		r.left.Add(int64(n))
+		return false
+	}
+	return true
+}
+
+func (r *room) Give(n int) { r.left.Add(int64(n)) }
+func (r *room) used() int  { return int(r.most.Load() - r.left.Load()) }
+
 func newCall(address string) *Call {
 	return &Call{Request: &invocation.Request{Method: "GET", Target: "/x", Host: "h"}, Address: address,
 		Until: time.Now().Add(20 * time.Second), MayStart: func() bool { return true }}
@@ -76,7 +98,7 @@
 		{"idle for too long", okay, nil, time.Nanosecond, 2},
 	} {
 		address, conns, requests := serve(t, tc.text, tc.after)
-		p := NewPool(8, tc.idleClose, 5*time.Second, new(buffer.Pool))
+		p := NewPool(newRoom(8), tc.idleClose, 5*time.Second, new(buffer.Pool))
 		for range 2 {
 			outcome, response := p.Do(newCall(address))
 			if outcome != ryerill.OK || response.Body.Len() != 2 {
@@ -95,7 +117,7 @@
 // nothing may be written any more.
 func TestNothingIsWrittenAfterTheRecheck(t *testing.T) {
 	address, _, requests := serve(t, okay, nil)
-	p := NewPool(8, time.Hour, 5*time.Second, new(buffer.Pool))
+	p := NewPool(newRoom(8), time.Hour, 5*time.Second, new(buffer.Pool))
 	defer p.Close()
 	drained := newCall(address)
 	drained.MayStart = func() bool { return false }
@@ -131,7 +153,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := NewPool(8, time.Hour, 5*time.Second, buffers)
+	p := NewPool(newRoom(8), time.Hour, 5*time.Second, buffers)
 	defer p.Close()
 	c := newCall(l.Addr().String())
 	c.Request = &invocation.Request{Method: "POST", Target: "/x", Host: "h", Body: body}
@@ -150,7 +172,7 @@
 	first, _, _ := serve(t, okay, nil)
 	second, _, _ := serve(t, okay, nil)
 	silent, _, requests := serve(t, "", nil)
-	p := NewPool(1, time.Hour, 5*time.Second, new(buffer.Pool))
+	p := NewPool(newRoom(1), time.Hour, 5*time.Second, new(buffer.Pool))
 	defer p.Close()
 	for _, address := range []string{first, second, first} {
 		if outcome, _ := p.Do(newCall(address)); outcome != ryerill.OK {
@@ -164,8 +186,8 @@
 		t.Errorf("with none idle: %v", outcome)
 	}
 	held.Cancel()
-	if outcome := <-over; outcome != ryerill.Cancelled || p.open != 0 {
-		t.Errorf("called off: %v, %d open", outcome, p.open)
+	if outcome := <-over; outcome != ryerill.Cancelled || p.room.(*room).used() != 0 {
+		t.Errorf("called off: %v, %d open", outcome, p.room.(*room).used())
 	}
 }
 
@@ -187,7 +209,7 @@
 // be open, and a request on it would be lost.
 func TestConnectionsBelongToTheirProvider(t *testing.T) {
 	address, conns, _ := serve(t, okay, nil)
-	p := NewPool(8, time.Hour, 5*time.Second, new(buffer.Pool))
+	p := NewPool(newRoom(8), time.Hour, 5*time.Second, new(buffer.Pool))
 	defer p.Close()
 	for i, tc := range []struct {
 		provider uint64
@@ -199,7 +221,7 @@
 			t.Errorf("call %d: %v, %d connections", i, outcome, len(conns))
 		}
 	}
-	if p.CloseIdle(1); p.open != 1 || len(p.idle) != 1 {
-		t.Errorf("without the first provider: %d open at %d places", p.open, len(p.idle))
+	if p.CloseIdle(1); p.room.(*room).used() != 1 || len(p.idle) != 1 {
+		t.Errorf("without the first provider: %d open at %d places", p.room.(*room).used(), len(p.idle))
 	}
 }
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -27,5 +27,7 @@
 	if e.out == 0 && c.open[e.id] != nil {
 		delete(c.open, e.id)
 		e.inv.Request.Free()
+		c.rooms.open.Give(1)
+		c.emptied()
 	}
 }
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -8,6 +9,7 @@
 
 	"ryerill"
 	"ryerill/config"
+	"ryerill/consumer"
 	"ryerill/directory"
 	"ryerill/invocation"
 	"ryerill/provider"
@@ -29,11 +31,15 @@
 type core struct {
 	log       *slog.Logger
 	clock     clock
-	settings  config.Settings
+	names     consumer.Names
+	rooms     *rooms
 	pool      *provider.Pool
-	directory *directory.Client
+	directory *directory.Client // nil where the configuration lists the providers
+	end       context.CancelFunc
 
 	mu        sync.Mutex
+	cfg       config.Pool
+	settings  config.Settings
 	balancer  *ryerill.Balancer
 	queue     []ryerill.Event // happenings that wait for their turn
 	busy      bool            // the queue is being worked off
@@ -41,6 +47,11 @@
 	newest    ryerill.RequestID
 	open      map[ryerill.RequestID]*entry
 	providers map[ryerill.ServerID]*target
+	timers    map[*time.Timer]struct{} // that the Balancer has set
+	leaving   bool                     // nothing new comes
+	ended     bool                     // and nothing is open any more
+	closed    bool
+	empty     chan struct{}
 }
 
 // entry is an invocation that has not been answered or has invoker calls out.
@@ -102,21 +113,38 @@
 			e.calls[a.Attempt].Cancel()
 		}
 	case ryerill.SetTimer:
-		token := a.Token
-		time.AfterFunc(a.Wait, func() {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			c.happen(ryerill.Event{Kind: ryerill.Timer, Token: token})
-		})
+		c.remind(a.Wait, a.Token)
 	case ryerill.CloseIdle:
 		go c.pool.CloseIdle(uint64(a.Server))
 	case ryerill.Subscribe:
-		c.directory.Subscribe(a.On)
+		if c.directory != nil {
+			c.directory.Subscribe(a.On)
+		}
 	case ryerill.FetchList:
-		c.directory.Fetch()
+		if c.directory != nil {
+			c.directory.Fetch()
+		}
 	case ryerill.Log:
 		c.log.Info("balancer", "says", a.Text)
 	default: // neither probes nor messages to peers exist on sockets
 		c.log.Warn("action that cannot be carried out", "kind", fmt.Sprint(a.Kind))
 	}
 }
+
+// remind tells the Balancer of a timer once it is due, unless the pool has
+// ended by then.
+func (c *core) remind(wait time.Duration, token uint32) {
+	if c.closed {
+		return
+	}
+	var t *time.Timer
+	t = time.AfterFunc(wait, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if _, set := c.timers[t]; set {
+			delete(c.timers, t)
+			c.happen(ryerill.Event{Kind: ryerill.Timer, Token: token})
+		}
+	})
+	c.timers[t] = struct{}{} // the mutex is held: the timer's own call waits for it
+}
--- /dev/null
+++ b/proxy/pool.go
@@ -0,0 +1,140 @@
+package proxy
+
+import (
+	"context"
+	"log/slog"
+	"reflect"
+	"time"
+
+	"ryerill"
+	"ryerill/config"
+	"ryerill/consumer"
+	"ryerill/directory"
+	"ryerill/internal/buffer"
+	"ryerill/provider"
+)
+
+// newCore starts a pool: its Balancer, its connections, its directory.
+func newCore(cfg config.Pool, seed uint64, r *rooms, buffers *buffer.Pool, log *slog.Logger, clock clock) *core {
+	settings := cfg.Settings
+	b := &settings.Balancer
+	life, end := context.WithCancel(context.Background()) // the list is watched until the last answer
+	c := &core{
+		log:       log,
+		clock:     clock,
+		cfg:       cfg,
+		settings:  settings,
+		rooms:     r,
+		pool:      provider.NewPool(&r.sockets, settings.IdleClose, b.Limits.ConnectTimeout, buffers),
+		end:       end,
+		balancer:  ryerill.New(settings.Balancer, seed),
+		open:      make(map[ryerill.RequestID]*entry),
+		providers: make(map[ryerill.ServerID]*target),
+		timers:    make(map[*time.Timer]struct{}),
+		empty:     make(chan struct{}),
+	}
+	for _, k := range b.Classes {
+		c.names.Classes = append(c.names.Classes, k.Name)
+		c.names.Deadlines = append(c.names.Deadlines, k.Deadline)
+		c.names.Effects = append(c.names.Effects, k.Effect)
+	}
+	for _, t := range b.Tenants {
+		c.names.Tenants = append(c.names.Tenants, t.Name)
+	}
+	c.names.AnyPath = settings.AnyPath
+	shed := c.pool.Shed
+	r.shed.Store(&shed)
+	kind := ryerill.ListFull // the file's own list is all there is
+	if cfg.Directory != "" {
+		c.directory = directory.NewClient(life, cfg.Directory, cfg.Known, buffers, c)
+		kind = ryerill.ListCached
+	}
+	if cfg.PaysDirectory {
+		r.sockets.used.Add(1) // of its guarantee: no other pool can have it
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list(kind, cfg.Known)
+	return c
+}
+
+// Names are the words of the pool's settings.
+func (c *core) Names() *consumer.Names { return &c.names }
+
+// Hold takes room for a body.
+func (c *core) Hold(bytes int) (give func(), ok bool) {
+	if !c.rooms.bodies.Take(bytes) {
+		return nil, false
+	}
+	return func() { c.rooms.bodies.Give(bytes) }, true
+}
+
+// follows tells whether a pool can take a new configuration over with all that
+// it has learnt: what it decides by is the same but for what may be adjusted.
+func (c *core) follows(cfg config.Pool) bool {
+	old, next := c.settings, cfg.Settings
+	old.Balancer.Limits, next.Balancer.Limits = ryerill.Limits{}, ryerill.Limits{}
+	old.IdleClose, next.IdleClose = 0, 0
+	return reflect.DeepEqual(old, next) && (c.cfg.Directory == "") == (cfg.Directory == "") && c.cfg.PaysDirectory == cfg.PaysDirectory
+}
+
+// adjust takes a configuration over that the pool follows. Nothing that is open
+// is disturbed.
+func (c *core) adjust(cfg config.Pool) {
+	limits := cfg.Settings.Balancer.Limits
+	c.pool.Set(cfg.Settings.IdleClose, limits.ConnectTimeout)
+	if c.directory != nil {
+		c.directory.Move(cfg.Directory)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if limits != c.settings.Balancer.Limits {
+		c.balancer.Adjust(limits)
+	}
+	if c.directory == nil && !reflect.DeepEqual(c.cfg.Known.Endpoints, cfg.Known.Endpoints) {
+		c.list(ryerill.ListFull, cfg.Known)
+	}
+	c.settings.Balancer.Limits, c.settings.IdleClose, c.cfg = limits, cfg.Settings.IdleClose, cfg
+}
+
+// drain ends the pool once what it has taken is answered, after its bound at
+// the latest; nothing leads to it any more. What its calls still hold then they
+// give back at their own deadlines.
+func (c *core) drain(most time.Duration) {
+	c.mu.Lock()
+	c.leaving = true
+	c.emptied()
+	c.mu.Unlock()
+	limit := time.NewTimer(most)
+	defer limit.Stop()
+	select {
+	case <-c.empty:
+	case <-limit.C:
+		c.log.Warn("a pool did not drain in time", "pool", c.cfg.Name, "bound", most)
+	}
+	c.close()
+}
+
+// emptied notes that a pool that leaves has nothing open. The mutex is held.
+func (c *core) emptied() {
+	if c.leaving && !c.ended && len(c.open) == 0 {
+		c.ended = true
+		close(c.empty)
+	}
+}
+
+// close ends the pool's directory, timers and idle connections.
+func (c *core) close() {
+	c.end()
+	c.pool.Close()
+	if c.cfg.PaysDirectory {
+		c.rooms.sockets.Give(1)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for t := range c.timers {
+		t.Stop()
+	}
+	clear(c.timers)
+}
--- /dev/null
+++ b/proxy/pools_test.go
@@ -0,0 +1,400 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"ryerill/config"
+)
+
+// pooled runs a proxy by a configuration in YAML.
+func pooled(t *testing.T, text string) (p *Proxy, end func()) {
+	t.Helper()
+	p, err := New(parsed(t, text), WithLogger(slog.New(slog.DiscardHandler)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	over := make(chan error)
+	go func() { over <- p.Run(ctx) }()
+	// Its first answer says that it runs: a reload needs that.
+	if resp := dial(t, p.Address()).send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"); resp.StatusCode != 200 {
+		t.Fatal(resp.Status)
+	}
+	var once sync.Once
+	end = func() {
+		once.Do(func() {
+			stop()
+			if err := <-over; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	t.Cleanup(end)
+	return p, end
+}
+
+func parsed(t *testing.T, text string) config.Config {
+	t.Helper()
+	cfg, _, err := config.ParseFile("test.yaml", []byte(text), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+const classes = `
+classes:
+  - {name: read, deadline: 20s, effect: safe}
+  - {name: pay, deadline: 20s, effect: keyed, memory: 10s}
+`
+
+// poolOf writes a pool of one provider.
+func poolOf(name string, b *backend, more string) string {
+	return fmt.Sprintf("  - {name: %s, limits: {connect_timeout: 5s}, providers: [{name: %s-1, address: %q}]%s}\n", name, name, b.Addr().String(), more)
+}
+
+// tells answers with a name and the target that arrived.
+func tells(name string) func(net.Conn, *http.Request) {
+	return func(c net.Conn, r *http.Request) {
+		text := name + " " + r.RequestURI
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	}
+}
+
+var serial atomic.Uint64
+
+func get(host, target, class string) string {
+	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nReq-Id: p%d\r\nReq-Deadline-Ms: 15000\r\n%s\r\n", target, host, serial.Add(1), class)
+}
+
+func TestRoutesLeadToPools(t *testing.T) {
+	t.Parallel()
+	a, b := newBackend(t, tells("a")), newBackend(t, tells("b"))
+	p, _ := pooled(t, "listeners: [{name: main, address: '127.0.0.1:0'}]\n"+classes+`
+routes:
+  - {name: shops, host: app.svc, path: /shops/*, pool: a, rewrite: /v2, class: read}
+  - {name: stated, host: app.svc, classes: [read], pool: a}
+  - {name: other, host: "*.svc", path: /read/*, pool: b}
+pools:
+`+poolOf("a", a, "")+poolOf("b", b, ""))
+	for _, tc := range []struct {
+		text   string
+		status int
+		body   string
+	}{
+		{get("app.svc", "/shops/7?x=1", ""), 200, "a /v2/7?x=1"},
+		{get("app.svc", "/any", "Req-Kind: read\r\n"), 200, "a /any"},
+		{get("app.svc", "/read/7", ""), 200, "a /read/7"},
+		{get("x.svc", "/read/7", ""), 200, "b /read/7"},
+		{get("x.svc", "/shops/7", ""), 404, ""},
+		{get("elsewhere", "/read/7", ""), 404, ""},
+		{get("app.svc", "/shops/../read/7", ""), 400, ""},
+		{get("app.svc", "/shops/7", "Req-Kind: unheard\r\n"), 404, ""},
+	} {
+		if status, body := dial(t, p.Address()).ask(tc.text); status != tc.status || status == 200 && body != tc.body {
+			t.Errorf("%q: %d %q, want %d %q", tc.text, status, body, tc.status, tc.body)
+		}
+	}
+}
+
+// What a request met at its start is what it ends with, and what a reload takes
+// away finishes; what it leaves alone goes on with all that it has learnt.
+func TestReloadOfPools(t *testing.T) {
+	t.Parallel()
+	arrived, release := make(chan struct{}, 8), make(chan struct{})
+	slow := newBackend(t, func(c net.Conn, r *http.Request) {
+		arrived <- struct{}{}
+		<-release
+		tells("slow")(c, r)
+	})
+	b := newBackend(t, tells("b"))
+	head := "listeners: [{name: main, address: '127.0.0.1:0'}]\n" + classes
+	with := head + "routes: [{path: /read/a, pool: a, name: ra}, {path: /read/b, pool: b, name: rb}]\npools:\n" + poolOf("a", slow, "") + poolOf("b", b, "")
+	p, _ := pooled(t, with)
+	c := dial(t, p.Address())
+	if _, err := io.WriteString(c, get("x", "/read/a", "")); err != nil {
+		t.Fatal(err)
+	}
+	await(t, arrived, "the request at its provider")
+	core := func(name string) *core {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.pools[name]
+	}
+	before, going := core("b"), core("a")
+	without := head + "routes: [{path: /read/b, pool: b, name: rb}]\npools:\n" + poolOf("b", b, ", limits: {attempts: 5}")
+	without = strings.Replace(without, "limits: {connect_timeout: 5s}, ", "", 1)
+	if err := p.Reload(parsed(t, without)); err != nil {
+		t.Fatal(err)
+	}
+	if status, _ := dial(t, p.Address()).ask(get("x", "/read/a", "")); status != 404 {
+		t.Errorf("a pool that is gone answered %d", status)
+	}
+	if status, body := dial(t, p.Address()).ask(get("x", "/read/b", "")); status != 200 || body != "b /read/b" {
+		t.Errorf("the other answered %d %q", status, body)
+	}
+	if core("b") != before {
+		t.Error("a pool of which only limits changed was replaced")
+	}
+	select {
+	case <-going.empty:
+		t.Error("the pool ended with an invocation open")
+	default:
+	}
+	close(release)
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("what was open at the reload: %v, %v", resp, err)
+	}
+	await(t, going.empty, "the pool that is gone has drained")
+	// Other classes make it another pool.
+	if err := p.Reload(parsed(t, strings.Replace(without, "deadline: 20s, effect: safe", "deadline: 19s, effect: safe", 1))); err != nil {
+		t.Fatal(err)
+	}
+	if core("b") == before {
+		t.Error("a pool with other classes goes on as it was")
+	}
+	if status, _ := dial(t, p.Address()).ask(get("x", "/read/b", "")); status != 200 {
+		t.Errorf("after it was replaced: %d", status)
+	}
+}
+
+func TestReloadOfListeners(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, tells("b"))
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	file := func(listeners string) string {
+		return "listeners: [" + listeners + "]\n" + classes + "routes: [{pool: b}]\npools:\n" + poolOf("b", b, "")
+	}
+	p, _ := pooled(t, file("{name: one, address: '127.0.0.1:0'}"))
+	if err := p.Reload(parsed(t, file("{name: one, address: '127.0.0.1:0'}, {name: two, address: '"+taken.Addr().String()+"'}"))); err == nil || !strings.Contains(err.Error(), "listener two") {
+		t.Errorf("an address that is taken: %v", err)
+	}
+	if status, _ := dial(t, p.Address()).ask(get("x", "/read/1", "")); status != 200 {
+		t.Errorf("after a reload that failed: %d", status)
+	}
+	kept := dial(t, p.Address())
+	if status, _ := kept.ask(get("x", "/read/1", "")); status != 200 {
+		t.Fatal(status)
+	}
+	old := p.Address()
+	if err := p.Reload(parsed(t, file("{name: two, address: '127.0.0.1:0'}"))); err != nil {
+		t.Fatal(err)
+	}
+	if p.Address() == old || p.AddressOf("two") != p.Address() || p.AddressOf("one") != "" {
+		t.Fatalf("listens at %s, before %s", p.Address(), old)
+	}
+	// A connection that has asked before is served on.
+	if status, _ := kept.ask(get("x", "/read/1", "")); status != 200 {
+		t.Errorf("a kept connection: %d", status)
+	}
+	if status, _ := dial(t, p.Address()).ask(get("x", "/read/1", "")); status != 200 {
+		t.Errorf("the new listener: %d", status)
+	}
+}
+
+// A hundred reloads under load: nothing is lost, and nothing is left over.
+func TestReloadStorm(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	a, b := newBackend(t, tells("a")), newBackend(t, tells("b"))
+	defer a.Close()
+	defer b.Close()
+	head := "listeners: [{name: main, address: '127.0.0.1:0'}]\n" + classes
+	forms := []config.Config{}
+	for _, text := range []string{
+		head + "routes: [{path: /read/a, pool: a, name: ra}, {path: /read/b, pool: b, name: rb}]\npools:\n" + poolOf("a", a, "") + poolOf("b", b, ""),
+		head + "routes: [{path: /read/*, pool: b, name: rb}]\npools:\n" + poolOf("b", b, ""),
+		head + "routes: [{path: /read/a, pool: b, name: ra}, {path: /read/b, pool: a, name: rb}]\npools:\n" + poolOf("b", a, "") + poolOf("a", b, ", weight: 3"),
+		strings.Replace(head, "20s", "18s", 1) + "routes: [{path: /read/*, pool: c, name: rc}]\npools:\n" + poolOf("c", a, ""),
+	} {
+		forms = append(forms, parsed(t, text))
+	}
+	p, end := pooled(t, head+"routes: [{path: /read/*, pool: b, name: rb}]\npools:\n"+poolOf("b", b, ""))
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	var served, refused atomic.Int64
+	for n := range 4 {
+		c := dial(t, p.Address())
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if _, err := io.WriteString(c, get("x", []string{"/read/a", "/read/b"}[n%2], "")); err != nil {
+					t.Error(err)
+					return
+				}
+				resp, err := http.ReadResponse(c.r, nil)
+				if err != nil {
+					t.Errorf("lost: %v", err)
+					return
+				}
+				io.Copy(io.Discard, resp.Body)
+				switch resp.StatusCode {
+				case 200:
+					served.Add(1)
+				case 503:
+					refused.Add(1)
+				default:
+					t.Errorf("answered %s", resp.Status)
+				}
+			}
+		}()
+	}
+	for i := range 100 {
+		if err := p.Reload(forms[i%len(forms)]); err != nil {
+			t.Error(err)
+		}
+	}
+	close(stop)
+	clients.Wait()
+	if served.Load() == 0 || refused.Load() > served.Load()/2 {
+		t.Errorf("%d served, %d refused", served.Load(), refused.Load())
+	}
+	end()
+	a.CloseAll()
+	b.CloseAll()
+	for name, r := range p.machine.pools {
+		for k := range kinds {
+			if n := kinds[k].gauge(r).used.Load(); n != 0 {
+				t.Errorf("pool %s still uses %d of kind %d", name, n, k)
+			}
+		}
+	}
+}
+
+// A pool whose providers hang holds all that it may, and not what another is owed.
+func TestAPoolThatHangsHoldsNoOthers(t *testing.T) {
+	t.Parallel()
+	hold := make(chan struct{})
+	hangs := newBackend(t, func(net.Conn, *http.Request) { <-hold })
+	t.Cleanup(func() { close(hold) })
+	calm := newBackend(t, tells("calm"))
+	p, _ := pooled(t, "machine: {sockets: 96}\nlisteners: [{name: main, address: '127.0.0.1:0'}]\n"+classes+`
+routes: [{name: h, path: /read/hang, pool: hangs}, {name: c, path: /read/calm, pool: calm}]
+pools:
+`+strings.Replace(poolOf("hangs", hangs, ", copies: 1, guarantee: {sockets: 4}"), "[{", "["+manyProviders(hangs, 40)+"{", 1)+
+		poolOf("calm", calm, ", guarantee: {sockets: 4}"))
+	for range 24 { // all of the consumers' connections but a few
+		c := dial(t, p.Address())
+		if _, err := io.WriteString(c, get("x", "/read/hang", "")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 20 {
+		if status, body := dial(t, p.Address()).ask(get("x", "/read/calm", "")); status != 200 || body != "calm /read/calm" {
+			t.Fatalf("the calm pool answered %d %q", status, body)
+		}
+	}
+	p.mu.Lock()
+	r := p.pools["hangs"].rooms
+	p.mu.Unlock()
+	if total := p.machine.total.Sockets; r.sockets.used.Load() > int64(total-4) {
+		t.Errorf("the hanging pool holds %d sockets of %d, 4 are another's", r.sockets.used.Load(), total)
+	}
+}
+
+func manyProviders(b *backend, n int) string {
+	var s strings.Builder
+	for i := range n {
+		fmt.Fprintf(&s, "{name: more-%d, address: %q}, ", i, b.Addr().String())
+	}
+	return s.String()
+}
+
+// Five hundred pools of ten providers start and serve where 192 MB and 1,024
+// descriptors are; what does not fit is refused by the configuration.
+func TestManyPools(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, tells("b"))
+	write := func(n int) string {
+		var s strings.Builder
+		s.WriteString("machine: {memory_mb: 192, sockets: 1024}\nlisteners: [{name: main, address: '127.0.0.1:0'}]\n" + classes + "routes:\n")
+		for i := range n {
+			fmt.Fprintf(&s, "  - {name: r%d, path: /read/%d, pool: p%d}\n", i, i, i)
+		}
+		s.WriteString("pools:\n")
+		for i := range n {
+			fmt.Fprintf(&s, "  - {name: p%d, providers: [%s]}\n", i, strings.TrimSuffix(manyProviders(b, 10), ", "))
+		}
+		return s.String()
+	}
+	p, _ := pooled(t, write(500))
+	c := dial(t, p.Address())
+	for i := 0; i < 500; i += 7 {
+		if status, body := c.ask(get("x", fmt.Sprintf("/read/%d", i), "")); status != 200 {
+			t.Fatalf("pool %d answered %d %q", i, status, body)
+		}
+	}
+	if _, _, err := config.ParseFile("many.yaml", []byte(write(600)), func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "machine.sockets") {
+		t.Errorf("600 pools in 1,024 descriptors: %v", err)
+	}
+}
+
+// BenchmarkPools shows what it costs to find a way among many pools: compare 1 with 100.
+func BenchmarkPools(b *testing.B) {
+	for _, n := range []int{1, 100} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer l.Close()
+			go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "fine") }))
+			var s strings.Builder
+			s.WriteString("machine: {sockets: 4096}\nlisteners: [{name: main, address: '127.0.0.1:0'}]\n" + classes + "routes:\n")
+			for i := range n {
+				fmt.Fprintf(&s, "  - {name: r%d, path: /read/%d, pool: p%d}\n", i, i, i)
+			}
+			s.WriteString("pools:\n")
+			for i := range n {
+				fmt.Fprintf(&s, "  - {name: p%d, providers: [{name: a, address: %q}]}\n", i, l.Addr().String())
+			}
+			cfg, _, err := config.ParseFile("bench.yaml", []byte(s.String()), func(string) string { return "" })
+			if err != nil {
+				b.Fatal(err)
+			}
+			p, err := New(cfg, WithLogger(slog.New(slog.DiscardHandler)))
+			if err != nil {
+				b.Fatal(err)
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			over := make(chan error)
+			go func() { over <- p.Run(ctx) }()
+			defer func() { stop(); <-over }()
+			c, err := net.Dial("tcp", p.Address())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer c.Close()
+			buf := make([]byte, 4096)
+			for i := range b.N {
+				if _, err := io.WriteString(c, get("x", fmt.Sprintf("/read/%d", i%n), "")); err != nil {
+					b.Fatal(err)
+				}
+				if got, err := c.Read(buf); err != nil || !strings.HasPrefix(string(buf[:got]), "HTTP/1.1 200") {
+					b.Fatalf("%q, %v", buf[:got], err)
+				}
+			}
+		})
+	}
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -1,49 +1,63 @@
 // Package proxy is a balancing proxy that a program can embed: [New] makes one
 // from a configuration and [Proxy.Run] runs it.
 //
-// An invocation passes a chain of stages, each in a file of its own: take in,
-// admit, route, send, relay, book. They stand round a core that knows no
-// protocol. What is decided is decided by the Balancer of the root package.
+// A request comes in at a listener, and a route leads it to a pool. There its
+// invocation passes a chain of stages, each in a file of its own: take in, admit,
+// route, send, relay, book. They stand round a core that knows no protocol. What
+// is decided is decided by the Balancer of the root package, one for each pool.
 package proxy
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
-	"reflect"
+	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"ryerill"
 	"ryerill/config"
 	"ryerill/consumer"
-	"ryerill/directory"
 	"ryerill/internal/buffer"
-	"ryerill/invocation"
-	"ryerill/provider"
+	"ryerill/route"
 )
 
-// spareSockets are kept for the listener, the directory, standard streams and
-// the runtime's own descriptors.
-const spareSockets = 16
-
-// front is a protocol before the core: it brings invocations in and carries
+// front is a protocol before the pools: it brings invocations in and carries
 // their answers out.
 type front interface {
 	// Serve hands invocations over until ctx ends and all of them have been answered.
-	Serve(ctx context.Context, intake invocation.Intake) error
+	Serve(ctx context.Context, services consumer.Services) error
 	Address() string
+	SetMost(connections int)
+	Close()
 }
 
-// Proxy balances invocations over the providers of one tier.
+// Proxy balances invocations over the providers of its pools.
 type Proxy struct {
 	log     *slog.Logger
 	buffers *buffer.Pool
-	front   front
+	clock   clock
+	machine *machine
+	present atomic.Pointer[services] // what fronts find their way by
+
+	reloading sync.Mutex // one reload at a time
 
-	mu        sync.Mutex
-	cfg       config.Config
-	directory *directory.Client // nil until Run
+	mu      sync.Mutex
+	cfg     config.Config
+	fronts  []*listener
+	pools   map[string]*core // nil until Run
+	leaving sync.WaitGroup   // pools and fronts that end
+	life    context.Context  // of Run; nil before
+	ending  bool             // Run waits for the last answers: nothing new begins
+	failed  chan error
+}
+
+// listener is a front at its address.
+type listener struct {
+	config.Listener
+	front front
+	stop  context.CancelFunc
 }
 
 // Option changes how a proxy is made.
@@ -55,78 +69,143 @@
 
 // New returns a proxy that listens already; consumers wait until Run.
 func New(cfg config.Config, options ...Option) (*Proxy, error) {
-	p := &Proxy{cfg: cfg, log: slog.Default(), buffers: new(buffer.Pool)}
+	p := &Proxy{cfg: cfg, log: slog.Default(), buffers: new(buffer.Pool), failed: make(chan error, 1),
+		machine: newMachine(cfg.Shared())}
 	for _, option := range options {
 		option(p)
 	}
-	b := &cfg.Settings.Balancer
-	var names consumer.Names
-	for _, c := range b.Classes {
-		names.Classes = append(names.Classes, c.Name)
-		names.Deadlines = append(names.Deadlines, c.Deadline)
-		names.Effects = append(names.Effects, c.Effect)
+	if len(cfg.Listeners) == 0 || len(cfg.Pools) == 0 {
+		return nil, fmt.Errorf("proxy %s: a listener or a pool is missing", cfg.Name)
 	}
-	for _, t := range b.Tenants {
-		names.Tenants = append(names.Tenants, t.Name)
+	for _, l := range cfg.Listeners {
+		f, err := p.listen(l, len(cfg.Listeners))
+		if err != nil {
+			for _, l := range p.fronts {
+				l.front.Close()
+			}
+			return nil, fmt.Errorf("proxy %s: %w", cfg.Name, err)
+		}
+		p.fronts = append(p.fronts, f)
 	}
-	server, err := consumer.Listen(cfg.Listen, (cfg.Limits.Sockets-spareSockets)/2, names, p.buffers)
+	return p, nil
+}
+
+// connections is how many each of so many listeners may hold.
+func (p *Proxy) connections(listeners int) int {
+	return (p.cfg.Limits.Sockets - config.SpareSockets) / 2 / max(listeners, 1)
+}
+
+func (p *Proxy) listen(l config.Listener, listeners int) (*listener, error) {
+	s, err := consumer.Listen(l.Address, p.connections(listeners), p.buffers)
 	if err != nil {
-		return nil, fmt.Errorf("proxy %s: %w", cfg.Name, err)
+		return nil, fmt.Errorf("listener %s: %w", l.Name, err)
 	}
-	p.front = server
-	return p, nil
+	return &listener{Listener: l, front: s}, nil
+}
+
+// Address returns the address that consumers reach the first listener at.
+func (p *Proxy) Address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fronts[0].front.Address()
+}
+
+// AddressOf returns the address of a listener, or "" if there is none of that name.
+func (p *Proxy) AddressOf(name string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.fronts {
+		if l.Name == name {
+			return l.front.Address()
+		}
+	}
+	return ""
+}
+
+// Find returns the way of a request by the present routes.
+func (p *Proxy) Find(req *http.Request, class string) (consumer.Way, error) {
+	return p.present.Load().Find(req, class)
 }
 
-// Address returns the address that consumers reach the proxy at.
-func (p *Proxy) Address() string { return p.front.Address() }
+// Longest is the longest deadline of the present pools.
+func (p *Proxy) Longest() time.Duration { return p.present.Load().Longest() }
 
 // Run serves until ctx ends and all that was taken in has been answered.
 func (p *Proxy) Run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	p.mu.Lock()
+	p.clock = clock{time.Now()}
+	p.life = ctx
 	cfg := p.cfg
-	p.mu.Unlock()
-	settings := cfg.Settings
-	limits := settings.Balancer.Limits
-	pool := provider.NewPool((cfg.Limits.Sockets-spareSockets)/2, settings.IdleClose, limits.ConnectTimeout, p.buffers)
-	defer pool.Close()
-	c := &core{
-		log:       p.log,
-		clock:     clock{time.Now()},
-		settings:  settings,
-		pool:      pool,
-		balancer:  ryerill.New(settings.Balancer, cfg.Seed),
-		open:      make(map[ryerill.RequestID]*entry),
-		providers: make(map[ryerill.ServerID]*target),
+	p.pools = map[string]*core{}
+	if !p.machine.claim(cfg.Pools) {
+		p.mu.Unlock()
+		return fmt.Errorf("proxy %s: the pools' guarantees exceed what the machine has", cfg.Name)
+	}
+	for i, pool := range cfg.Pools {
+		p.pools[pool.Name] = newCore(pool, cfg.Seed+uint64(i), p.machine.rooms(pool.Name), p.buffers, p.log, p.clock)
 	}
-	life, end := context.WithCancel(context.WithoutCancel(ctx)) // the list is watched until the last answer
+	now, problems := newServices(cfg.Routes, p.pools)
+	if now == nil {
+		p.mu.Unlock()
+		return fmt.Errorf("proxy %s: %w", cfg.Name, fatal(problems))
+	}
+	p.present.Store(now)
+	for _, l := range p.fronts {
+		p.serve(l)
+	}
+	p.mu.Unlock()
+	side, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
+	if len(cfg.Pools) > 1 || cfg.Pools[0].Settings.AnyPath {
+		go p.machine.run(side)
+	}
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-p.failed:
+	}
+	stop()
 	p.mu.Lock()
-	c.directory = directory.NewClient(life, p.cfg.Directory, cfg.Known, p.buffers, c)
-	p.directory = c.directory
+	p.ending = true
 	p.mu.Unlock()
-	c.mu.Lock()
-	c.list(ryerill.ListCached, cfg.Known)
-	c.mu.Unlock()
-	p.log.Info("serving", "name", cfg.Name, "tier", settings.Balancer.Tier, "address", p.Address())
-	if err := p.front.Serve(ctx, c); err != nil {
+	p.leaving.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.pools {
+		c.close()
+	}
+	if err != nil {
 		return fmt.Errorf("proxy %s: %w", cfg.Name, err)
 	}
 	return nil
 }
 
-// Reload takes over what may change while a proxy runs: the address of the
-// directory. What else a configuration says holds from the next start on.
-// Nothing that is open is disturbed.
-func (p *Proxy) Reload(cfg config.Config) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	old := p.cfg
-	p.cfg.Directory = cfg.Directory
-	if p.directory != nil {
-		p.directory.Move(cfg.Directory)
+// serve starts a front. The mutex is held.
+func (p *Proxy) serve(l *listener) {
+	ctx, stop := context.WithCancel(p.life)
+	l.stop = stop
+	p.leaving.Add(1)
+	p.log.Info("serving", "name", p.cfg.Name, "listener", l.Name, "pools", len(p.cfg.Pools), "address", l.front.Address())
+	go func() {
+		defer p.leaving.Done()
+		defer stop()
+		if err := l.front.Serve(ctx, p); err != nil {
+			select {
+			case p.failed <- err:
+			default:
+			}
+		}
+	}()
+}
+
+// fatal is the first problem of a table that can't be used.
+func fatal(problems []route.Problem) error {
+	for _, problem := range problems {
+		if problem.Fatal() {
+			return problem
+		}
 	}
-	later := old.Name != cfg.Name || old.Listen != cfg.Listen || old.Limits != cfg.Limits ||
-		!reflect.DeepEqual(old.Settings, cfg.Settings)
-	p.log.Info("configuration reloaded", "discovery", cfg.Directory, "moved", old.Directory != cfg.Directory,
-		"restart needed for the rest", later)
+	return errors.New("the routes are at fault")
 }
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,6 +22,7 @@
 	"ryerill/directory"
 	"ryerill/invocation"
 	"ryerill/provider"
+	"ryerill/route"
 )
 
 const patience = 20 * time.Second // for what must come; no test waits so long unless it fails
@@ -28,6 +30,8 @@
 // backend is a provider that does with each request what a test says.
 type backend struct {
 	net.Listener
+	mu              sync.Mutex
+	all             []net.Conn
 	requests, conns atomic.Int64
 	ended           chan struct{} // a connection was closed by the proxy
 }
@@ -47,13 +51,19 @@
 				return
 			}
 			b.conns.Add(1)
+			b.mu.Lock()
+			b.all = append(b.all, c)
+			b.mu.Unlock()
 			go func() {
 				defer c.Close()
 				r := bufio.NewReader(c)
 				for {
 					req, err := http.ReadRequest(r)
 					if err != nil {
-						b.ended <- struct{}{}
+						select {
+						case b.ended <- struct{}{}:
+						default: // nobody counts so many
+						}
 						return
 					}
 					body, _ := io.ReadAll(req.Body)
@@ -67,6 +77,16 @@
 	return b
 }
 
+// CloseAll ends the provider with its connections.
+func (b *backend) CloseAll() {
+	b.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.all {
+		c.Close()
+	}
+}
+
 func (b *backend) endpoint(name string, cell int) directory.Endpoint {
 	return directory.Endpoint{Name: name, Address: b.Addr().String(), Zone: "a", Group: cell, Status: directory.Ready}
 }
@@ -144,16 +164,17 @@
 		return ryerill.Class{Name: name, Aim: 2 * time.Second, Deadline: 20 * time.Second, Worth: 1, LateWorth: 0.5,
 			Effect: e, Group: ryerill.GroupCell, Memory: time.Minute}
 	}
-	cfg := config.Config{Name: "n1", Listen: "127.0.0.1:0", Directory: "127.0.0.1:1",
-		Limits: config.Limits{Cores: 1, Memory: 64 << 20, Sockets: 256},
-		Known:  directory.List{Index: 1, Snapshot: true, Endpoints: known},
-		Settings: config.Settings{Zones: []string{"a"}, IdleClose: time.Minute, Balancer: ryerill.Config{
-			Classes: []ryerill.Class{class("read", ryerill.Safe), class("pay", ryerill.Keyed), class("burn", ryerill.Unsafe)},
-			Tiers:   1, GroupSize: 1, Subscribe: true,
-			Limits: ryerill.Limits{Attempts: 3, ConnectTimeout: 5 * time.Second, Cancel: true, RetryAfter: true,
-				MaxRetryAfter: time.Second},
-			Contract: ryerill.Contract{AnswerSlack: 20 * time.Millisecond, AskWithin: 50 * time.Millisecond,
-				ColdFrom: 0.01, WarmUp: time.Hour, FallMultiple: 2, OverloadFor: time.Second}}}}
+	cfg := config.Config{Name: "n1", Limits: config.Limits{Cores: 1, Memory: 64 << 20, Sockets: 256},
+		Listeners: []config.Listener{{Name: "main", Address: "127.0.0.1:0"}},
+		Routes:    []config.Route{{Rule: route.Rule{Name: "main", Pool: "main"}}},
+		Pools: []config.Pool{{Name: "main", Directory: "127.0.0.1:1", Known: directory.List{Index: 1, Snapshot: true, Endpoints: known},
+			Settings: config.Settings{Zones: []string{"a"}, IdleClose: time.Minute, Balancer: ryerill.Config{
+				Classes: []ryerill.Class{class("read", ryerill.Safe), class("pay", ryerill.Keyed), class("burn", ryerill.Unsafe)},
+				Tiers:   1, GroupSize: 1, Subscribe: true,
+				Limits: ryerill.Limits{Attempts: 3, ConnectTimeout: 5 * time.Second, Cancel: true, RetryAfter: true,
+					MaxRetryAfter: time.Second},
+				Contract: ryerill.Contract{AnswerSlack: 20 * time.Millisecond, AskWithin: 50 * time.Millisecond,
+					ColdFrom: 0.01, WarmUp: time.Hour, FallMultiple: 2, OverloadFor: time.Second}}}}}}
 	if change != nil {
 		change(&cfg)
 	}
@@ -308,7 +329,8 @@
 // answers what it takes in.
 func TestBreakdownOfDecisionsIsAnswered(t *testing.T) {
 	t.Parallel()
-	c := &core{log: slog.New(slog.DiscardHandler), clock: clock{time.Now()}, open: make(map[ryerill.RequestID]*entry)}
+	c := &core{log: slog.New(slog.DiscardHandler), clock: clock{time.Now()}, open: make(map[ryerill.RequestID]*entry), rooms: &rooms{}}
+	c.rooms.open.allowed.Store(2)
 	answers := make(chan invocation.Answer, 2)
 	for range 2 {
 		c.Take(&invocation.Invocation{Taken: time.Now(), Left: time.Hour, Reply: func(a invocation.Answer) { answers <- a },
@@ -381,7 +403,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			b, g := newBackend(t, says(okay)), newRegistry(t)
-			c := dial(t, start(t, func(cfg *config.Config) { cfg.Directory = g.Listener.Addr().String() }, b.endpoint("s1", 1)))
+			c := dial(t, start(t, func(cfg *config.Config) { cfg.Pools[0].Directory = g.Listener.Addr().String() }, b.endpoint("s1", 1)))
 			if status, _ := c.ask(request("read", 10_000)); status != 200 {
 				t.Fatalf("while ready: %d", status)
 			}
@@ -404,7 +426,7 @@
 func TestProvidersThatAreGoneAreForgotten(t *testing.T) {
 	t.Parallel()
 	c := &core{log: slog.New(slog.DiscardHandler), clock: clock{time.Now()}, balancer: ryerill.New(ryerill.Config{}, 1),
-		pool:      provider.NewPool(8, time.Second, time.Second, nil),
+		pool:      provider.NewPool(&(&rooms{}).sockets, time.Second, time.Second, nil),
 		providers: make(map[ryerill.ServerID]*target)}
 	e := directory.Endpoint{Name: "first", Address: "127.0.0.1:1", Status: directory.Ready}
 	c.list(ryerill.ListFull, directory.List{Snapshot: true, Endpoints: []directory.Endpoint{e}})
@@ -460,7 +482,7 @@
 		address := start(t, func(cfg *config.Config) {
 			if answer != "" {
 				g = newRegistry(t)
-				cfg.Directory = g.Listener.Addr().String()
+				cfg.Pools[0].Directory = g.Listener.Addr().String()
 			}
 		}, b.endpoint("s1", 1))
 		if g != nil {
@@ -547,8 +569,8 @@
 	defer close(hold)
 	b := newBackend(t, func(c net.Conn, _ *http.Request) { sent <- struct{}{}; <-hold; io.WriteString(c, okay) })
 	address := start(t, func(cfg *config.Config) {
-		cfg.Limits.Sockets = 64          // 16 consumers
-		cfg.Settings.Balancer.Tiers = 10 // room in the limit of the Balancer
+		cfg.Limits.Sockets = 64                   // 16 consumers
+		cfg.Pools[0].Settings.Balancer.Tiers = 10 // room in the limit of the Balancer
 	}, b.endpoint("s1", 1))
 	ready := "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
 	var idle []*client
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -7,8 +7,17 @@
 	"ryerill/invocation"
 )
 
+// noRoom is when to come back to a pool that has as many invocations open as it
+// may have: lent room is looked at many times in it.
+const noRoom = 500 * time.Millisecond
+
 // Take takes an invocation in. From here on it is owed one final answer.
 func (c *core) Take(inv *invocation.Invocation) uint64 {
+	if !c.rooms.open.Take(1) {
+		inv.Request.Free()
+		inv.Reply(invocation.Answer{Verdict: invocation.Refused, RetryAfter: noRoom})
+		return 0 // the ticket of none: the Balancer's ids begin at 1
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.newest++
