Play parallel pools and storms of reloads on sockets; draw each class apart

Whether a flooded pool disturbs its neighbours could not be measured: worlds were chains behind one pool. Parallel tiers are now pools of the same front proxies, a burst can be of one of them, and new configurations can be given under load. Each class is drawn from streams of its own and a burst only adds, so that arms that differ in a burst have all other requests in common.

--- a/lab/experiment/file.go
+++ b/lab/experiment/file.go
@@ -146,6 +146,9 @@
 		if err != nil {
 			problems = append(problems, fmt.Errorf("%s%s: %w", path, tree.Position(at), err))
 		}
+		if w != nil && w.Parallel && a.Host == Sim {
+			bad(at+".host", a.Host, "sockets: the world's tiers are parallel")
+		}
 		e.Worlds = append(e.Worlds, w)
 	}
 	for i, text := range e.Expect {
--- a/lab/live/instance.go
+++ b/lab/live/instance.go
@@ -15,15 +15,16 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
-	"ryerill/config"
-	"ryerill/directory"
-	"ryerill/proxy"
+	"github.com/goccy/go-yaml"
 
 	"ryerill"
+	"ryerill/config"
 	"ryerill/lab/world"
+	"ryerill/proxy"
 )
 
 // Embedded is the build that runs the proxy within the laboratory's process.
@@ -32,6 +33,7 @@
 const (
 	readyWithin = 10 * time.Second
 	killAfter   = 8 * time.Second
+	mostSockets = 4096    // descriptors that a proxy is told it may hold
 	mostLog     = 8 << 10 // bytes of a proxy's log that are kept, its last ones
 )
 
@@ -45,6 +47,9 @@
 	zone    int
 	address string
 	caller  *caller
+	asks    []string // addresses of its directories
+	file    string   // its configuration
+	proxy   *proxy.Proxy
 
 	cmd    *exec.Cmd
 	log    *tail
@@ -58,13 +63,17 @@
 
 // tail keeps the last bytes of a log.
 type tail struct {
-	mu   sync.Mutex
-	text []byte
+	mu      sync.Mutex
+	text    []byte
+	counted atomic.Int64 // reloads that it tells of
 }
 
+var reloaded = []byte("configuration reloaded")
+
 func (t *tail) Write(b []byte) (int, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.counted.Add(int64(bytes.Count(b, reloaded)))
 	t.text = append(t.text, b...)
 	if over := len(t.text) - mostLog; over > 0 {
 		t.text = append(t.text[:0], t.text[over:]...)
@@ -108,28 +117,124 @@
 }
 
 // start starts the proxy and waits until it is ready.
-func (i *instance) start(ctx context.Context, known directory.List) error {
+func (i *instance) start(ctx context.Context) error {
 	i.caller, i.ended, i.log = newCaller(), make(chan struct{}), &tail{}
-	asks, err := i.run.registries[i.tier].open(i.number, i.zone)
-	if err != nil {
-		return err
+	for t, g := range i.run.registries {
+		if t != i.tier && !i.run.w.Parallel {
+			continue
+		}
+		address, err := g.open(i.number, i.zone)
+		if err != nil {
+			return err
+		}
+		i.asks = append(i.asks, address)
 	}
-	doc := map[string]any{"name": i.name, "listen": "127.0.0.1:0", "discovery": asks,
-		"seed":   fmt.Sprintf("%x", i.run.seed*1000+uint64(i.number)),
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": i.run.sockets()},
-		"known":  known, "settings": settings(i.run.w, i.tier, i.self, i.zone)}
 	if i.run.opt.Build == Embedded {
-		return i.embed(doc)
+		return i.embed()
+	}
+	return i.launch(ctx)
+}
+
+// text is the proxy's configuration: the platform's form for a chain, a file
+// with a pool for each tier where they are parallel. Variants differ in a pool, a
+// route and a listener that only some have, and in limits.
+func (i *instance) text(listen string, variant int) ([]byte, error) {
+	w := i.run.w
+	if !w.Parallel {
+		return json.Marshal(map[string]any{"name": i.name, "listen": listen, "discovery": i.asks[0],
+			"seed":   fmt.Sprintf("%x", i.run.seed*1000+uint64(i.number)),
+			"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": mostSockets},
+			"known":  i.run.known(i.tier, i.zone), "settings": settings(w, i.tier, i.self, i.zone)})
+	}
+	f := config.File{Name: i.name, Machine: config.MachineFile{Cores: 1, MemoryMB: 192, Sockets: mostSockets},
+		Listeners: []config.ListenerFile{{Name: "main", Address: listen}}}
+	for t := range w.Tiers {
+		tier := &w.Tiers[t]
+		n := &tier.Node
+		p := config.PoolFile{Name: tier.Name, Zone: w.Network.Zones[i.zone], Zones: w.Network.Zones, Copy: i.self, Copies: w.Tiers[0].Proxies,
+			Directory: i.asks[t], Limits: config.LimitsFile{Attempts: w.Rules.Attempts, MaxRetryAfter: w.Rules.MaxRetryAfter,
+				ConnectTimeout: n.Connect.Timeout, IdleClose: n.Connect.Idle, Open: 20_000 - variant%3},
+			Rules: config.RulesFile{AnswerSlack: w.Rules.Slack, DrainGrace: w.Rules.Drain, ColdFrom: n.Cold.From, WarmUp: n.Cold.For,
+				FallMultiple: n.Cold.Tips, OverloadFor: n.Cold.Within}}
+		for _, c := range w.Classes {
+			if c.Tier != tier.Name {
+				continue
+			}
+			p.Classes = append(p.Classes, config.ClassFile{Name: c.Name, Aim: c.Aim, Deadline: c.Deadline, Worth: c.Worth, LateWorth: c.Late,
+				Effect: c.Effect, Group: strings.Replace(c.Group, "group", "cell", 1), Memory: c.Memory})
+			f.Routes = append(f.Routes, config.RouteFile{Name: c.Name, Path: "/" + c.Name + "/*", Pool: tier.Name})
+		}
+		for _, e := range i.run.known(t, i.zone).Endpoints {
+			p.Providers = append(p.Providers, config.ProviderFile{Name: e.Name, Address: e.Address, Zone: e.Zone, Group: e.Group})
+		}
+		f.Pools = append(f.Pools, p)
+	}
+	if variant%2 == 1 {
+		extra := f.Pools[0]
+		extra.Name = "extra"
+		f.Pools = append(f.Pools, extra)
+		f.Routes = append(f.Routes, config.RouteFile{Name: "extra", Path: "/extra/*", Pool: "extra"})
+		f.Listeners = append(f.Listeners, config.ListenerFile{Name: "extra", Address: "127.0.0.1:0"})
+	}
+	return yaml.Marshal(&f)
+}
+
+// reload gives the proxy another variant of its configuration.
+func (i *instance) reload(variant int) error {
+	listen := i.address
+	if i.proxy != nil {
+		listen = "127.0.0.1:0" // as at its start
+	}
+	text, err := i.text(listen, variant)
+	if err != nil {
+		return fmt.Errorf("proxy %s: %w", i.name, err)
+	}
+	if i.proxy != nil {
+		cfg, err := i.parse(text)
+		if err != nil {
+			return fmt.Errorf("proxy %s: %w", i.name, err)
+		}
+		return i.proxy.Reload(cfg)
+	}
+	// Whoever reads it meets the old file or the new one, whole.
+	if err := os.WriteFile(i.file+".new", text, 0o600); err != nil {
+		return fmt.Errorf("proxy %s: %w", i.name, err)
+	}
+	if err := os.Rename(i.file+".new", i.file); err != nil {
+		return fmt.Errorf("proxy %s: %w", i.name, err)
+	}
+	return i.cmd.Process.Signal(syscall.SIGHUP)
+}
+
+func (i *instance) parse(text []byte) (config.Config, error) {
+	none := func(string) string { return "" }
+	if config.Platform(text) {
+		return config.Parse(text, none)
+	}
+	cfg, _, err := config.ParseFile(i.name, text, none)
+	return cfg, err
+}
+
+// descriptors is how many a process holds now; 0 for an embedded proxy.
+func (i *instance) descriptors() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.cmd == nil || i.cmd.Process == nil {
+		return 0
+	}
+	u, err := readUsage(i.cmd.Process.Pid)
+	if err != nil {
+		return 0
 	}
-	return i.launch(ctx, doc)
+	return u.Sockets
 }
 
-func (i *instance) embed(doc map[string]any) error {
-	text, err := json.Marshal(doc)
+func (i *instance) embed() error {
+	text, err := i.text("127.0.0.1:0", 0)
 	if err != nil {
 		return fmt.Errorf("proxy %s: %w", i.name, err)
 	}
-	cfg, err := config.Parse(text, func(string) string { return "" })
+	cfg, err := i.parse(text)
 	if err != nil {
 		return fmt.Errorf("proxy %s: %w", i.name, err)
 	}
@@ -137,7 +242,7 @@
 	if err != nil {
 		return err
 	}
-	i.address = p.Address()
+	i.address, i.proxy = p.Address(), p
 	ctx, stop := context.WithCancel(context.Background())
 	i.stop = stop
 	go func() {
@@ -152,7 +257,7 @@
 
 // launch runs a build in a process of its own. A port is drawn and told to it;
 // should somebody take it in between, another is drawn.
-func (i *instance) launch(ctx context.Context, doc map[string]any) (err error) {
+func (i *instance) launch(ctx context.Context) (err error) {
 	for try := 0; try < 3; try++ {
 		var l net.Listener
 		if l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
@@ -160,8 +265,7 @@
 		}
 		i.address = l.Addr().String()
 		l.Close()
-		doc["listen"] = i.address
-		if err = i.exec(ctx, doc); err == nil {
+		if err = i.exec(ctx); err == nil {
 			return nil
 		}
 		if !strings.Contains(i.log.String(), "address already in use") {
@@ -171,18 +275,18 @@
 	return err
 }
 
-func (i *instance) exec(ctx context.Context, doc map[string]any) error {
-	text, err := json.Marshal(doc)
+func (i *instance) exec(ctx context.Context) error {
+	text, err := i.text(i.address, 0)
 	if err != nil {
 		return fmt.Errorf("proxy %s: %w", i.name, err)
 	}
-	file := filepath.Join(i.run.dir, fmt.Sprintf("%s-%d.json", i.name, i.number))
-	if err := os.WriteFile(file, text, 0o600); err != nil {
+	i.file = filepath.Join(i.run.dir, fmt.Sprintf("%s-%d.json", i.name, i.number))
+	if err := os.WriteFile(i.file, text, 0o600); err != nil {
 		return fmt.Errorf("proxy %s: %w", i.name, err)
 	}
 	argv := i.run.opt.command()
 	cmd := exec.Command(argv[0], argv[1:]...)
-	cmd.Env = append(os.Environ(), config.EnvFile+"="+file, config.EnvName+"=", config.EnvListen+"=", config.EnvDirectory+"=")
+	cmd.Env = append(os.Environ(), config.EnvFile+"="+i.file, config.EnvName+"=", config.EnvListen+"=", config.EnvDirectory+"=")
 	cmd.Stdout, cmd.Stderr = i.log, i.log
 	ended := make(chan struct{})
 	if err := i.run.launcher.start(cmd); err != nil {
--- a/lab/live/live.go
+++ b/lab/live/live.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -149,7 +150,7 @@
 		}
 		r.slots, r.slotOf = append(r.slots, inst), append(r.slotOf, zone)
 	}
-	for t := 0; t+1 < len(r.tiers); t++ {
+	for t := 0; r.w.Next(t) >= 0; t++ {
 		for j, p := range r.tiers[t] {
 			inst, err := r.newProxy(ctx, t+1, j, p.zone, p.name+"-proxy")
 			if err != nil {
@@ -169,11 +170,7 @@
 	r.names = append(r.names, name)
 	r.zones[inst.number] = zone
 	r.mu.Unlock()
-	g := r.registries[tier]
-	g.mu.Lock()
-	known := g.list(zone, 0, true)
-	g.mu.Unlock()
-	if err := inst.start(ctx, known); err != nil {
+	if err := inst.start(ctx); err != nil {
 		return nil, err
 	}
 	r.mu.Lock()
@@ -273,6 +270,8 @@
 		i.measure()
 		cpu += i.usage.CPU.Seconds()
 		memory, sockets = max(memory, float64(i.usage.Memory)), max(sockets, float64(i.usage.Sockets))
+		r.count("reloads", float64(i.log.counted.Load()))
+		r.count("proxy_sockets_end", float64(i.descriptors()))
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -364,7 +363,30 @@
 
 func (r *run) patience() time.Duration { return r.w.Rules.Slack + onSockets + 20*time.Millisecond }
 
-func (r *run) sockets() int { return 4096 }
+// known is the list of a tier's providers as its directory has it.
+func (r *run) known(tier, zone int) directory.List {
+	g := r.registries[tier]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.list(zone, 0, true)
+}
+
+// reload gives each front proxy another configuration.
+func (r *run) reload(variant int) {
+	r.mu.Lock()
+	slots := slices.Clone(r.slots)
+	r.mu.Unlock()
+	for _, inst := range slots {
+		if inst == nil {
+			continue
+		}
+		if err := inst.reload(variant); err != nil {
+			r.crash(err)
+			return
+		}
+		r.count("reloads_asked", 1)
+	}
+}
 
 func (r *run) classIndex(name string) int {
 	for i := range r.w.Classes {
--- a/lab/live/provider.go
+++ b/lab/live/provider.go
@@ -264,7 +264,7 @@
 		return proc.decline(c, front, id, attempt, way, gone)
 	}
 	pieces := 0
-	if p.tier+1 < len(p.run.w.Tiers) {
+	if p.run.w.Next(p.tier) >= 0 {
 		pieces = p.run.calls(p.spec().Calls)
 	}
 	total := work * p.spec().Work
--- a/lab/live/trouble.go
+++ b/lab/live/trouble.go
@@ -63,6 +63,11 @@
 				begin(t.At, func() { r.restart(ctx, k, t) })
 			}
 			continue
+		case world.Reload:
+			for k := range t.Count {
+				begin(t.At+time.Duration(float64(t.For)*float64(k)/float64(t.Count)), func() { r.reload(k) })
+			}
+			continue
 		case world.DirSilent:
 			g := r.registries[max(r.w.TierIndex(t.Tier), 0)]
 			begin(t.At, func() { g.silent(true) })
@@ -95,6 +100,8 @@
 		return "proxies restart"
 	case world.DirSilent:
 		return "the directory falls silent"
+	case world.Reload:
+		return fmt.Sprintf("%d new configurations", t.Count)
 	case world.ZoneLoss:
 		return fmt.Sprintf("zone %s is lost: %d providers go silent", t.Zone, n)
 	}
@@ -158,7 +165,7 @@
 		r.crash(err)
 		return
 	}
-	if p.tier+1 < len(r.tiers) {
+	if r.w.Next(p.tier) >= 0 {
 		index := 0
 		for j, q := range r.tiers[p.tier] {
 			if q == p {
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -3,8 +3,10 @@
 package load
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"gonum.org/v1/gonum/stat/distuv"
@@ -31,55 +33,111 @@
 	return rand.New(rand.NewPCG(seed, purpose*0x9e3779b97f4a7c15+1))
 }
 
-// Draw returns all first tries of a world, in order of time.
+// Draw returns all first tries of a world, in order of time. Each class is drawn
+// from streams of its own, and what bursts add from others: two worlds that
+// differ in a burst or in one class's load have all other requests in common.
 func Draw(w *world.World, seed uint64) []Request {
-	rng := Stream(seed, 1)
-	rate := rateOf(w, rng)
-	top := 0.0
-	for at := time.Duration(0); at < w.Length; at += 10 * time.Millisecond {
-		top = math.Max(top, rate(at))
+	shape := rateOf(w, Stream(seed, 1))
+	sum := 0.0
+	for _, c := range w.Classes {
+		sum += c.Share
 	}
-	var out []Request
-	if top <= 0 {
+	if sum <= 0 {
 		return nil
 	}
-	classes, tenants := weights(len(w.Classes), func(i int) float64 { return w.Classes[i].Share }),
-		weights(len(w.Tenants), func(i int) float64 { return w.Tenants[i].Share })
-	works := make([]distuv.LogNormal, len(w.Classes))
-	for i, c := range w.Classes {
-		sigma2 := math.Log(1 + c.Spread*c.Spread)
-		works[i] = distuv.LogNormal{Mu: math.Log(c.Work.Seconds()) - sigma2/2, Sigma: math.Sqrt(sigma2), Src: rng}
+	var out []Request
+	for i := range w.Classes {
+		share := w.Classes[i].Share / sum
+		base := func(at time.Duration) float64 { return share * shape(at) }
+		own, extra := Stream(seed, 100+2*uint64(i)), Stream(seed, 101+2*uint64(i))
+		add := func(rng *rand.Rand, rate func(time.Duration) float64) {
+			for _, at := range arrivals(w.Length, rate, rng) {
+				out = append(out, request(w, i, at, rng))
+			}
+		}
+		add(own, base)
+		if burst(w, i) {
+			add(extra, func(at time.Duration) float64 { return base(at) * (factor(w, i, at) - 1) })
+		}
 	}
-	quota := make([]float64, len(w.Tenants))
-	last := make([]time.Duration, len(w.Tenants))
+	slices.SortStableFunc(out, func(a, b Request) int { return cmp.Compare(a.At, b.At) })
+	quota, last := make([]float64, len(w.Tenants)), make([]time.Duration, len(w.Tenants))
 	for i, t := range w.Tenants {
 		quota[i] = 2 * t.Quota
 	}
-	for at := 0.0; ; {
-		// Poisson arrivals at the highest rate, thinned to the rate of the moment.
+	for n := range out {
+		r := &out[n]
+		r.ID, r.Worth = uint64(n+1), w.Classes[r.Class].Worth
+		t := &w.Tenants[r.Tenant]
+		if t.Quota == 0 {
+			continue
+		}
+		saved := &quota[r.Tenant]
+		*saved = math.Min(*saved+t.Quota*(r.At-last[r.Tenant]).Seconds(), 2*t.Quota)
+		last[r.Tenant] = r.At
+		if *saved < 1 {
+			r.Over, r.Worth = true, r.Worth*w.Consumers.OverWorth
+		} else {
+			*saved--
+		}
+	}
+	return out
+}
+
+// arrivals are those of a Poisson process: drawn at the highest rate, and thinned
+// to the rate of the moment.
+func arrivals(length time.Duration, rate func(time.Duration) float64, rng *rand.Rand) (out []time.Duration) {
+	top := 0.0
+	for at := time.Duration(0); at < length; at += 10 * time.Millisecond {
+		top = math.Max(top, rate(at))
+	}
+	for at := 0.0; top > 0; {
 		at += rng.ExpFloat64() / top
 		when := time.Duration(at * float64(time.Second))
-		if when >= w.Length {
-			return out
+		if when >= length {
+			break
 		}
-		if rng.Float64()*top > rate(when) {
-			continue
+		if rng.Float64()*top <= rate(when) {
+			out = append(out, when)
 		}
-		r := Request{At: when, ID: uint64(len(out) + 1), Class: pick(classes, rng), Tenant: pick(tenants, rng),
-			Zone: rng.IntN(len(w.Network.Zones)), Key: rng.Uint64() | 1}
-		r.Work, r.Worth = works[r.Class].Rand(), w.Classes[r.Class].Worth
-		if t := &w.Tenants[r.Tenant]; t.Quota > 0 {
-			saved := &quota[r.Tenant]
-			*saved = math.Min(*saved+t.Quota*(when-last[r.Tenant]).Seconds(), 2*t.Quota)
-			last[r.Tenant] = when
-			if *saved < 1 {
-				r.Over, r.Worth = true, r.Worth*w.Consumers.OverWorth
-			} else {
-				*saved--
-			}
+	}
+	return out
+}
+
+// request draws what a first try of a class is.
+func request(w *world.World, class int, at time.Duration, rng *rand.Rand) Request {
+	c := &w.Classes[class]
+	sigma2 := math.Log(1 + c.Spread*c.Spread)
+	work := distuv.LogNormal{Mu: math.Log(c.Work.Seconds()) - sigma2/2, Sigma: math.Sqrt(sigma2), Src: rng}
+	tenants := weights(len(w.Tenants), func(i int) float64 { return w.Tenants[i].Share })
+	return Request{At: at, Class: class, Tenant: pick(tenants, rng), Zone: rng.IntN(len(w.Network.Zones)), Key: rng.Uint64() | 1, Work: work.Rand()}
+}
+
+// burst tells whether a class has a burst at all.
+func burst(w *world.World, class int) bool {
+	for i := range w.Troubles {
+		if meets(w, &w.Troubles[i], class) {
+			return true
 		}
-		out = append(out, r)
 	}
+	return false
+}
+
+// meets tells whether a trouble is a burst of a class. Where tiers are parallel
+// a burst is of one tier's classes.
+func meets(w *world.World, t *world.Trouble, class int) bool {
+	return t.Kind == world.Burst && t.Factor > 1 && (!w.Parallel || t.Tier == w.Classes[class].Tier)
+}
+
+// factor is what bursts multiply a class's rate by at a time.
+func factor(w *world.World, class int, at time.Duration) float64 {
+	f := 1.0
+	for i := range w.Troubles {
+		if t := &w.Troubles[i]; meets(w, t, class) && at >= t.At && at < t.At+t.For {
+			f *= t.Factor
+		}
+	}
+	return f
 }
 
 // rateOf returns the rate of first tries at a time.
@@ -117,13 +175,7 @@
 				step = s.Factor
 			}
 		}
-		r *= step
-		for _, t := range w.Troubles {
-			if t.Kind == world.Burst && at >= t.At && at < t.At+t.For {
-				r *= t.Factor
-			}
-		}
-		return r
+		return r * step
 	}
 }
 
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -64,3 +64,22 @@
 		t.Errorf("%v is beyond a quota of half", part)
 	}
 }
+
+// Worlds that differ in a burst have all other requests in common: differences
+// between them are the burst's.
+func TestABurstOnlyAdds(t *testing.T) {
+	calm := Draw(demand(world.Load{Rate: 50, Shape: "bursty", Swing: 0.4}), 3)
+	burst := Draw(demand(world.Load{Rate: 50, Shape: "bursty", Swing: 0.4}, world.Trouble{Kind: world.Burst, At: 50 * time.Second, For: 20 * time.Second, Factor: 2}), 3)
+	there := map[uint64]Request{}
+	for _, r := range burst {
+		there[r.Key] = r
+	}
+	for _, r := range calm {
+		if b, ok := there[r.Key]; !ok || b.At != r.At || b.Work != r.Work || b.Class != r.Class {
+			t.Fatalf("request at %v is not in both", r.At)
+		}
+	}
+	if len(burst) <= len(calm) {
+		t.Error("the burst adds nothing")
+	}
+}
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -147,8 +147,16 @@
 }
 
 func newSim(w *world.World, opt Options) (*Sim, error) {
+	if w.Parallel {
+		return nil, fmt.Errorf("world %s: parallel tiers are played on sockets only", w.Name)
+	}
 	s := &Sim{w: w, opt: opt, net: load.Stream(opt.Seed, 2), work: load.Stream(opt.Seed, 3), who: load.Stream(opt.Seed, 4),
 		seeds: load.Stream(opt.Seed, 5), part: load.Stream(opt.Seed, 6), rec: measure.New(w), turns: make([]int, len(w.Network.Zones))}
+	for _, t := range w.Troubles {
+		if t.Kind == world.Reload {
+			return nil, fmt.Errorf("world %s: reloads are played on sockets only", w.Name)
+		}
+	}
 	if opt.New == nil {
 		if _, err := baseline.New(opt.Decider, w.Balancer(0, 0, 0), 0); err != nil {
 			return nil, err
--- a/lab/sim/sim_test.go
+++ b/lab/sim/sim_test.go
@@ -171,11 +171,21 @@
 			t.Parallel()
 			w := read(t, "pair.yaml")
 			w.Length = 9 * time.Second
-			w.Troubles = []world.Trouble{{Kind: kind, At: 3 * time.Second, For: 3 * time.Second, Part: 0.4, Factor: 0.5, Zone: "west"}}
+			tr := world.Trouble{Kind: kind, At: 3 * time.Second, For: 3 * time.Second, Part: 0.4, Factor: 2, Zone: "west", Count: 1}
+			if kind == world.Spoil {
+				tr.Factor = 0.5
+			}
+			w.Troubles = []world.Trouble{tr}
 			w.Complete()
 			if p := w.Check(); len(p) > 0 {
 				t.Fatal(p)
 			}
+			if kind == world.Reload { // there is nothing to reload in virtual time, and it says so
+				if _, err := Run(context.Background(), w, Options{}); err == nil {
+					t.Error("it is played as if it were nothing")
+				}
+				return
+			}
 			for _, d := range []string{"ryerill", "roundrobin", "least/fixed:10", "p2c/gradient"} {
 				r := play(t, w, Options{Seed: 2, Decider: d})
 				if n := r.Metrics["broken.one-answer"] + r.Metrics["broken.no-repeat"] + r.Metrics["broken.foreign-answer"]; n > 0 {
--- a/lab/world/check.go
+++ b/lab/world/check.go
@@ -199,8 +199,8 @@
 	span("network.cross", w.Network.Cross, 0, time.Second)
 	span("network.consumer", w.Network.Consumer, 0, time.Second)
 	number("network.jitter", w.Network.Jitter, 0, 2)
-	if len(w.Tiers) == 0 || len(w.Tiers) > 4 {
-		bad("tiers", len(w.Tiers), "1 to 4 tiers")
+	if most := map[bool]int{false: 4, true: 64}[w.Parallel]; len(w.Tiers) == 0 || len(w.Tiers) > most {
+		bad("tiers", len(w.Tiers), fmt.Sprintf("1 to %d tiers", most))
 	}
 	tiers := map[string]bool{"all": true}
 	for i := range w.Tiers {
@@ -212,7 +212,7 @@
 		} else if t.Proxies != 0 {
 			bad(at+"proxies", t.Proxies, "no value: each provider of the tier before holds one")
 		}
-		if i < len(w.Tiers)-1 {
+		if w.Next(i) >= 0 {
 			number(at+"calls", t.Calls, 0, 20)
 			if t.Providers > MaxProxies {
 				bad(at+"providers", t.Providers, fmt.Sprintf("at most %d, as each holds a proxy for the next tier", MaxProxies))
@@ -240,6 +240,11 @@
 		number(at+"late", c.Late, 0, 1)
 		oneOf(at+"effect", c.Effect, "safe", "keyed", "unsafe")
 		oneOf(at+"group", c.Group, "all", "zone", "group")
+		if w.Parallel && w.TierIndex(c.Tier) < 0 {
+			bad(at+"tier", c.Tier, "the name of a tier: they are parallel")
+		} else if !w.Parallel && c.Tier != "" {
+			bad(at+"tier", c.Tier, "no value: the tiers are a chain")
+		}
 	}
 	for i := range w.Tenants {
 		t, at := &w.Tenants[i], fmt.Sprintf("tenants[%d].", i)
@@ -270,9 +275,15 @@
 		}
 		number(at+"part", t.Part, 0, 1)
 		number(at+"factor", t.Factor, 0, 100)
+		if t.Kind == Burst && t.Factor < 1 {
+			bad(at+"factor", t.Factor, "1 or more: steps of the load make it fall")
+		}
 		if t.Kind == Spoil {
 			number(at+"factor", t.Factor, 0, 1)
 		}
+		if t.Kind == Reload {
+			number(at+"count", float64(t.Count), 1, 10_000)
+		}
 		if t.Kind == ZoneLoss && !zones[t.Zone] {
 			bad(at+"zone", t.Zone, "the name of a zone")
 		}
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -22,6 +22,7 @@
 	Warmup    time.Duration `yaml:"warmup" json:"warmup,omitempty" jsonschema_description:"what is asked before this is not counted"`
 	Network   Network       `yaml:"network" json:"network,omitempty"`
 	Node      Node          `yaml:"node" json:"node,omitempty" jsonschema_description:"what the tiers' nodes leave out"`
+	Parallel  bool          `yaml:"parallel" json:"parallel,omitempty" jsonschema_description:"the tiers stand side by side, each a pool of the same front proxies, and no chain; sockets only"`
 	Tiers     []Tier        `yaml:"tiers" json:"tiers" jsonschema:"minItems=1,maxItems=4"`
 	Classes   []Class       `yaml:"classes" json:"classes" jsonschema:"minItems=1"`
 	Tenants   []Tenant      `yaml:"tenants" json:"tenants,omitempty"`
@@ -97,6 +98,7 @@
 // Class is one kind of request.
 type Class struct {
 	Name     string        `yaml:"name" json:"name"`
+	Tier     string        `yaml:"tier" json:"tier,omitempty" jsonschema_description:"where tiers are parallel: the one that serves it"`
 	Share    float64       `yaml:"share" json:"share" jsonschema_description:"part of the requests"`
 	Work     time.Duration `yaml:"work" json:"work" jsonschema_description:"mean work over all tiers, before the tier's part"`
 	Spread   float64       `yaml:"spread" json:"spread,omitempty" jsonschema_description:"coefficient of variation of the work; log-normal; default 1"`
@@ -170,20 +172,22 @@
 	Spoil     = "spoil"     // Factor is the part of a provider's answers that are spoilt
 	DirSilent = "directory" // the directory answers nothing
 	ZoneLoss  = "zone-loss" // a zone's machines go silent
+	Reload    = "reload"    // proxies are given Count new configurations; sockets only
 )
 
 // Kinds lists the kinds of trouble.
-var Kinds = []string{Slow, Silent, Hang, Burst, Release, Replace, Restart, Spoil, DirSilent, ZoneLoss}
+var Kinds = []string{Slow, Silent, Hang, Burst, Release, Replace, Restart, Spoil, DirSilent, ZoneLoss, Reload}
 
 // Trouble is something that goes wrong for a time.
 type Trouble struct {
-	Kind   string        `yaml:"kind" json:"kind" jsonschema:"enum=slow,enum=silent,enum=hang,enum=burst,enum=release,enum=replace,enum=restart,enum=spoil,enum=directory,enum=zone-loss"`
+	Kind   string        `yaml:"kind" json:"kind" jsonschema:"enum=slow,enum=silent,enum=hang,enum=burst,enum=release,enum=replace,enum=restart,enum=spoil,enum=directory,enum=zone-loss,enum=reload"`
 	At     time.Duration `yaml:"at" json:"at"`
 	For    time.Duration `yaml:"for" json:"for,omitempty"`
 	Tier   string        `yaml:"tier" json:"tier,omitempty" jsonschema_description:"default: the first; for slow with part 1 'all' is every tier"`
 	Part   float64       `yaml:"part" json:"part,omitempty" jsonschema_description:"part of the tier's machines, one at least; default 0.1"`
 	Factor float64       `yaml:"factor" json:"factor,omitempty"`
 	Zone   string        `yaml:"zone" json:"zone,omitempty"`
+	Count  int           `yaml:"count" json:"count,omitempty" jsonschema_description:"reload: how many, evenly over the time"`
 	Drain  time.Duration `yaml:"drain" json:"drain,omitempty" jsonschema_description:"release: how long each drains; default 4s"`
 	Pause  time.Duration `yaml:"pause" json:"pause,omitempty" jsonschema_description:"release, restart: until the next process runs; default 500ms"`
 }
@@ -198,9 +202,17 @@
 	return -1
 }
 
+// Next is the tier that providers of a tier call, or -1.
+func (w *World) Next(tier int) int {
+	if w.Parallel || tier+1 >= len(w.Tiers) {
+		return -1
+	}
+	return tier + 1
+}
+
 // ProxyCount is how many proxies send to a tier.
 func (w *World) ProxyCount(tier int) int {
-	if tier == 0 {
+	if tier == 0 || w.Parallel {
 		return w.Tiers[0].Proxies
 	}
 	return w.Tiers[tier-1].Providers
