--- a/budget/budget.go
+++ b/budget/budget.go
@@ -206,3 +206,37 @@
 	}
 	return room
 }
+
+// Rates divides what is used up and comes anew in each span, as work a second
+// does: nothing is held beyond a span, so that each takes part in the whole. Used
+// is what a pool took in the span before. The guarantee of each and, of the rest,
+// what weighted max-min gives it, are its allowance; what nobody wanted is spread
+// by weight, lest the first who wants it wait.
+func Rates(total int, claims map[string]Claim, usage map[string]Usage) map[string]int {
+	names := slices.Sorted(maps.Keys(claims))
+	rest := total
+	var wants, room []int
+	var weights []float64
+	for _, name := range names {
+		c, u := claims[name], usage[name]
+		rest -= c.Guarantee
+		want, most := u.Used+u.Wanted, total
+		if c.Most > 0 {
+			most = max(c.Most, c.Guarantee)
+		}
+		wants = append(wants, max(min(want, most)-c.Guarantee, 0))
+		room = append(room, max(most-c.Guarantee, 0))
+		weights = append(weights, c.Weight)
+	}
+	rest = max(rest, 0)
+	lent := Share(rest, wants, weights)
+	for i := range lent {
+		rest -= lent[i]
+		room[i] = max(room[i]-lent[i], 0)
+	}
+	out := make(map[string]int, len(names))
+	for i, more := range Share(rest, room, weights) {
+		out[names[i]] = claims[names[i]].Guarantee + lent[i] + more
+	}
+	return out
+}
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -181,3 +181,21 @@
 		})
 	}
 }
+
+func TestRatesAreDividedAnewInEachSpan(t *testing.T) {
+	claims := map[string]Claim{"calm": {Guarantee: 10, Weight: 1}, "flood": {Guarantee: 10, Weight: 1}, "most": {Weight: 1, Most: 5}}
+	for _, tc := range []struct {
+		name  string
+		usage map[string]Usage
+		want  map[string]int
+	}{
+		{"nobody wants anything", nil, map[string]int{"calm": 48, "flood": 47, "most": 5}},
+		{"one floods", map[string]Usage{"flood": {100, 900}}, map[string]int{"calm": 10, "flood": 90, "most": 0}},
+		{"two do", map[string]Usage{"flood": {100, 900}, "calm": {60, 60}}, map[string]int{"calm": 50, "flood": 50, "most": 0}},
+		{"little is wanted by one", map[string]Usage{"flood": {100, 900}, "calm": {20, 0}, "most": {9, 9}}, map[string]int{"calm": 20, "flood": 75, "most": 5}},
+	} {
+		if diff := cmp.Diff(tc.want, Rates(100, claims, tc.usage)); diff != "" {
+			t.Errorf("%s: %s", tc.name, diff)
+		}
+	}
+}
--- a/config/config.go
+++ b/config/config.go
@@ -79,6 +79,7 @@
 	Cores   float64
 	Memory  int64 // bytes
 	Sockets int
+	Work    int // a second, divided among pools; 0 is not
 }
 
 // Load reads the configuration that the environment names: the platform's JSON,
--- a/config/file.go
+++ b/config/file.go
@@ -34,6 +34,7 @@
 	Cores    float64 `yaml:"cores,omitempty" json:"cores,omitempty" jsonschema_description:"default 1"`
 	MemoryMB float64 `yaml:"memory_mb,omitempty" json:"memory_mb,omitempty" jsonschema_description:"16 or more; default 192"`
 	Sockets  int     `yaml:"sockets,omitempty" json:"sockets,omitempty" jsonschema_description:"descriptors, 64 or more; default 1024"`
+	WorkPerS int     `yaml:"work_per_s,omitempty" json:"work_per_s,omitempty" jsonschema_description:"requests a second that its CPU can carry, to be divided among pools; a body counts one more for each 16 KiB; 0 divides nothing"`
 }
 
 // ListenerFile is an address for consumers.
@@ -133,6 +134,7 @@
 	Sockets  int `yaml:"sockets,omitempty" json:"sockets,omitempty" jsonschema_description:"connections to providers"`
 	BodiesKB int `yaml:"bodies_kb,omitempty" json:"bodies_kb,omitempty" jsonschema_description:"memory for bodies of requests"`
 	Open     int `yaml:"open,omitempty" json:"open,omitempty" jsonschema_description:"open invocations, each of which costs goroutines and memory"`
+	WorkPerS int `yaml:"work_per_s,omitempty" json:"work_per_s,omitempty" jsonschema_description:"its part of machine.work_per_s"`
 }
 
 // Bounds of a file.
@@ -287,6 +289,7 @@
 		set(&p.Guarantee.Sockets, max(share.Sockets/n, least))
 		set(&p.Guarantee.BodiesKB, max(share.Bodies/n, invocation.MaxBody)>>10)
 		set(&p.Guarantee.Open, max(share.Open/n, 1))
+		set(&p.Guarantee.WorkPerS, f.Machine.WorkPerS/n)
 		longest := time.Duration(0)
 		for _, c := range p.Classes {
 			longest = max(longest, c.Deadline)
@@ -339,13 +342,14 @@
 // build checks a completed file and turns it into what the proxy runs by.
 func (f *File) build() (Config, []Problem) {
 	c := &checker{}
-	cfg := Config{Name: f.Name, Limits: Limits{Cores: f.Machine.Cores, Memory: int64(f.Machine.MemoryMB * (1 << 20)), Sockets: f.Machine.Sockets}}
+	cfg := Config{Name: f.Name, Limits: Limits{Cores: f.Machine.Cores, Memory: int64(f.Machine.MemoryMB * (1 << 20)), Sockets: f.Machine.Sockets, Work: f.Machine.WorkPerS}}
 	var err error
 	if cfg.Seed, err = parseSeed(f.Seed); err != nil {
 		c.bad("seed", f.Seed, "at most 16 hexadecimal digits")
 	}
 	c.number("machine.cores", f.Machine.Cores, 0.01, 1024)
 	c.number("machine.memory_mb", f.Machine.MemoryMB, leastMemoryMB, 1<<30)
+	c.number("machine.work_per_s", float64(f.Machine.WorkPerS), 0, 1e7)
 	c.number("machine.sockets", float64(f.Machine.Sockets), leastSockets, 1<<20)
 	if n := len(f.Listeners); n == 0 || n > maxListeners {
 		c.bad("listeners", n, fmt.Sprintf("1 to %d listeners", maxListeners))
@@ -386,7 +390,7 @@
 			own, most int
 			sum       *int
 		}{{"sockets", p.Guarantee.Sockets, total.Sockets, &sum.Sockets}, {"bodies_kb", p.Guarantee.Bodies >> 10, total.Bodies >> 10, &sum.Bodies},
-			{"open", p.Guarantee.Open, total.Open, &sum.Open}} {
+			{"open", p.Guarantee.Open, total.Open, &sum.Open}, {"work_per_s", p.Guarantee.Work, total.Work, &sum.Work}} {
 			if g.own < 0 {
 				c.bad(at+"."+g.key, g.own, "0 or more")
 				continue
@@ -394,7 +398,7 @@
 			before := *g.sum
 			if *g.sum += g.own; before <= g.most && *g.sum > g.most {
 				c.bad(at+"."+g.key, g.own, fmt.Sprintf("at most %d here: this machine has %d for all pools; lower guarantees, or raise machine.%s",
-					max(g.most-before, 0), g.most, map[string]string{"sockets": "sockets", "bodies_kb": "memory_mb", "open": "memory_mb"}[g.key]))
+					max(g.most-before, 0), g.most, map[string]string{"sockets": "sockets", "bodies_kb": "memory_mb", "open": "memory_mb", "work_per_s": "work_per_s"}[g.key]))
 			}
 		}
 	}
@@ -472,7 +476,7 @@
 // build checks a pool and turns it into what it runs by.
 func (p *PoolFile) build(at string, c *checker) Pool {
 	out := Pool{Name: p.Name, Directory: p.Directory, Weight: p.Weight, Drain: p.Drain,
-		Guarantee: Shares{Sockets: p.Guarantee.Sockets, Bodies: p.Guarantee.BodiesKB << 10, Open: p.Guarantee.Open},
+		Guarantee: Shares{Sockets: p.Guarantee.Sockets, Bodies: p.Guarantee.BodiesKB << 10, Open: p.Guarantee.Open, Work: p.Guarantee.WorkPerS},
 		Settings:  Settings{Zones: p.Zones, IdleClose: p.Limits.IdleClose, AnyPath: true}, PaysDirectory: p.Directory != ""}
 	if p.Directory != "" {
 		c.address(at+".directory", p.Directory)
@@ -572,8 +576,16 @@
 	Sockets int // connections to providers
 	Bodies  int // bytes of requests' bodies
 	Open    int // open invocations
+	Work    int // units of CPU a second: see [Cost]; 0 divides nothing
 }
 
+// costBytes of a body cost as much CPU as a request does.
+const costBytes = 16 << 10
+
+// Cost is what a request, or the answer to one, takes of a pool's work a second
+// for its body; the request itself takes one more.
+func Cost(body int) int { return (body + costBytes/2) / costBytes }
+
 // SpareSockets are kept for listeners, directories, standard streams and the
 // runtime's own descriptors.
 const SpareSockets = 16
@@ -589,7 +601,11 @@
 }
 
 // Shared is what the pools of a configuration share.
-func (c *Config) Shared() Shares { return Shared(c.Limits.Sockets, c.Limits.Memory) }
+func (c *Config) Shared() Shares {
+	s := Shared(c.Limits.Sockets, c.Limits.Memory)
+	s.Work = c.Limits.Work
+	return s
+}
 
 // Claims are the pools' claims on one kind of what they share.
 func Claims(pools []Pool, pick func(Shares) int) map[string]budget.Claim {
--- a/config/show.go
+++ b/config/show.go
@@ -136,7 +136,7 @@
 // fileOf is a configuration in the form of a file: what the platform's form
 // amounts to.
 func fileOf(cfg Config) *File {
-	f := &File{Name: cfg.Name, Machine: MachineFile{Cores: cfg.Limits.Cores, MemoryMB: float64(cfg.Limits.Memory) / (1 << 20), Sockets: cfg.Limits.Sockets}}
+	f := &File{Name: cfg.Name, Machine: MachineFile{Cores: cfg.Limits.Cores, MemoryMB: float64(cfg.Limits.Memory) / (1 << 20), Sockets: cfg.Limits.Sockets, WorkPerS: cfg.Limits.Work}}
 	if cfg.Seed != 0 {
 		f.Seed = fmt.Sprintf("%x", cfg.Seed)
 	}
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"ryerill"
+	"ryerill/config"
 	"ryerill/invocation"
 )
 
@@ -10,6 +11,9 @@
 func (c *core) book(k *call, outcome ryerill.Outcome, response *invocation.Response) {
 	e := k.entry
 	e.out--
+	if response != nil { // what an answer cost is known only now
+		c.rooms.work.used.Add(int64(config.Cost(response.Body.Len())))
+	}
 	if outcome != ryerill.OK || !c.relay(e, invocation.Answer{Verdict: invocation.Served, Response: response}) {
 		response.Free()
 	}
--- a/proxy/machine.go
+++ b/proxy/machine.go
@@ -37,6 +37,7 @@
 // rooms are the gauges of one pool. They outlive a reload that replaces it.
 type rooms struct {
 	sockets, bodies, open gauge
+	work                  gauge                       // of the present span: nothing is given back, it begins anew
 	shed                  atomic.Pointer[func(n int)] // closes idle connections to providers
 }
 
@@ -163,9 +164,11 @@
 			r.sockets.allowed.Store(int64(m.total.Sockets))
 			r.bodies.allowed.Store(unbounded)
 			r.open.allowed.Store(unbounded)
+			r.work.allowed.Store(unbounded)
 		}
 		return
 	}
+	m.workLocked()
 	gone := map[string]int{}
 	for k, ledger := range m.ledgers {
 		usage := make(map[string]budget.Usage, len(m.pools))
@@ -195,6 +198,31 @@
 	}
 }
 
+// workLocked begins the next span of work.
+func (m *machine) workLocked() {
+	span := func(perSecond int) int { return int(float64(perSecond) * rebalance.Seconds()) }
+	if m.total.Work == 0 {
+		for _, r := range m.pools {
+			r.work.allowed.Store(unbounded)
+			r.work.used.Store(0)
+		}
+		return
+	}
+	claims := config.Claims(m.claims, func(s config.Shares) int { return span(s.Work) })
+	for name, p := range m.leaving {
+		claims[name] = budget.Claim{Weight: p.Weight}
+	}
+	usage := make(map[string]budget.Usage, len(m.pools))
+	for name, r := range m.pools {
+		usage[name] = budget.Usage{Used: int(r.work.used.Swap(0)), Wanted: int(min(r.work.denied.Swap(0), int64(span(m.total.Work))))}
+	}
+	for name, n := range budget.Rates(span(m.total.Work), claims, usage) {
+		if r := m.pools[name]; r != nil {
+			r.work.allowed.Store(int64(n))
+		}
+	}
+}
+
 // run looks at what is lent until ctx ends.
 func (m *machine) run(ctx context.Context) {
 	tick := time.NewTicker(rebalance)
--- a/proxy/pools_test.go
+++ b/proxy/pools_test.go
@@ -321,6 +321,84 @@
 	return s.String()
 }
 
+// A pool whose directory is silent and one that sends 60 KiB answers as fast as
+// it can leave a calm one alone.
+func TestPoolsStandApart(t *testing.T) {
+	t.Parallel()
+	mute, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer mute.Close()
+	big := "HTTP/1.1 200 OK\r\nContent-Length: 61440\r\n\r\n" + strings.Repeat("x", 60<<10)
+	large, calm, lost := newBackend(t, says(big)), newBackend(t, tells("calm")), newBackend(t, tells("lost"))
+	p, _ := pooled(t, "listeners: [{name: main, address: '127.0.0.1:0'}]\n"+classes+`
+routes: [{name: l, path: /read/large, pool: large}, {name: c, path: /read/calm, pool: calm}, {name: s, path: /read/lost, pool: lost}]
+pools:
+`+poolOf("large", large, "")+poolOf("calm", calm, "")+poolOf("lost", lost, fmt.Sprintf(", directory: %q", mute.Addr())))
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for range 4 {
+		c := dial(t, p.Address())
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					if status, body := c.ask(get("x", "/read/large", "")); status == 200 && len(body) != 60<<10 {
+						t.Errorf("%d bytes", len(body))
+					}
+				}
+			}
+		}()
+	}
+	c := dial(t, p.Address())
+	for range 200 {
+		for _, name := range []string{"calm", "lost"} { // what is known of a pool whose directory is silent holds
+			if status, body := c.ask(get("x", "/read/"+name, "")); status != 200 || body != name+" /read/"+name {
+				t.Fatalf("%s: %d %q", name, status, body)
+			}
+		}
+	}
+	close(stop)
+	clients.Wait()
+}
+
+// Work a second is divided: a flood is refused beyond its part, and not before
+// another has had what it is guaranteed.
+func TestWorkIsDivided(t *testing.T) {
+	total := config.Shares{Sockets: 100, Bodies: 1 << 20, Open: 100, Work: 2000}
+	m := newMachine(total)
+	pools := []config.Pool{{Name: "calm", Weight: 1, Guarantee: config.Shares{Sockets: 10, Work: 500}}, {Name: "flood", Weight: 1, Guarantee: config.Shares{Sockets: 10, Work: 500}}}
+	if !m.claim(pools) {
+		t.Fatal("claims that fit are refused")
+	}
+	calm, flood := m.rooms("calm"), m.rooms("flood")
+	for span := range 10 {
+		taken, served := 0, 0
+		for range 500 {
+			if flood.work.Take(1) {
+				taken++
+			}
+		}
+		for range 25 {
+			if calm.work.Take(1) {
+				served++
+			}
+		}
+		if most := 2000 / 20; taken+served > most || served != 25 {
+			t.Fatalf("span %d: the flood took %d and the calm pool %d of %d", span, taken, served, most)
+		}
+		if span > 2 && taken < 70 {
+			t.Errorf("span %d: the flood may take only %d of what is left", span, taken)
+		}
+		m.step()
+	}
+}
+
 // Five hundred pools of ten providers start and serve where 192 MB and 1,024
 // descriptors are; what does not fit is refused by the configuration.
 func TestManyPools(t *testing.T) {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -331,6 +331,7 @@
 	t.Parallel()
 	c := &core{log: slog.New(slog.DiscardHandler), clock: clock{time.Now()}, open: make(map[ryerill.RequestID]*entry), rooms: &rooms{}}
 	c.rooms.open.allowed.Store(2)
+	c.rooms.work.allowed.Store(2)
 	answers := make(chan invocation.Answer, 2)
 	for range 2 {
 		c.Take(&invocation.Invocation{Taken: time.Now(), Left: time.Hour, Reply: func(a invocation.Answer) { answers <- a },
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"ryerill"
+	"ryerill/config"
 	"ryerill/invocation"
 )
 
@@ -13,7 +14,7 @@
 
 // Take takes an invocation in. From here on it is owed one final answer.
 func (c *core) Take(inv *invocation.Invocation) uint64 {
-	if !c.rooms.open.Take(1) {
+	if !c.rooms.work.Take(1+config.Cost(inv.Request.Body.Len())) || !c.rooms.open.Take(1) {
 		inv.Request.Free()
 		inv.Reply(invocation.Answer{Verdict: invocation.Refused, RetryAfter: noRoom})
 		return 0 // the ticket of none: the Balancer's ids begin at 1
