Cut for the windows a quiet copy missed: 300 copies no longer jam a tier

Cause: a copy asked seldom takes a second for the samples of a verdict and cut by a tenth then, where a busy one cuts each 75 ms, so many quiet copies kept the limits of before the trouble until crowding held itself up. Probed alone: bunching does nothing, fewer samples help at 30 copies and not at 300, a cut for each window without a verdict helps at both. The cut now counts those windows, to a half in one verdict at most; busy copies do as before.

--- a/balancer.go
+++ b/balancer.go
@@ -16,6 +16,7 @@
 	percentile   = 60    // above the median, yet slow or hung servers and chance hardly move it
 	lmaxShare    = 0.6   // Lmax in aims at the front: the rest is kept for what queues next
 	backoffRatio = 0.9   // a cut; windows are short, and several in one aim still fall fast
+	leastRatio   = 0.5   // of the cuts of several windows at once, as backoffRatio may be at least
 	maxSeats     = 10.0  // maxConcurrencyLimit for each server: on calm days it must not bind
 	startSeats   = 8.0   // initialConcurrencyLimit for each server: more is for when other copies are away
 	minSeats     = 1.0   // minConcurrencyLimit for each server: less would leave servers idle
@@ -123,7 +124,7 @@
 // Handle takes one event and appends what is to be done to out. Times must not go back.
 func (b *Balancer) Handle(now time.Duration, ev Event, out []Action) []Action {
 	if b.began < 0 {
-		b.began, b.rateAt = now, now
+		b.began, b.rateAt, b.windowEnd = now, now, now
 	}
 	b.now, b.out = max(now, b.now), out
 	b.adjust()
@@ -179,12 +180,16 @@
 	if b.now < b.windowEnd || b.seen < max(1, min(minRequests, int(b.ceiling))) {
 		return
 	}
-	b.windowEnd = b.now + time.Duration(windowShare*float64(b.aim))
+	// A quiet copy makes up for the windows in which it had too few samples, or thousands of them would go
+	// on for many aims by what held before the trouble.
+	span := windowShare * float64(b.aim)
+	cut := max(math.Pow(backoffRatio, 1+math.Floor(float64(b.now-b.windowEnd)/span)), leastRatio)
+	b.windowEnd = b.now + time.Duration(span)
 	window := b.samples[:min(b.seen, maxSamples)]
 	slices.Sort(window)
 	latency, before := window[(len(window)-1)*percentile/100], b.maxIFR
 	if b.maxIFR = min(before+min(1, mostStep*b.ceiling), b.ceiling); latency > b.lmax {
-		b.maxIFR = max(before*backoffRatio, b.floor)
+		b.maxIFR = max(before*cut, b.floor)
 	}
 	b.seen = 0
 	if b.maxIFR == b.floor && before > b.floor {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"os"
 	"testing"
 	"time"
@@ -1145,6 +1146,7 @@
 func TestClassThatDragsEverywhereGivesWay(t *testing.T) {
 	n := newNode(t, testConfig(), fleet(8)...)
 	for range 60 {
+		n.b.maxIFR = n.b.ceiling // the retries stay out: the limit is set below, and must not bind before
 		if id, _ := n.arrive(0); n.b.requests[id] != nil {
 			n.end(id, 0, Timeout, time.Second)
 		}
@@ -1176,3 +1178,33 @@
 		t.Errorf("began at %v", b.began)
 	}
 }
+
+// A copy with a call now and then once took a cut for each verdict alone, and so went on for many aims by what
+// held before the trouble; it now makes up for the windows without one, to a half in one verdict at the most.
+func TestQuietCopyCutsForTheWindowsItMissed(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		apart time.Duration // between samples, of which a verdict takes minRequests
+		want  float64       // of the limit after one verdict
+	}{
+		{"busy", 16 * ms, backoffRatio},
+		{"four windows a verdict", 63 * ms, math.Pow(backoffRatio, 4)},
+		{"seldom asked", time.Second, leastRatio},
+	} {
+		n := newNode(t, testConfig(), fleet(8)...)
+		feed := func() {
+			for range minRequests {
+				n.now += tc.apart
+				n.b.sample(&n.b.cfg.Classes[0], 2*time.Second)
+			}
+			n.handle(Event{Kind: Timer, Token: 99})
+		}
+		n.now += time.Second
+		feed()
+		n.b.maxIFR = n.b.ceiling
+		feed()
+		if got := n.b.maxIFR / n.b.ceiling; math.Abs(got-tc.want) > 1e-9 {
+			t.Errorf("%s: cut to %.3f of the limit, want %.3f", tc.name, got, tc.want)
+		}
+	}
+}
--- a/lab/experiment/expect.go
+++ b/lab/experiment/expect.go
@@ -27,7 +27,7 @@
 
 // shorthands are metrics that may stand as functions of an arm.
 var shorthands = []string{"goodput", "worst_class", "worst10", "in_aim", "late", "refused", "failed", "overdue", "p50", "p95", "p99",
-	"attempts", "tries", "crossings", "connections", "firsts", "waste", "recover", "jammed", "violations", "cpu_us"}
+	"attempts", "tries", "crossings", "connections", "firsts", "amplified", "waste", "recover", "jammed", "violations", "cpu_us"}
 
 // reserved tells whether a name is a word of expectations, which no arm may take.
 func reserved(name string) bool {
--- a/lab/live/live_test.go
+++ b/lab/live/live_test.go
@@ -62,6 +62,7 @@
 		{Kind: world.Spoil, At: 200 * time.Millisecond, For: time.Second, Part: 1, Factor: 0.3},
 		{Kind: world.Release, At: 200 * time.Millisecond, For: 800 * time.Millisecond, Part: 1, Drain: 300 * time.Millisecond, Pause: 50 * time.Millisecond},
 		{Kind: world.Replace, At: 300 * time.Millisecond, Part: 0.5, Pause: 100 * time.Millisecond},
+		{Kind: world.Err, At: 200 * time.Millisecond, For: time.Second, Part: 0.5, Factor: 0.4},
 		{Kind: world.Hang, At: 300 * time.Millisecond, For: 500 * time.Millisecond, Part: 0.25},
 		{Kind: world.Silent, At: 300 * time.Millisecond, For: 800 * time.Millisecond, Part: 0.25},
 		{Kind: world.Restart, At: 300 * time.Millisecond, Part: 0.5, Pause: 200 * time.Millisecond},
--- a/lab/live/provider.go
+++ b/lab/live/provider.go
@@ -49,6 +49,7 @@
 	draining  atomic.Bool
 	silent    atomic.Bool
 	spoil     atomic.Uint64 // part of the answers, in millionths
+	errs      atomic.Uint64 // part of the requests, in millionths
 	ended     chan struct{}
 	conns     atomic.Int64
 	tipped    atomic.Bool
@@ -263,6 +264,9 @@
 	if proc.draining.Load() {
 		return proc.decline(c, front, id, attempt, way, gone)
 	}
+	if rand.Float64() < float64(proc.errs.Load())/1e6 {
+		return proc.finish(c, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", way, gone)
+	}
 	pieces := 0
 	if p.run.w.Next(p.tier) >= 0 {
 		pieces = p.run.calls(p.spec().Calls)
--- a/lab/live/trouble.go
+++ b/lab/live/trouble.go
@@ -39,7 +39,7 @@
 					}
 				}
 			}
-		case world.Slow, world.Hang, world.Spoil, world.Silent, world.Release, world.Replace:
+		case world.Slow, world.Hang, world.Spoil, world.Err, world.Silent, world.Release, world.Replace:
 			for k, tier := range r.tiers {
 				if t.Tier != "all" && t.Tier != r.w.Tiers[k].Name {
 					continue
@@ -136,6 +136,11 @@
 		if r.until(ctx, t.At+t.For) {
 			proc.machine.do(func(n *node.Node, now time.Duration) { n.Hang(now, false) })
 		}
+	case world.Err:
+		proc.errs.Store(uint64(t.Factor * 1e6))
+		if r.until(ctx, t.At+t.For) {
+			proc.errs.Store(0)
+		}
 	case world.Spoil:
 		proc.spoil.Store(uint64(t.Factor * 1e6))
 		if r.until(ctx, t.At+t.For) {
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -69,6 +69,11 @@
 		r := &out[n]
 		r.ID, r.Worth = uint64(n+1), w.Classes[r.Class].Worth
 		t := &w.Tenants[r.Tenant]
+		for i := range w.Troubles { // after all draws: nobody else's requests change
+			if h := &w.Troubles[i]; h.Kind == world.Heavy && h.Tenant == t.Name && r.At >= h.At && r.At < h.At+h.For {
+				r.Work *= h.Factor
+			}
+		}
 		if t.Quota == 0 {
 			continue
 		}
--- a/lab/measure/measure.go
+++ b/lab/measure/measure.go
@@ -193,6 +193,15 @@
 		m["crossings"] = r.counts["crossed"] / f
 		m["connections"] = r.counts["opened"] / f
 	}
+	// Attempts at the last tier against those that the first tries would make if nothing were tried twice.
+	if calls := r.counts["first_tries"]; calls > 0 && r.counts["attempts_last"] > 0 {
+		for _, t := range r.w.Tiers {
+			if t.Calls > 0 {
+				calls *= t.Calls
+			}
+		}
+		m["amplified"] = r.counts["attempts_last"] / calls
+	}
 	m["waste"] = 1 - ratio(r.counts["work_useful"], r.counts["work_done"])
 	if r.counts["work_done"] == 0 {
 		m["waste"] = 0
--- a/lab/sim/provider.go
+++ b/lab/sim/provider.go
@@ -25,6 +25,7 @@
 	silent   bool    // the machine can't be reached
 	draining bool
 	spoil    float64 // part of the answers that are spoilt
+	errs     float64 // part of the requests that get an error at once
 	process  int     // counts starts: what belongs to an earlier one is void
 	started  time.Duration
 	proxy    *proxy // for the next tier
@@ -59,6 +60,7 @@
 	}
 	p.process++
 	p.up, p.silent, p.draining, p.tipped, p.wakeAt = true, false, false, false, 0
+	p.spoil, p.errs = 0, 0
 	p.node = node.New(&p.tier.spec.Node, p.speed, p.s.now, warm)
 	if !warm {
 		p.started = p.s.now
@@ -115,6 +117,9 @@
 	case p.draining:
 		a.later(ryerill.Full)
 		return
+	case p.errs > 0 && p.s.work.Float64() < p.errs:
+		a.later(ryerill.Error)
+		return
 	}
 	j := &job{p: p, a: a}
 	if spec := p.tier.spec; p.tier.index+1 < len(p.s.tiers) {
--- a/lab/sim/proxy.go
+++ b/lab/sim/proxy.go
@@ -200,6 +200,9 @@
 		return
 	}
 	s.rec.Count("attempts", 1)
+	if p.tier.index == len(s.tiers)-1 {
+		s.rec.Count("attempts_last", 1)
+	}
 	if p.tier.index == 0 {
 		s.rec.Count("attempts_first", 1)
 		s.rec.Attempt(s.now)
--- a/lab/sim/sim_test.go
+++ b/lab/sim/sim_test.go
@@ -171,8 +171,8 @@
 			t.Parallel()
 			w := read(t, "pair.yaml")
 			w.Length = 9 * time.Second
-			tr := world.Trouble{Kind: kind, At: 3 * time.Second, For: 3 * time.Second, Part: 0.4, Factor: 2, Zone: "west", Count: 1}
-			if kind == world.Spoil {
+			tr := world.Trouble{Kind: kind, At: 3 * time.Second, For: 3 * time.Second, Part: 0.4, Factor: 2, Zone: "west", Count: 1, Tenant: "everyone"}
+			if kind == world.Spoil || kind == world.Err {
 				tr.Factor = 0.5
 			}
 			w.Troubles = []world.Trouble{tr}
--- a/lab/sim/trouble.go
+++ b/lab/sim/trouble.go
@@ -37,6 +37,13 @@
 					p.spoil = t.Factor
 				}
 			})
+		case world.Err:
+			s.during(t, func(p *provider, on bool) {
+				p.errs = 0
+				if on {
+					p.errs = t.Factor
+				}
+			})
 		case world.Silent, world.ZoneLoss:
 			s.during(t, func(p *provider, on bool) {
 				if on {
--- a/lab/world/check.go
+++ b/lab/world/check.go
@@ -151,8 +151,10 @@
 			orElse(&t.Factor, 5)
 		case Burst:
 			orElse(&t.Factor, 2)
-		case Spoil:
+		case Spoil, Err:
 			orElse(&t.Factor, 0.3)
+		case Heavy:
+			orElse(&t.Factor, 5)
 		}
 	}
 }
@@ -278,7 +280,10 @@
 		if t.Kind == Burst && t.Factor < 1 {
 			bad(at+"factor", t.Factor, "1 or more: steps of the load make it fall")
 		}
-		if t.Kind == Spoil {
+		if t.Kind == Heavy && !tenants[t.Tenant] {
+			bad(at+"tenant", t.Tenant, "the name of a tenant")
+		}
+		if t.Kind == Spoil || t.Kind == Err {
 			number(at+"factor", t.Factor, 0, 1)
 		}
 		if t.Kind == Reload {
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -173,20 +173,23 @@
 	DirSilent = "directory" // the directory answers nothing
 	ZoneLoss  = "zone-loss" // a zone's machines go silent
 	Reload    = "reload"    // proxies are given Count new configurations; sockets only
+	Err       = "err"       // Factor is the part of requests that providers answer with an error at once
+	Heavy     = "heavy"     // requests of Tenant are Factor times as much work
 )
 
 // Kinds lists the kinds of trouble.
-var Kinds = []string{Slow, Silent, Hang, Burst, Release, Replace, Restart, Spoil, DirSilent, ZoneLoss, Reload}
+var Kinds = []string{Slow, Silent, Hang, Burst, Release, Replace, Restart, Spoil, DirSilent, ZoneLoss, Reload, Err, Heavy}
 
 // Trouble is something that goes wrong for a time.
 type Trouble struct {
-	Kind   string        `yaml:"kind" json:"kind" jsonschema:"enum=slow,enum=silent,enum=hang,enum=burst,enum=release,enum=replace,enum=restart,enum=spoil,enum=directory,enum=zone-loss,enum=reload"`
+	Kind   string        `yaml:"kind" json:"kind" jsonschema:"enum=slow,enum=silent,enum=hang,enum=burst,enum=release,enum=replace,enum=restart,enum=spoil,enum=directory,enum=zone-loss,enum=reload,enum=err,enum=heavy"`
 	At     time.Duration `yaml:"at" json:"at"`
 	For    time.Duration `yaml:"for" json:"for,omitempty"`
 	Tier   string        `yaml:"tier" json:"tier,omitempty" jsonschema_description:"default: the first; for slow with part 1 'all' is every tier"`
 	Part   float64       `yaml:"part" json:"part,omitempty" jsonschema_description:"part of the tier's machines, one at least; default 0.1"`
 	Factor float64       `yaml:"factor" json:"factor,omitempty"`
 	Zone   string        `yaml:"zone" json:"zone,omitempty"`
+	Tenant string        `yaml:"tenant" json:"tenant,omitempty" jsonschema_description:"heavy: whose requests"`
 	Count  int           `yaml:"count" json:"count,omitempty" jsonschema_description:"reload: how many, evenly over the time"`
 	Drain  time.Duration `yaml:"drain" json:"drain,omitempty" jsonschema_description:"release: how long each drains; default 4s"`
 	Pause  time.Duration `yaml:"pause" json:"pause,omitempty" jsonschema_description:"release, restart: until the next process runs; default 500ms"`
