Draw a machine's speed in one place, and read a YAML file by one function

Both hosts of the laboratory drew speeds by a copy of one line, so that a change of one would have set them apart; load.Speed serves both. ParseFile only called a twin of itself.

--- a/config/config.go
+++ b/config/config.go
@@ -102,7 +102,7 @@
 		return Config{}, nil, fmt.Errorf("%s: %w", EnvFile, err)
 	}
 	if !Platform(text) {
-		return parseFile(file, text, getenv)
+		return ParseFile(file, text, getenv)
 	}
 	cfg, err := parse(text, getenv, again)
 	return cfg, nil, err
--- a/config/file.go
+++ b/config/file.go
@@ -162,10 +162,6 @@
 // ParseFile reads a configuration in YAML. All that is at fault is told at once.
 // The warnings are no reason to refuse it.
 func ParseFile(name string, text []byte, getenv func(string) string) (cfg Config, warnings []string, err error) {
-	return parseFile(name, text, getenv)
-}
-
-func parseFile(name string, text []byte, getenv func(string) string) (cfg Config, warnings []string, err error) {
 	f := new(File)
 	tree, err := yamlfile.Decode(name, text, f)
 	if err != nil {
--- a/lab/live/live.go
+++ b/lab/live/live.go
@@ -134,7 +134,7 @@
 		r.tiers = append(r.tiers, nil)
 		for j := range spec.Providers {
 			p := &provider{run: r, tier: t, name: fmt.Sprintf("%s-%d", spec.Name, j), zone: j % len(r.w.Network.Zones), group: j / spec.Group,
-				speed: max(0.1, 1+spec.Node.Spread*speeds.NormFloat64()) * spec.Node.Speed}
+				speed: load.Speed(speeds, &spec.Node)}
 			if err := p.start(true); err != nil {
 				return err
 			}
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -203,6 +203,11 @@
 	return len(sums) - 1
 }
 
+// Speed draws the speed of a machine, never below a tenth of what is stated.
+func Speed(rng *rand.Rand, n *world.Node) float64 {
+	return max(0.1, 1+n.Spread*rng.NormFloat64()) * n.Speed
+}
+
 // Calls draws how many calls to the next tier a request makes, mean on average.
 func Calls(rng *rand.Rand, mean float64) int {
 	n := int(mean)
--- a/lab/sim/sim.go
+++ b/lab/sim/sim.go
@@ -171,7 +171,7 @@
 		t.directory = newDirectory(s, t)
 		s.tiers = append(s.tiers, t)
 		for j := range spec.Providers {
-			p := s.newProvider(t, fmt.Sprintf("%s-%d", spec.Name, j), j%len(w.Network.Zones), j/spec.Group, draw(speeds, spec.Node))
+			p := s.newProvider(t, fmt.Sprintf("%s-%d", spec.Name, j), j%len(w.Network.Zones), j/spec.Group, load.Speed(speeds, &spec.Node))
 			p.start(true)
 			t.directory.know(p, ryerill.Ready)
 		}
@@ -195,11 +195,6 @@
 	return s, nil
 }
 
-// draw draws the speed of a machine, never below a tenth of what is stated.
-func draw(rng *rand.Rand, n world.Node) float64 {
-	return max(0.1, 1+n.Spread*rng.NormFloat64()) * n.Speed
-}
-
 func (s *Sim) at(t time.Duration, fn func()) {
 	s.seq++
 	s.todo.push(event{max(t, s.now), s.seq, fn})
