--- a/architecture_test.go
+++ b/architecture_test.go
@@ -14,7 +14,7 @@
 
 // pure are the packages that decide: no clock, socket, file, goroutine or
 // global. Time and events come to them as arguments.
-var pure = []string{".", "budget", "route", "lab/node", "lab/load", "lab/rules", "lab/measure", "lab/baseline"}
+var pure = []string{".", "budget", "route", "word", "drain", "lab/node", "lab/load", "lab/rules", "lab/measure", "lab/baseline"}
 
 // impure are what a pure package must not import, and functions that it must not call.
 var (
--- a/config/config.go
+++ b/config/config.go
@@ -23,6 +23,8 @@
 	EnvName      = "ROUTER_NAME"
 	EnvListen    = "ROUTER_LISTEN"
 	EnvDirectory = "ROUTER_DISCOVERY"
+	EnvMgmt      = "ROUTER_MGMT"
+	EnvScratch   = "TMPDIR"
 )
 
 // Defaults of what a configuration may leave out.
@@ -42,6 +44,8 @@
 	Name      string
 	Seed      uint64
 	Limits    Limits
+	Mgmt      string // address of the operators' door; empty is none
+	Scratch   string // directory that the processes of this proxy share; empty is none
 	Listeners []Listener
 	Routes    []Route
 	Pools     []Pool
@@ -74,6 +78,18 @@
 	PaysDirectory bool
 }
 
+// AddressError says that an address that the configuration names can't be used.
+type AddressError struct {
+	Key, Value string
+	Err        error
+}
+
+func (e *AddressError) Error() string {
+	return fmt.Sprintf("%s: %q can't be listened at: %v; name an address of this machine that is free", e.Key, e.Value, e.Err)
+}
+
+func (e *AddressError) Unwrap() error { return e.Err }
+
 // Limits is what the machine allows the program.
 type Limits struct {
 	Cores   float64
@@ -133,6 +149,7 @@
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
 		Discovery string `json:"discovery"`
+		Mgmt      string `json:"mgmt"`
 		Seed      string `json:"seed"`
 		Limits    struct {
 			Cores    *float64 `json:"cores"`
@@ -153,7 +170,7 @@
 	if again {
 		pool.Directory = orElse(file.Discovery, pool.Directory)
 	}
-	cfg := Config{Name: orElse(getenv(EnvName), file.Name),
+	cfg := Config{Name: orElse(getenv(EnvName), file.Name), Mgmt: orElse(getenv(EnvMgmt), file.Mgmt), Scratch: getenv(EnvScratch),
 		Listeners: []Listener{{Name: only, Address: orElse(getenv(EnvListen), file.Listen)}},
 		Routes:    []Route{{Rule: route.Rule{Name: only, Pool: only}}}}
 	var problems []error
@@ -167,6 +184,9 @@
 	}
 	address("listen", cfg.Listeners[0].Address)
 	address("discovery", pool.Directory)
+	if cfg.Mgmt != "" {
+		address("mgmt", cfg.Mgmt)
+	}
 	var err error
 	if cfg.Seed, err = parseSeed(file.Seed); err != nil {
 		bad("seed", file.Seed, "at most 16 hexadecimal digits")
--- a/config/file.go
+++ b/config/file.go
@@ -13,6 +13,7 @@
 	"ryerill/directory"
 	"ryerill/internal/yamlfile"
 	"ryerill/invocation"
+	"ryerill/ops"
 	"ryerill/route"
 )
 
@@ -21,6 +22,7 @@
 type File struct {
 	Name      string         `yaml:"name,omitempty" json:"name,omitempty" jsonschema_description:"the proxy's name, in its log"`
 	Seed      string         `yaml:"seed,omitempty" json:"seed,omitempty" jsonschema_description:"for random numbers, at most 16 hexadecimal digits"`
+	Mgmt      string         `yaml:"mgmt,omitempty" json:"mgmt,omitempty" jsonschema_description:"IP and port of the operators' door, as in 127.0.0.1:9100; default none"`
 	Machine   MachineFile    `yaml:"machine,omitempty" json:"machine,omitempty" jsonschema_description:"what the machine allows the program"`
 	Listeners []ListenerFile `yaml:"listeners" json:"listeners" jsonschema:"minItems=1"`
 	Classes   []ClassFile    `yaml:"classes,omitempty" json:"classes,omitempty" jsonschema_description:"of the pools that state none"`
@@ -170,6 +172,7 @@
 	override(f, getenv)
 	f.Complete()
 	cfg, problems := f.build()
+	cfg.Scratch = getenv(EnvScratch)
 	var faults []error
 	told := map[string]bool{} // what pools share is checked with each
 	for _, p := range problems {
@@ -197,6 +200,7 @@
 		}
 	}
 	set("name", EnvName, &f.Name)
+	set("mgmt", EnvMgmt, &f.Mgmt)
 	if len(f.Listeners) == 1 {
 		set("listeners[0].address", EnvListen, &f.Listeners[0].Address)
 	}
@@ -231,7 +235,7 @@
 	for i := range f.Routes {
 		set(&f.Routes[i].Name, fmt.Sprintf("route-%d", i))
 	}
-	share := Shared(f.Machine.Sockets, int64(f.Machine.MemoryMB*(1<<20)))
+	share := Shared(f.Machine.Sockets-spareSockets(f.Mgmt), int64(f.Machine.MemoryMB*(1<<20)))
 	for i := range f.Pools {
 		p := &f.Pools[i]
 		if len(p.Classes) == 0 {
@@ -338,11 +342,14 @@
 // build checks a completed file and turns it into what the proxy runs by.
 func (f *File) build() (Config, []Problem) {
 	c := &checker{}
-	cfg := Config{Name: f.Name, Limits: Limits{Cores: f.Machine.Cores, Memory: int64(f.Machine.MemoryMB * (1 << 20)), Sockets: f.Machine.Sockets, Work: f.Machine.WorkPerS}}
+	cfg := Config{Name: f.Name, Mgmt: f.Mgmt, Limits: Limits{Cores: f.Machine.Cores, Memory: int64(f.Machine.MemoryMB * (1 << 20)), Sockets: f.Machine.Sockets, Work: f.Machine.WorkPerS}}
 	var err error
 	if cfg.Seed, err = parseSeed(f.Seed); err != nil {
 		c.bad("seed", f.Seed, "at most 16 hexadecimal digits")
 	}
+	if f.Mgmt != "" {
+		c.address("mgmt", f.Mgmt)
+	}
 	c.number("machine.cores", f.Machine.Cores, 0.01, 1024)
 	c.number("machine.memory_mb", f.Machine.MemoryMB, leastMemoryMB, 1<<30)
 	c.number("machine.work_per_s", float64(f.Machine.WorkPerS), 0, 1e7)
@@ -582,23 +589,34 @@
 // for its body; the request itself takes one more.
 func Cost(body int) int { return (body + costBytes/2) / costBytes }
 
-// SpareSockets are kept for listeners, directories, standard streams and the
+// sparedAlways are kept for listeners, directories, standard streams and the
 // runtime's own descriptors.
-const SpareSockets = 16
+const sparedAlways = 16
+
+// spareSockets are kept back, for the operators' door too if there is one.
+func spareSockets(mgmt string) int {
+	if mgmt == "" {
+		return sparedAlways
+	}
+	return sparedAlways + ops.Descriptors
+}
+
+// Connections is how many descriptors consumers and providers may hold together.
+func (c *Config) Connections() int { return max(c.Limits.Sockets-spareSockets(c.Mgmt), 2) }
 
 // memoryOfOpen is what an open invocation takes beyond its body, at most: its
 // goroutines' stacks, timers and heads.
 const memoryOfOpen = 48 << 10
 
-// Shared is what a machine has for all pools: half of its sockets for providers,
+// Shared is what a machine has for all pools: half of its connections for providers,
 // a quarter of its memory for bodies, and half of it for open invocations.
-func Shared(sockets int, memory int64) Shares {
-	return Shares{Sockets: max((sockets-SpareSockets)/2, 0), Bodies: int(memory / 4), Open: int(memory / 2 / memoryOfOpen)}
+func Shared(connections int, memory int64) Shares {
+	return Shares{Sockets: max(connections/2, 0), Bodies: int(memory / 4), Open: int(memory / 2 / memoryOfOpen)}
 }
 
 // Shared is what the pools of a configuration share.
 func (c *Config) Shared() Shares {
-	s := Shared(c.Limits.Sockets, c.Limits.Memory)
+	s := Shared(c.Connections(), c.Limits.Memory)
 	s.Work = c.Limits.Work
 	return s
 }
--- a/config/show.go
+++ b/config/show.go
@@ -39,7 +39,7 @@
 		var lines []Line
 		flatten("", reflect.ValueOf(*f), func(key, value string) { lines = append(lines, Line{key, value, FromFile}) })
 		for i := range lines {
-			for key, variable := range map[string]string{"name": EnvName, "listeners[0].address": EnvListen, "pools[0].directory": EnvDirectory} {
+			for key, variable := range map[string]string{"name": EnvName, "mgmt": EnvMgmt, "listeners[0].address": EnvListen, "pools[0].directory": EnvDirectory} {
 				if lines[i].Key == key && getenv(variable) != "" {
 					lines[i].From = FromEnvironment
 				}
@@ -136,7 +136,7 @@
 // fileOf is a configuration in the form of a file: what the platform's form
 // amounts to.
 func fileOf(cfg Config) *File {
-	f := &File{Name: cfg.Name, Machine: MachineFile{Cores: cfg.Limits.Cores, MemoryMB: float64(cfg.Limits.Memory) / (1 << 20), Sockets: cfg.Limits.Sockets, WorkPerS: cfg.Limits.Work}}
+	f := &File{Name: cfg.Name, Mgmt: cfg.Mgmt, Machine: MachineFile{Cores: cfg.Limits.Cores, MemoryMB: float64(cfg.Limits.Memory) / (1 << 20), Sockets: cfg.Limits.Sockets, WorkPerS: cfg.Limits.Work}}
 	if cfg.Seed != 0 {
 		f.Seed = fmt.Sprintf("%x", cfg.Seed)
 	}
--- a/consumer/http.go
+++ b/consumer/http.go
@@ -89,11 +89,7 @@
 
 // find returns the way of a request.
 func (s *Server) find(req *http.Request) (Way, error) {
-	class := req.Header.Get(http1.HeaderKind)
-	if class == "" {
-		class = firstPart(req)
-	}
-	way, err := s.services.Find(req, class)
+	way, err := s.services.Find(req, stated(req))
 	switch {
 	case errors.Is(err, route.ErrPath):
 		return way, &httpError{http.StatusBadRequest, err.Error()}
@@ -103,6 +99,14 @@
 	return way, nil
 }
 
+// stated is the class that a request names.
+func stated(req *http.Request) string {
+	if kind := req.Header.Get(http1.HeaderKind); kind != "" {
+		return kind
+	}
+	return firstPart(req)
+}
+
 func firstPart(req *http.Request) string {
 	first, _, _ := strings.Cut(strings.TrimPrefix(req.URL.Path, "/"), "/")
 	return first
--- a/consumer/names.go
+++ b/consumer/names.go
@@ -43,4 +43,7 @@
 	Find(req *http.Request, class string) (Way, error)
 	// Longest is the longest deadline of all classes.
 	Longest() time.Duration
+	// Turned books that a request of a class, which may be none of ours, was refused
+	// or failed before it became an invocation.
+	Turned(class string, refused bool)
 }
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"ryerill/drain"
 	"ryerill/internal/buffer"
 	"ryerill/internal/framing"
 	"ryerill/internal/http1"
@@ -25,7 +26,6 @@
 	readTimeout  = 2500 * time.Millisecond // a request is in this long after its first byte; the first after the accept
 	writeTimeout = 5 * time.Second         // an answer is out in this time
 	leaveMargin  = 30 * time.Second        // a connection is watched this long beyond its invocation's time
-	acceptOn     = 550 * time.Millisecond  // connections keep arriving for up to 0.4 s after the word to stop
 	killedAfter  = 3 * time.Second         // the word to stop is followed by the kill after the longest deadline or this,
 	killedLater  = 700 * time.Millisecond  // and this on top; what came in up to then may go unanswered
 	killMargin   = 400 * time.Millisecond  // the last answers are out so long before
@@ -33,6 +33,8 @@
 	settled      = 2 * time.Second         // one idle for longer may be closed at any time
 	linger       = 500 * time.Millisecond  // what comes in after a last answer is read for so long, lest it be reset
 	reserve      = 8                       // connections beyond the limit that are told so
+	lastLook     = time.Millisecond        // the queue of a listener is empty if nothing comes of it for so long
+	grace        = 500 * time.Millisecond  // while all connections go, a new one may still ask for so long
 )
 
 // Server accepts the consumers' connections and speaks HTTP/1.1 on them.
@@ -50,13 +52,22 @@
 	leaving int              // connections that have been given up and not ended yet
 	ids     map[string]*conn // of the requests that are open
 	stopped time.Time        // when the word to stop came; zero before
-	closed  bool             // no connection outlives its present invocation
+	ending  drain.Plan       // from then on
+	byHand  time.Time        // when the drain began that staff have ordered; zero if there is none
+	sweep   *time.Timer      // ends idle connections when that drain has come so far
 }
 
 // Listen opens the address for consumers. Of the most connections that it may
 // hold, a few are kept for telling consumers that there is no room.
-func Listen(address string, most int, buffers *buffer.Pool) (*Server, error) {
-	l, err := net.Listen("tcp", address)
+//
+// A shared address may be listened at by several processes, which the machine
+// deals new connections to.
+func Listen(address string, most int, shared bool, buffers *buffer.Pool) (*Server, error) {
+	var how net.ListenConfig
+	if shared {
+		how.Control = socket.SharePort
+	}
+	l, err := how.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for consumers: %w", err)
 	}
@@ -92,7 +103,7 @@
 	for {
 		nc, err := s.listener.AcceptTCP()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			break // Accept waits only when the backlog is empty: nothing is left in it
+			break
 		}
 		if errors.Is(err, net.ErrClosed) {
 			return fmt.Errorf("accept consumers: %w", err)
@@ -103,10 +114,19 @@
 		}
 		s.add(nc)
 	}
+	// Whoever waits in the queue would be reset with it. An expired deadline hides them, so another is set.
+	for end := time.Now().Add(grace); time.Now().Before(end); {
+		s.listener.SetDeadline(time.Now().Add(lastLook))
+		nc, err := s.listener.AcceptTCP()
+		if err != nil {
+			break
+		}
+		s.add(nc)
+	}
 	s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	defer time.AfterFunc(time.Until(s.stopped.Add(s.killed/2)), s.close).Stop()
+	defer time.AfterFunc(time.Until(s.stopped.Add(s.ending.Close)), s.close).Stop()
 	for len(s.conns) > 0 {
 		s.room.Wait()
 	}
@@ -120,17 +140,53 @@
 	if longest := s.services.Longest(); longest > 0 {
 		s.killed = min(longest, killedAfter) + killedLater
 	}
-	s.listener.SetDeadline(s.stopped.Add(acceptOn))
+	s.ending = drain.Ending(s.killed)
+	s.listener.SetDeadline(s.stopped.Add(s.ending.Deaf))
+}
+
+// Drain empties the server as staff have ordered, counted from since, or serves
+// on as ever if that is zero.
+func (s *Server) Drain(since time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sweep != nil {
+		s.sweep.Stop()
+		s.sweep = nil
+	}
+	if s.byHand = since; !since.IsZero() {
+		s.sweep = time.AfterFunc(time.Until(since.Add(drain.ByHand().Close)), s.close)
+	}
+}
+
+// phase is what holds now. The mutex is held.
+func (s *Server) phase() drain.Phase {
+	now := drain.Phase{Ready: true}
+	if !s.stopped.IsZero() {
+		now = s.ending.At(time.Since(s.stopped))
+	}
+	if !s.byHand.IsZero() {
+		now = drain.Both(now, drain.ByHand().At(time.Since(s.byHand)))
+	}
+	return now
+}
+
+// present is what holds now.
+func (s *Server) present() drain.Phase {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.phase()
 }
 
-// close lets all connections end that have no request open.
+// close lets all connections end that have no request open, if that still holds.
 func (s *Server) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closed = true
+	if !s.phase().Closing {
+		return
+	}
 	for c := range s.conns {
 		if c.state == idle {
-			c.giveUp()
+			c.wane()
 		}
 	}
 }
@@ -217,9 +273,10 @@
 	server  *Server
 	nc      *net.TCPConn
 	r       *bufio.Reader
-	N       int64 // bytes that one request may still bring in
-	failed  bool  // the connection itself broke
-	refused bool  // beyond the limit
+	N       int64  // bytes that one request may still bring in
+	failed  bool   // the connection itself broke
+	refused bool   // beyond the limit
+	class   string // that the present request states; empty is none known
 
 	accepted time.Time
 
@@ -297,7 +354,18 @@
 	} else {
 		c.enter(idle, c.accepted.Add(firstTimeout))
 	}
-	if c.server.closed {
+	if c.server.phase().Closing {
+		c.wane()
+	}
+}
+
+// wane ends an idle connection while all go: at once, or shortly after its start
+// if it has not asked yet.
+// The server's mutex is held.
+func (c *conn) wane() {
+	if end := c.accepted.Add(grace); !c.asked && time.Now().Before(end) {
+		c.enter(idle, end)
+	} else {
 		c.giveUp()
 	}
 }
@@ -330,7 +398,7 @@
 	defer c.end()
 	answered := make(chan bool, 1)
 	for {
-		c.N = maxHead
+		c.N, c.class = maxHead, ""
 		if !c.begin() {
 			return
 		}
@@ -357,7 +425,8 @@
 			c.reject(err)
 			return
 		}
-		if c.refused {
+		if c.refused || c.server.present().Refusing {
+			c.server.services.Turned(c.class, true)
 			inv.Request.Free()
 			c.write(head(http.StatusServiceUnavailable, 0, nil, time.Second, true), nil)
 			c.lingerClose()
@@ -397,6 +466,9 @@
 	if way, err = c.server.find(req); err != nil {
 		return way, nil, err
 	}
+	if c.class = stated(req); way.Class != "" && req.Header.Get(http1.HeaderKind) == "" {
+		c.class = way.Class
+	}
 	give := func() {}
 	if size := frame.Length; size > 0 || frame.Chunked {
 		if frame.Chunked {
@@ -446,7 +518,7 @@
 	defer a.Response.Free()
 	c.server.release(id, c)
 	c.server.mu.Lock()
-	closes = closes || c.server.closed
+	closes = closes || c.server.phase().Closing
 	c.server.mu.Unlock()
 	var header http.Header
 	var body *buffer.Body
@@ -474,11 +546,9 @@
 // ready answers the question whether this proxy can be used. It can from its
 // first moment on, with the providers known from before.
 func (c *conn) ready(closes bool) bool {
-	c.server.mu.Lock()
-	stopping := !c.server.stopped.IsZero()
-	c.server.mu.Unlock()
-	code := http.StatusOK
-	if stopping {
+	now, code := c.server.present(), http.StatusOK
+	closes = closes || now.Closing
+	if !now.Ready {
 		code, closes = http.StatusServiceUnavailable, true
 	}
 	if !c.write(head(code, 0, nil, 0, closes), nil) || closes {
@@ -493,7 +563,13 @@
 // reject answers what is no invocation, if there is still somebody to answer.
 func (c *conn) reject(err error) {
 	var e *httpError
-	if errors.As(err, &e) && c.write(head(e.status, 0, nil, e.retryAfter(), true), nil) {
+	if !errors.As(err, &e) {
+		return
+	}
+	if c.class != "" {
+		c.server.services.Turned(c.class, e.status == http.StatusServiceUnavailable)
+	}
+	if c.write(head(e.status, 0, nil, e.retryAfter(), true), nil) {
 		c.lingerClose()
 	}
 }
--- a/consumer/server_test.go
+++ b/consumer/server_test.go
@@ -23,7 +23,7 @@
 		text string
 		want bool
 	}{{"", false}, {"GET", true}} {
-		s, err := Listen("127.0.0.1:0", 16, new(buffer.Pool))
+		s, err := Listen("127.0.0.1:0", 16, false, new(buffer.Pool))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -97,7 +97,7 @@
 	if firstTimeout < settled || firstTimeout >= 3*time.Second || readTimeout >= 3*time.Second {
 		t.Errorf("waits %v for a request to begin and %v for its end", firstTimeout, readTimeout)
 	}
-	s, err := Listen("127.0.0.1:0", 64, new(buffer.Pool))
+	s, err := Listen("127.0.0.1:0", 64, false, new(buffer.Pool))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -138,6 +138,7 @@
 func (p prompt) Names() *Names                 { return &p.names }
 func (prompt) Hold(int) (give func(), ok bool) { return func() {}, true }
 func (p prompt) Longest() time.Duration        { return slices.Max(p.names.Deadlines) }
+func (p prompt) Turned(string, bool)           {}
 func (p prompt) Find(req *http.Request, _ string) (Way, error) {
 	return Way{Service: p, Target: req.RequestURI}, nil
 }
@@ -150,7 +151,7 @@
 // After the word to stop, consumers go on with the connections that they have:
 // until another proxy is back there may be nobody else. Then they are told.
 func TestKeptConnectionsAreServedAfterTheWordToStop(t *testing.T) {
-	s, err := Listen("127.0.0.1:0", 64, new(buffer.Pool))
+	s, err := Listen("127.0.0.1:0", 64, false, new(buffer.Pool))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/drain/drain.go
@@ -0,0 +1,45 @@
+// Package drain says what holds while a proxy empties: by the time since its
+// word and nothing else. It does no I/O.
+package drain
+
+import "time"
+
+// Never is a phase that does not come.
+const Never = time.Duration(1<<63 - 1)
+
+// Plan says when each phase of an emptying begins, counted from its word.
+type Plan struct {
+	Ready  bool          // "/ready" goes on saying yes: another process of this proxy serves on
+	Close  time.Duration // answers close their connections, and idle ones go
+	Refuse time.Duration // what comes is refused at once
+	Deaf   time.Duration // no connection is accepted any more
+}
+
+// ByHand is the plan of a drain that staff have ordered: the front goes on for
+// up to 0.3 s, and 4 s after the word nothing may be left that came in the last 2 s.
+func ByHand() Plan {
+	return Plan{Close: 500 * time.Millisecond, Refuse: 1500 * time.Millisecond, Deaf: Never}
+}
+
+// Ending is the plan of a process that ends and is killed after so long at the
+// earliest: connections keep arriving for up to 0.4 s, and those that it has are
+// served for half of its time, as there may be nobody else.
+func Ending(killed time.Duration) Plan {
+	return Plan{Close: killed / 2, Refuse: Never, Deaf: 550 * time.Millisecond}
+}
+
+// Handover is the plan of a process whose successor serves already.
+func Handover() Plan { return Plan{Ready: true, Refuse: Never} }
+
+// Phase is what holds at one moment.
+type Phase struct{ Ready, Closing, Refusing, Deaf bool }
+
+// At returns what holds so long after the word.
+func (p Plan) At(since time.Duration) Phase {
+	return Phase{Ready: p.Ready, Closing: since >= p.Close, Refusing: since >= p.Refuse, Deaf: since >= p.Deaf}
+}
+
+// Both is what holds while two plans do.
+func Both(a, b Phase) Phase {
+	return Phase{Ready: a.Ready && b.Ready, Closing: a.Closing || b.Closing, Refusing: a.Refusing || b.Refusing, Deaf: a.Deaf || b.Deaf}
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -102,7 +102,11 @@
 		log.Warn("configuration", "warning", w)
 	}
 	p, err := proxy.New(cfg, proxy.WithLogger(log))
-	if err != nil {
+	var address *config.AddressError
+	switch {
+	case errors.As(err, &address):
+		return err
+	case err != nil:
 		return runError{err}
 	}
 	go func() {
@@ -110,6 +114,8 @@
 			cfg, warnings, err := config.Reload(getenv)
 			if err == nil {
 				err = p.Reload(cfg)
+			} else {
+				p.NotReloaded()
 			}
 			if err != nil {
 				log.Error("configuration not reloaded, the old one holds", "error", err)
--- a/internal/socket/peek.go
+++ b/internal/socket/peek.go
@@ -4,8 +4,20 @@
 import (
 	"errors"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
+// SharePort lets several processes of one user listen at an address. It is the
+// Control of a net.ListenConfig.
+func SharePort(_, _ string, raw syscall.RawConn) error {
+	var err error
+	if e := raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) }); e != nil {
+		return e
+	}
+	return err
+}
+
 // State is what a look at a connection's receiving end shows.
 type State uint8
 
--- a/observe.go
+++ b/observe.go
@@ -9,3 +9,14 @@
 func (b *Balancer) Adjust(limits Limits) {
 	b.cfg.Limits = New(Config{Limits: limits}, 0).cfg.Limits
 }
+
+// Avoids tells whether a server is not sent to now: it is not ready by the list,
+// or calls to it have failed so often that others come first.
+func (b *Balancer) Avoids(id ServerID) bool {
+	s := b.byID[id]
+	if s == nil {
+		return true
+	}
+	held, _ := b.standing(s)
+	return !b.usable(s) || held >= mostHeld/2
+}
--- /dev/null
+++ b/ops/ops.go
@@ -0,0 +1,310 @@
+// Package ops is the operators' door: a listener of its own at which staff ask
+// how a proxy does and tell it what to do. It speaks HTTP/1.1, one call to a
+// connection. It knows no provider and no directory: what it is asked it passes
+// on to a Staff, whose methods must not wait for either.
+package ops
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"ryerill/internal/framing"
+)
+
+// Descriptors is how many the door may hold; they are set aside for it.
+const Descriptors = most + 8
+
+const (
+	most         = 32                     // connections; beyond it the longest without a whole call makes room
+	callTimeout  = 3 * time.Second        // a whole call is in this long after the accept
+	writeTimeout = 500 * time.Millisecond // and its answer is out in this time
+	linger       = 200 * time.Millisecond // what comes in after an answer is read for so long, lest it be reset
+	maxHead      = 8 << 10                // bytes of a call's head
+	maxBody      = 1 << 10                // bytes of its body, with the framing of its chunks
+	maxID        = 256                    // bytes of a provider's id
+)
+
+// ErrUnknown says that nobody has an id.
+var ErrUnknown = errors.New("no backend has this id: see the directory's list for those that there are")
+
+// Staff carries out what is called for. Its methods are safe for concurrent use
+// and answer soon, whatever the load.
+type Staff interface {
+	Readiness() error // nil is yes
+	Stats() Stats
+	Down(id string) error // ErrUnknown is a 404, any other error a 503
+	Up(id string) error
+	StartDrain() error
+	StopDrain() error
+}
+
+// Stats are the figures of one process since its start.
+type Stats struct {
+	Calls        map[string]Calls `json:"calls"` // by class
+	BackendCalls int64            `json:"backend_calls"`
+	Inflight     int64            `json:"inflight"`
+	HostsListed  int              `json:"hosts_listed"`
+	HostsDown    int              `json:"hosts_down"`
+	ReconfigOK   int64            `json:"reconfig_ok"`
+	ReconfigFail int64            `json:"reconfig_failed"`
+}
+
+// Calls counts requests by how they ended.
+type Calls struct {
+	Success int64 `json:"success"`
+	Busy    int64 `json:"busy"`
+	Failure int64 `json:"failure"`
+}
+
+// Door is the listener with its connections.
+type Door struct {
+	listener *net.TCPListener
+	staff    Staff
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	all   sync.WaitGroup
+}
+
+type conn struct {
+	*net.TCPConn
+	since time.Time
+	whole bool // its call is in
+}
+
+// Listen opens the door at an address; nobody is answered before Serve.
+func Listen(address string) (*Door, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Door{listener: l.(*net.TCPListener), conns: make(map[*conn]struct{})}, nil
+}
+
+// Address returns the address that the door is at.
+func (d *Door) Address() string { return d.listener.Addr().String() }
+
+// Close ends a door that never served.
+func (d *Door) Close() { d.listener.Close() }
+
+// Serve answers calls until ctx ends and those that are in have their answer.
+func (d *Door) Serve(ctx context.Context, staff Staff) {
+	d.staff = staff
+	defer context.AfterFunc(ctx, func() {
+		d.listener.Close()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		for c := range d.conns {
+			if !c.whole {
+				c.SetDeadline(time.Unix(1, 0))
+			}
+		}
+	})()
+	for {
+		nc, err := d.listener.AcceptTCP()
+		if errors.Is(err, net.ErrClosed) {
+			break
+		}
+		if err != nil { // the caller is gone again, or the machine has no descriptor to spare
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		d.add(&conn{TCPConn: nc, since: time.Now()})
+	}
+	d.all.Wait()
+}
+
+// add starts a connection. At the bound the one that has waited longest without
+// a whole call goes; if all have one, which takes moments, the new one goes.
+func (d *Door) add(c *conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.conns) >= most {
+		var oldest *conn
+		for other := range d.conns {
+			if !other.whole && (oldest == nil || other.since.Before(oldest.since)) {
+				oldest = other
+			}
+		}
+		if oldest == nil {
+			c.Close()
+			return
+		}
+		delete(d.conns, oldest)
+		oldest.Close()
+	}
+	d.conns[c] = struct{}{}
+	d.all.Add(1)
+	go d.serve(c)
+}
+
+func (d *Door) serve(c *conn) {
+	defer d.all.Done()
+	defer func() {
+		d.mu.Lock()
+		delete(d.conns, c)
+		d.mu.Unlock()
+		c.Close()
+	}()
+	c.SetReadDeadline(c.since.Add(callTimeout))
+	r := bufio.NewReaderSize(c, maxHead)
+	call, err := read(r, c)
+	var a answer
+	switch {
+	case err == nil:
+		d.mu.Lock()
+		c.whole = true
+		d.mu.Unlock()
+		a = d.carryOut(call)
+	case !errors.As(err, &a):
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return // the caller has gone
+		}
+		a = no(http.StatusRequestTimeout, "the call did not come whole in %v: send it at once", callTimeout)
+	}
+	c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := c.Write(a.encode()); err != nil || c.CloseWrite() != nil {
+		return
+	}
+	c.SetReadDeadline(time.Now().Add(linger))
+	io.Copy(io.Discard, io.LimitReader(c, 64<<10))
+}
+
+// call is one whole call.
+type call struct{ method, path, body string }
+
+// answer is what a call is told. As an error it ends the reading of one.
+type answer struct {
+	status int
+	text   string // plain text, or JSON
+	json   bool
+	allow  string // the method that the path takes
+}
+
+func (a answer) Error() string { return a.text }
+
+func no(status int, format string, args ...any) answer {
+	return answer{status: status, text: fmt.Sprintf(format, args...)}
+}
+
+func (a answer) encode() []byte {
+	kind, text := "text/plain; charset=utf-8", a.text+"\n"
+	if a.json {
+		kind = "application/json"
+	}
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %d\r\nCache-Control: no-store\r\nConnection: close\r\n",
+		a.status, http.StatusText(a.status), kind, len(text))
+	if a.allow != "" {
+		fmt.Fprintf(&b, "Allow: %s\r\n", a.allow)
+	}
+	b.WriteString("\r\n" + text)
+	return b.Bytes()
+}
+
+// read reads one call, and judges all of it that does not depend on what it is for.
+func read(r *bufio.Reader, w io.Writer) (call, error) {
+	head, err := framing.ReadHead(r, maxHead)
+	if errors.Is(err, framing.ErrHeadTooLarge) {
+		return call{}, no(http.StatusRequestHeaderFieldsTooLarge, "the head is over %d bytes: send only what HTTP needs", maxHead)
+	}
+	if err != nil {
+		return call{}, err
+	}
+	frame, err := framing.Judge(head)
+	if err != nil {
+		return call{}, no(http.StatusBadRequest, "%v: state one Content-Length, or chunks", err)
+	}
+	req, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+	if err != nil || req.Host == "" && req.ProtoAtLeast(1, 1) || req.ProtoMajor != 1 || !strings.HasPrefix(req.RequestURI, "/") {
+		return call{}, no(http.StatusBadRequest, "malformed head: send a call of HTTP/1.1, as in GET /ops/stats HTTP/1.1")
+	}
+	if frame.Length > maxBody {
+		return call{}, no(http.StatusRequestEntityTooLarge, "the body is over %d bytes: send the id of a backend alone", maxBody)
+	}
+	k := call{method: req.Method, path: req.RequestURI}
+	if frame.Length > 0 || frame.Chunked {
+		if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
+			if _, err := io.WriteString(w, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+				return call{}, err
+			}
+		}
+		body, err := io.ReadAll(io.LimitReader(frame.Reader(r), maxBody+1))
+		switch {
+		case len(body) > maxBody:
+			return call{}, no(http.StatusRequestEntityTooLarge, "the body is over %d bytes: send the id of a backend alone", maxBody)
+		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+			return call{}, err
+		case err != nil:
+			return call{}, no(http.StatusBadRequest, "malformed body: send the id of a backend with a Content-Length")
+		}
+		k.body = string(body)
+	}
+	if r.Buffered() > 0 {
+		return call{}, no(http.StatusBadRequest, "more follows the call: send one call to a connection")
+	}
+	return k, nil
+}
+
+// carryOut does what a call says.
+func (d *Door) carryOut(k call) answer {
+	method, there := map[string]string{"/ops/readiness": http.MethodGet, "/ops/stats": http.MethodGet,
+		"/ops/backends/down": http.MethodPost, "/ops/backends/up": http.MethodPost,
+		"/ops/drain/start": http.MethodPost, "/ops/drain/stop": http.MethodPost}[k.path]
+	switch {
+	case !there:
+		return no(http.StatusNotFound, "nothing is at this path: call GET /ops/readiness, GET /ops/stats, POST /ops/backends/down, "+
+			"POST /ops/backends/up, POST /ops/drain/start or POST /ops/drain/stop")
+	case method != k.method:
+		a := no(http.StatusMethodNotAllowed, "this path takes %s", method)
+		a.allow = method
+		return a
+	}
+	id := strings.TrimRight(k.body, "\r\n")
+	if strings.HasPrefix(k.path, "/ops/backends/") {
+		if id == "" || len(id) > maxID || strings.ContainsFunc(id, func(r rune) bool { return r <= ' ' || r == 0x7f || r == 0xfffd }) {
+			return no(http.StatusBadRequest, "the body is not the id of a backend: send its name alone, as the directory lists it")
+		}
+	} else if id != "" {
+		return no(http.StatusBadRequest, "a body where none belongs: send none")
+	}
+	var err error
+	switch k.path {
+	case "/ops/readiness":
+		if err = d.staff.Readiness(); err == nil {
+			return answer{status: http.StatusOK, text: "ready"}
+		}
+	case "/ops/stats":
+		text, err := json.Marshal(d.staff.Stats())
+		if err != nil {
+			return no(http.StatusInternalServerError, "%v", err)
+		}
+		return answer{status: http.StatusOK, text: string(text), json: true}
+	case "/ops/backends/down":
+		err = d.staff.Down(id)
+	case "/ops/backends/up":
+		err = d.staff.Up(id)
+	case "/ops/drain/start":
+		err = d.staff.StartDrain()
+	case "/ops/drain/stop":
+		err = d.staff.StopDrain()
+	}
+	switch {
+	case err == nil:
+		return answer{status: http.StatusOK, text: "done"}
+	case errors.Is(err, ErrUnknown):
+		return no(http.StatusNotFound, "%v", err)
+	}
+	return no(http.StatusServiceUnavailable, "%v", err)
+}
--- /dev/null
+++ b/ops/ops_test.go
@@ -0,0 +1,188 @@
+package ops
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const patience = 20 * time.Second
+
+// staff counts what it is told.
+type staff struct {
+	changes atomic.Int64
+	last    atomic.Pointer[string]
+}
+
+func (s *staff) Readiness() error { return nil }
+func (s *staff) Stats() Stats {
+	return Stats{Inflight: 14, Calls: map[string]Calls{"C": {Success: 812}}}
+}
+func (s *staff) Down(id string) error {
+	s.changes.Add(1)
+	s.last.Store(&id)
+	switch id {
+	case "nobody":
+		return ErrUnknown
+	case "jammed":
+		return errors.New("call again")
+	}
+	return nil
+}
+func (s *staff) Up(id string) error { s.changes.Add(1); return nil }
+func (s *staff) StartDrain() error  { s.changes.Add(1); return nil }
+func (s *staff) StopDrain() error   { s.changes.Add(1); return nil }
+
+func open(t *testing.T) (*Door, *staff) {
+	t.Helper()
+	d, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &staff{}
+	ctx, stop := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	go func() { d.Serve(ctx, s); close(over) }()
+	t.Cleanup(func() { stop(); <-over })
+	return d, s
+}
+
+func dial(t *testing.T, d *Door) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", d.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return c
+}
+
+func ask(t *testing.T, d *Door, text string) (int, string, *http.Response) {
+	t.Helper()
+	c := dial(t, d)
+	io.WriteString(c, text)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("%.60q: %v", text, err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(body), resp
+}
+
+func TestCalls(t *testing.T) {
+	d, s := open(t)
+	const down = "POST /ops/backends/down HTTP/1.1\r\nHost: x\r\n"
+	for _, tc := range []struct {
+		text    string
+		status  int
+		says    string
+		changes int64
+	}{
+		{"GET /ops/readiness HTTP/1.1\r\nHost: x\r\n\r\n", 200, "ready", 0},
+		{"GET /ops/stats HTTP/1.0\r\n\r\n", 200, `{"calls":{"C":{"success":812,"busy":0,"failure":0}},"backend_calls":0,"inflight":14,`, 0},
+		{down + "Content-Length: 2\r\n\r\ns1", 200, "done", 1},
+		{down + "Content-Length: 3\r\n\r\ns1\n", 200, "done", 1},
+		{down + "Transfer-Encoding: chunked\r\n\r\n1;x=y\r\ns\r\n1\r\n1\r\n0\r\nT: v\r\n\r\n", 200, "done", 1},
+		{"POST /ops/backends/up HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\ns1", 200, "done", 1},
+		{"POST /ops/drain/start HTTP/1.1\r\nHost: x\r\n\r\n", 200, "done", 1},
+		{"POST /ops/drain/stop HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 200, "done", 1},
+		{down + "Content-Length: 6\r\n\r\nnobody", 404, "directory's list", 1},
+		{down + "Content-Length: 6\r\n\r\njammed", 503, "call again", 1},
+		{"GET /ops HTTP/1.1\r\nHost: x\r\n\r\n", 404, "GET /ops/readiness", 0},
+		{"GET /ops/stats?all HTTP/1.1\r\nHost: x\r\n\r\n", 404, "call", 0},
+		{"GET /ops/drain/start HTTP/1.1\r\nHost: x\r\n\r\n", 405, "POST", 0},
+		{"DELETE /ops/stats HTTP/1.1\r\nHost: x\r\n\r\n", 405, "GET", 0},
+		{down + "\r\n", 400, "send its name", 0},
+		{down + "Content-Length: 0\r\n\r\n", 400, "send its name", 0},
+		{down + "Content-Length: 5\r\n\r\ns1 s2", 400, "send its name", 0},
+		{down + "Content-Length: 300\r\n\r\n" + strings.Repeat("s", 300), 400, "send its name", 0},
+		{down + "Content-Length: 9000\r\n\r\n" + strings.Repeat("s", 9000), 413, "alone", 0},
+		{down + "Transfer-Encoding: chunked\r\n\r\n2000\r\n" + strings.Repeat("s", 0x2000) + "\r\n0\r\n\r\n", 413, "alone", 0},
+		{down + "Transfer-Encoding: chunked\r\n\r\nzz\r\ns1", 400, "malformed body", 0},
+		{down + "Content-Length: 2\r\nContent-Length: 3\r\n\r\ns1", 400, "one Content-Length", 0},
+		{down + "Content-Length: -2\r\n\r\n", 400, "one Content-Length", 0},
+		{"POST /ops/drain/start HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nno", 400, "send none", 0},
+		{down + "Content-Length: 2\r\n\r\ns1" + down + "Content-Length: 2\r\n\r\ns2", 400, "one call to a connection", 0},
+		{"GET /ops/stats HTTP/1.1\r\n\r\n", 400, "malformed head", 0},
+		{"GET /ops/stats HTTP/2.0\r\nHost: x\r\n\r\n", 400, "malformed head", 0},
+		{"\x16\x03\x01\r\n\r\n", 400, "malformed head", 0},
+		{"GET /ops/stats HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 9000) + "\r\n\r\n", 431, "over", 0},
+	} {
+		before := s.changes.Load()
+		status, text, resp := ask(t, d, tc.text)
+		if status != tc.status || !strings.Contains(text, tc.says) || s.changes.Load()-before != tc.changes || !resp.Close {
+			t.Errorf("%.70q: %d %s, %d changes, close %v", tc.text, status, text, s.changes.Load()-before, resp.Close)
+		}
+	}
+	if last := s.last.Load(); *last != "jammed" {
+		t.Error(*last)
+	}
+}
+
+// A call in single bytes is a call like any other, and one that asks first is told to go on.
+func TestCallInPieces(t *testing.T) {
+	d, s := open(t)
+	c := dial(t, d)
+	for _, b := range []byte("POST /ops/backends/down HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n") {
+		c.Write([]byte{b})
+	}
+	r := bufio.NewReader(c)
+	if line, _ := r.ReadString('\n'); !strings.Contains(line, "100") {
+		t.Error(line)
+	}
+	r.ReadString('\n')
+	io.WriteString(c, "s")
+	io.WriteString(c, "1")
+	if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != 200 || *s.last.Load() != "s1" {
+		t.Error(resp, err)
+	}
+}
+
+// Callers who hold connections without a whole call keep nobody out, and are
+// told in the end.
+func TestHeldConnectionsMakeRoom(t *testing.T) {
+	d, _ := open(t)
+	first := dial(t, d)
+	io.WriteString(first, "GET /ops/sta")
+	for range 3 * most {
+		io.WriteString(dial(t, d), "GET /ops/stats HT")
+	}
+	if status, _, _ := ask(t, d, "GET /ops/readiness HTTP/1.1\r\nHost: x\r\n\r\n"); status != 200 {
+		t.Error(status)
+	}
+	if _, err := first.Read(make([]byte, 1)); err == nil {
+		t.Error("the one that has waited longest did not go")
+	}
+	late := dial(t, d)
+	if resp, err := http.ReadResponse(bufio.NewReader(late), nil); err != nil || resp.StatusCode != 408 {
+		t.Error(resp, err)
+	}
+}
+
+// Whatever comes, reading ends without a panic, in a whole call or an error.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte("POST /ops/backends/down HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1;x=y\r\ns\r\n0\r\n\r\n"))
+	f.Add([]byte("GET /ops/stats HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabcd"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		k, err := read(bufio.NewReaderSize(bytes.NewReader(text), maxHead), io.Discard)
+		if err == nil && (len(k.body) > maxBody || !strings.HasPrefix(k.path, "/")) {
+			t.Errorf("%q is a call: %+v", text, k)
+		}
+		var a answer
+		if errors.As(err, &a) && (a.status < 400 || a.status > 499 || a.text == "") {
+			t.Errorf("%q: %+v", text, a)
+		}
+	})
+}
--- a/provider/call.go
+++ b/provider/call.go
@@ -29,6 +29,7 @@
 	Address  string
 	Until    time.Time   // the proxy stops waiting
 	MayStart func() bool // asked right before the first byte is written
+	Written  func()      // told once its last byte is; nil is nobody
 
 	mu        sync.Mutex
 	conn      *conn // nil unless the call holds one
@@ -103,6 +104,9 @@
 	if _, err := message.WriteTo(conn.TCPConn); err != nil {
 		return ryerill.ConnectFailed, nil, false // its last byte was never written: it cannot have run
 	}
+	if c.Written != nil {
+		c.Written()
+	}
 	request := http.Request{Method: c.Request.Method}
 	for range maxInterim + 1 {
 		conn.limit.N = maxHead
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -22,6 +22,12 @@
 	c.release(e)
 }
 
+// counted books the one end of an invocation in the figures.
+func (c *core) counted(e *entry, v invocation.Verdict) {
+	c.figures.inflight.Add(-1)
+	c.tallies[e.inv.Class].ended(v)
+}
+
 // release forgets an invocation that is answered and has no invoker call out.
 func (c *core) release(e *entry) {
 	if !e.done {
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -13,6 +13,7 @@
 	"ryerill/directory"
 	"ryerill/invocation"
 	"ryerill/provider"
+	"ryerill/word"
 )
 
 // clock is Unix time at its start plus the monotonic time since. It never goes
@@ -36,6 +37,8 @@
 	pool      *provider.Pool
 	directory *directory.Client // nil where the configuration lists the providers
 	end       context.CancelFunc
+	figures   *figures
+	tallies   []*tally // by class
 
 	mu        sync.Mutex
 	cfg       config.Pool
@@ -47,6 +50,8 @@
 	newest    ryerill.RequestID
 	open      map[ryerill.RequestID]*entry
 	providers map[ryerill.ServerID]*target
+	seen      map[string]struct{}      // names that are listed or were
+	word      word.Word                // what staff have ordered
 	timers    map[*time.Timer]struct{} // that the Balancer has set
 	leaving   bool                     // nothing new comes
 	ended     bool                     // and nothing is open any more
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -12,10 +12,11 @@
 	"ryerill/directory"
 	"ryerill/internal/buffer"
 	"ryerill/provider"
+	"ryerill/word"
 )
 
 // newCore starts a pool: its Balancer, its connections, its directory.
-func newCore(cfg config.Pool, seed uint64, r *rooms, buffers *buffer.Pool, log *slog.Logger, clock clock) *core {
+func newCore(cfg config.Pool, seed uint64, r *rooms, buffers *buffer.Pool, log *slog.Logger, clock clock, figures *figures, w word.Word) *core {
 	settings := cfg.Settings
 	b := &settings.Balancer
 	life, end := context.WithCancel(context.Background()) // the list is watched until the last answer
@@ -32,8 +33,12 @@
 		providers: make(map[ryerill.ServerID]*target),
 		timers:    make(map[*time.Timer]struct{}),
 		empty:     make(chan struct{}),
+		seen:      make(map[string]struct{}),
+		figures:   figures,
+		word:      w,
 	}
 	for _, k := range b.Classes {
+		c.tallies = append(c.tallies, figures.class(k.Name))
 		c.names.Classes = append(c.names.Classes, k.Name)
 		c.names.Deadlines = append(c.names.Deadlines, k.Deadline)
 		c.names.Effects = append(c.names.Effects, k.Effect)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -20,7 +20,10 @@
 	"ryerill/config"
 	"ryerill/consumer"
 	"ryerill/internal/buffer"
+	"ryerill/internal/wordfile"
+	"ryerill/ops"
 	"ryerill/route"
+	"ryerill/word"
 )
 
 // front is a protocol before the pools: it brings invocations in and carries
@@ -30,6 +33,8 @@
 	Serve(ctx context.Context, services consumer.Services) error
 	Address() string
 	SetMost(connections int)
+	// Drain empties the front, counted from since, or ends that if it is zero.
+	Drain(since time.Time)
 	Close()
 }
 
@@ -50,7 +55,14 @@
 	leaving sync.WaitGroup   // pools and fronts that end
 	life    context.Context  // of Run; nil before
 	ending  bool             // Run waits for the last answers: nothing new begins
+	ready   bool             // it has lists and listens
+	word    word.Word        // what staff have ordered
+	parting map[*core]struct{}
 	failed  chan error
+
+	figures figures
+	door    *ops.Door // nil is none
+	kept    *wordfile.Store
 }
 
 // listener is a front at its address.
@@ -70,39 +82,70 @@
 // New returns a proxy that listens already; consumers wait until Run.
 func New(cfg config.Config, options ...Option) (*Proxy, error) {
 	p := &Proxy{cfg: cfg, log: slog.Default(), buffers: new(buffer.Pool), failed: make(chan error, 1),
-		machine: newMachine(cfg.Shared())}
+		machine: newMachine(cfg.Shared()), parting: make(map[*core]struct{})}
 	for _, option := range options {
 		option(p)
 	}
 	if len(cfg.Listeners) == 0 || len(cfg.Pools) == 0 {
 		return nil, fmt.Errorf("proxy %s: a listener or a pool is missing", cfg.Name)
 	}
+	if cfg.Mgmt != "" {
+		var err error
+		if p.door, err = ops.Listen(cfg.Mgmt); err != nil {
+			return nil, fmt.Errorf("proxy %s: %w", cfg.Name, &config.AddressError{Key: "mgmt", Value: cfg.Mgmt, Err: err})
+		}
+	}
 	for _, l := range cfg.Listeners {
 		f, err := p.listen(l, len(cfg.Listeners))
 		if err != nil {
-			for _, l := range p.fronts {
-				l.front.Close()
-			}
+			p.Close()
 			return nil, fmt.Errorf("proxy %s: %w", cfg.Name, err)
 		}
 		p.fronts = append(p.fronts, f)
 	}
+	path := ""
+	if cfg.Mgmt != "" {
+		if path = wordfile.Path(cfg.Scratch, cfg.Name, cfg.Listeners[0].Address, "word"); path == "" {
+			p.log.Warn("what staff order lasts only as long as this process", "reason", config.EnvScratch+" is not set")
+		}
+	}
+	p.kept = wordfile.Open(path, p.log, p.obey)
+	p.word = p.kept.Word()
 	return p, nil
 }
 
 // connections is how many each of so many listeners may hold.
 func (p *Proxy) connections(listeners int) int {
-	return (p.cfg.Limits.Sockets - config.SpareSockets) / 2 / max(listeners, 1)
+	return p.cfg.Connections() / 2 / max(listeners, 1)
 }
 
 func (p *Proxy) listen(l config.Listener, listeners int) (*listener, error) {
-	s, err := consumer.Listen(l.Address, p.connections(listeners), p.buffers)
+	// With a door comes a second process beside this one at an upgrade.
+	s, err := consumer.Listen(l.Address, p.connections(listeners), p.cfg.Mgmt != "", p.buffers)
 	if err != nil {
 		return nil, fmt.Errorf("listener %s: %w", l.Name, err)
 	}
 	return &listener{Listener: l, front: s}, nil
 }
 
+// Close ends a proxy that never ran.
+func (p *Proxy) Close() {
+	if p.door != nil {
+		p.door.Close()
+	}
+	for _, l := range p.fronts {
+		l.front.Close()
+	}
+}
+
+// Door returns the address of the operators' door, or "" if there is none.
+func (p *Proxy) Door() string {
+	if p.door == nil {
+		return ""
+	}
+	return p.door.Address()
+}
+
 // Address returns the address that consumers reach the first listener at.
 func (p *Proxy) Address() string {
 	p.mu.Lock()
@@ -144,7 +187,7 @@
 		return fmt.Errorf("proxy %s: the pools' guarantees exceed what the machine has", cfg.Name)
 	}
 	for i, pool := range cfg.Pools {
-		p.pools[pool.Name] = newCore(pool, cfg.Seed+uint64(i), p.machine.rooms(pool.Name), p.buffers, p.log, p.clock)
+		p.pools[pool.Name] = newCore(pool, cfg.Seed+uint64(i), p.machine.rooms(pool.Name), p.buffers, p.log, p.clock, &p.figures, p.word)
 	}
 	now, problems := newServices(cfg.Routes, p.pools)
 	if now == nil {
@@ -154,10 +197,17 @@
 	p.present.Store(now)
 	for _, l := range p.fronts {
 		p.serve(l)
+		l.front.Drain(p.drainsSince())
 	}
+	p.ready = true
 	p.mu.Unlock()
 	side, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
+	if p.door != nil {
+		p.log.Info("operators' door", "at", p.door.Address())
+		go p.door.Serve(side, p)
+		go p.kept.Follow(side)
+	}
 	if len(cfg.Pools) > 1 || cfg.Pools[0].Settings.AnyPath {
 		go p.machine.run(side)
 	}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -157,8 +157,14 @@
 }
 
 // start runs a proxy that knows some providers and returns its address.
-// Classes: read is safe, pay is keyed within a cell, burn is unsafe.
 func start(t *testing.T, change func(*config.Config), known ...directory.Endpoint) string {
+	t.Helper()
+	return run(t, change, known...).Address()
+}
+
+// run runs a proxy that knows some providers.
+// Classes: read is safe, pay is keyed within a cell, burn is unsafe.
+func run(t *testing.T, change func(*config.Config), known ...directory.Endpoint) *Proxy {
 	t.Helper()
 	class := func(name string, e ryerill.Effect) ryerill.Class {
 		return ryerill.Class{Name: name, Aim: 2 * time.Second, Deadline: 20 * time.Second, Worth: 1, LateWorth: 0.5,
@@ -190,7 +196,7 @@
 			t.Error("the proxy failed")
 		}
 	})
-	return p.Address()
+	return p
 }
 
 // client is a consumer's connection.
@@ -329,7 +335,8 @@
 // answers what it takes in.
 func TestBreakdownOfDecisionsIsAnswered(t *testing.T) {
 	t.Parallel()
-	c := &core{log: slog.New(slog.DiscardHandler), clock: clock{time.Now()}, open: make(map[ryerill.RequestID]*entry), rooms: &rooms{}}
+	c := &core{log: slog.New(slog.DiscardHandler), clock: clock{time.Now()}, open: make(map[ryerill.RequestID]*entry), rooms: &rooms{},
+		figures: &figures{}, tallies: []*tally{{}}}
 	c.rooms.open.allowed.Store(2)
 	c.rooms.work.allowed.Store(2)
 	answers := make(chan invocation.Answer, 2)
@@ -428,7 +435,7 @@
 	t.Parallel()
 	c := &core{log: slog.New(slog.DiscardHandler), clock: clock{time.Now()}, balancer: ryerill.New(ryerill.Config{}, 1),
 		pool:      provider.NewPool(&(&rooms{}).sockets, time.Second, time.Second, nil),
-		providers: make(map[ryerill.ServerID]*target)}
+		providers: make(map[ryerill.ServerID]*target), seen: map[string]struct{}{}}
 	e := directory.Endpoint{Name: "first", Address: "127.0.0.1:1", Status: directory.Ready}
 	c.list(ryerill.ListFull, directory.List{Snapshot: true, Endpoints: []directory.Endpoint{e}})
 	for i := range 100 {
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -16,6 +16,7 @@
 	if a.Verdict == invocation.Failed && !time.Now().Before(e.until) {
 		a.Verdict = invocation.Overdue
 	}
+	c.counted(e, a.Verdict)
 	e.inv.Reply(a)
 	c.release(e)
 	return true
--- a/proxy/reload.go
+++ b/proxy/reload.go
@@ -19,7 +19,14 @@
 // that goes finishes them, and one of which only limits change keeps what it has
 // learnt. What the machine allows, the proxy's name and its seed hold from the
 // next start on.
-func (p *Proxy) Reload(cfg config.Config) error {
+func (p *Proxy) Reload(cfg config.Config) (err error) {
+	defer func() {
+		if err != nil {
+			p.figures.notReloaded.Add(1)
+		} else {
+			p.figures.reloaded.Add(1)
+		}
+	}()
 	p.reloading.Lock()
 	defer p.reloading.Unlock()
 	p.mu.Lock()
@@ -31,7 +38,8 @@
 	}
 	cfg.Name, cfg.Seed = old.Name, old.Seed
 	later := cfg.Limits != old.Limits
-	cfg.Limits = old.Limits
+	later = later || cfg.Mgmt != old.Mgmt
+	cfg.Limits, cfg.Mgmt, cfg.Scratch = old.Limits, old.Mgmt, old.Scratch
 
 	// What may fail: addresses and guarantees.
 	var fronts, opened []*listener
@@ -72,7 +80,7 @@
 			kept++
 			continue
 		}
-		pools[pool.Name] = newCore(pool, cfg.Seed+uint64(i), p.machine.rooms(pool.Name), p.buffers, p.log, p.clock)
+		pools[pool.Name] = newCore(pool, cfg.Seed+uint64(i), p.machine.rooms(pool.Name), p.buffers, p.log, p.clock, &p.figures, p.word)
 		made++
 	}
 	now, problems := newServices(cfg.Routes, pools)
@@ -119,15 +127,20 @@
 	for _, l := range fronts {
 		if slices.Contains(opened, l) {
 			p.serve(l)
+			l.front.Drain(p.drainsSince())
 		} else {
 			l.front.SetMost(p.connections(len(fronts)))
 		}
 	}
 	for _, c := range gone {
 		p.leaving.Add(1)
+		p.parting[c] = struct{}{}
 		go func() {
 			defer p.leaving.Done()
 			c.drain(c.cfg.Drain)
+			p.mu.Lock()
+			delete(p.parting, c)
+			p.mu.Unlock()
 			if name := c.cfg.Name; !p.has(name) { // another of its name shares its room
 				p.machine.left(name)
 			}
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -16,7 +16,15 @@
 type target struct {
 	id      ryerill.ServerID
 	address string
-	ready   atomic.Bool // neither terminating nor gone, by what the directory told
+	ready   atomic.Bool    // neither terminating nor gone nor out by hand
+	listed  listing        // what the directory told last
+	told    ryerill.Server // what the Balancer was told last: the same under the operators' word
+}
+
+// listing is an entry of the directory's list.
+type listing struct {
+	name   string
+	server ryerill.Server
 }
 
 // call is an invoker call with what booking it needs.
@@ -47,7 +55,8 @@
 			until = end
 		}
 	}
-	k.Call = provider.Call{Request: e.inv.Request, Provider: uint64(t.id), Address: t.address, Until: until, MayStart: t.ready.Load}
+	k.Call = provider.Call{Request: e.inv.Request, Provider: uint64(t.id), Address: t.address, Until: until, MayStart: t.ready.Load,
+		Written: func() { c.figures.calls.Add(1) }}
 	go c.send(k)
 }
 
@@ -112,11 +121,13 @@
 		if e.Address != "" {
 			t.address = e.Address
 		}
-		t.ready.Store(e.Status == directory.Ready)
 		listed[t.id] = e.Status != directory.Gone
-		servers = append(servers, ryerill.Server{ID: t.id, State: states[e.Status], Cell: e.Group, Weight: e.Weight,
+		t.listed = listing{e.Name, ryerill.Server{ID: t.id, State: states[e.Status], Cell: e.Group, Weight: e.Weight,
 			Zone: index(c.settings.Zones, e.Zone), Kind: index(c.settings.Kinds, e.Type),
-			Started: time.Duration(e.SinceMS) * time.Millisecond})
+			Started: time.Duration(e.SinceMS) * time.Millisecond}}
+		c.see(e.Name)
+		c.overlay(t)
+		servers = append(servers, t.told)
 	}
 	c.happen(ryerill.Event{Kind: ryerill.ServerList, List: kind, Version: list.Index, Servers: servers})
 	for id := range c.providers {
--- /dev/null
+++ b/proxy/staff.go
@@ -0,0 +1,176 @@
+package proxy
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"ryerill"
+	"ryerill/ops"
+	"ryerill/word"
+)
+
+// mostSeen bounds the names of providers that a pool remembers as once listed.
+const mostSeen = 4096
+
+// errNotReady are the reasons for a no to whether the proxy is ready.
+var (
+	errStarting = errors.New("not ready: it has no list of backends yet, or does not listen")
+	errEnding   = errors.New("not ready: it ends")
+	errDraining = errors.New("not ready: it drains, until POST /ops/drain/stop")
+)
+
+// cores are the present pools.
+func (p *Proxy) cores() []*core {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Values(p.pools))
+}
+
+// Readiness tells why this process is not ready to serve, or nil.
+func (p *Proxy) Readiness() error {
+	p.mu.Lock()
+	ready, life, drains := p.ready, p.life, p.word.Drain != 0
+	p.mu.Unlock()
+	switch {
+	case !ready:
+		return errStarting
+	case life.Err() != nil:
+		return errEnding
+	case drains:
+		return errDraining
+	}
+	return nil
+}
+
+// Down takes a provider out until Up.
+func (p *Proxy) Down(id string) error {
+	if !p.knows(id) {
+		return fmt.Errorf("%q: %w", id, ops.ErrUnknown)
+	}
+	return p.kept.Change(func(w word.Word, now time.Duration) (word.Word, error) { return w.TakeOut(id, now) })
+}
+
+// Up uses a provider again. One that is not out is no error.
+func (p *Proxy) Up(id string) error {
+	return p.kept.Change(func(w word.Word, now time.Duration) (word.Word, error) {
+		if !w.IsOut(id) && !p.knows(id) {
+			return w, fmt.Errorf("%q: %w", id, ops.ErrUnknown)
+		}
+		return w.CallBack(id, now), nil
+	})
+}
+
+// StartDrain empties the proxy until StopDrain.
+func (p *Proxy) StartDrain() error {
+	return p.kept.Change(func(w word.Word, now time.Duration) (word.Word, error) { return w.Start(now), nil })
+}
+
+// StopDrain ends a drain.
+func (p *Proxy) StopDrain() error {
+	return p.kept.Change(func(w word.Word, _ time.Duration) (word.Word, error) { return w.Stop(), nil })
+}
+
+func (p *Proxy) knows(name string) bool {
+	return slices.ContainsFunc(p.cores(), func(c *core) bool { return c.knows(name) })
+}
+
+// obey brings a new word into force: everywhere, before it returns.
+func (p *Proxy) obey(w word.Word) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.word
+	p.word = w
+	for _, c := range p.pools {
+		c.obey(w)
+	}
+	for c := range p.parting {
+		c.obey(w)
+	}
+	if w.Drain != before.Drain {
+		p.log.Info("operators' word", "drains", w.Drain != 0)
+		for _, l := range p.fronts {
+			l.front.Drain(p.drainsSince())
+		}
+	}
+	if !maps.Equal(w.Out, before.Out) {
+		p.log.Info("operators' word", "out", slices.Sorted(maps.Keys(w.Out)))
+	}
+}
+
+// drainsSince is when the drain began that staff have ordered; zero is none. It
+// may have been ordered at another process of this proxy. The mutex is held.
+func (p *Proxy) drainsSince() time.Time {
+	if p.word.Drain == 0 {
+		return time.Time{}
+	}
+	now := time.Now()
+	return now.Add(-max(time.Duration(now.UnixNano())-p.word.Drain, 0))
+}
+
+// knows tells whether the pool's list has a name, or had it since its start.
+func (c *core) knows(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, seen := c.seen[name]
+	return seen
+}
+
+// see notes names that are listed. At the bound those that are not listed any
+// more are forgotten. The mutex is held.
+func (c *core) see(name string) {
+	if len(c.seen) >= mostSeen {
+		clear(c.seen)
+		for _, t := range c.providers {
+			c.seen[t.listed.name] = struct{}{}
+		}
+	}
+	c.seen[name] = struct{}{}
+}
+
+// obey lays a new word over the list as it was told last. Nothing is sent to who
+// is out from here on.
+func (c *core) obey(w word.Word) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.word = w
+	var servers []ryerill.Server
+	for _, t := range c.providers {
+		before := t.told
+		if c.overlay(t); t.told != before {
+			servers = append(servers, t.told)
+			if t.told.State != ryerill.Ready {
+				go c.pool.CloseIdle(uint64(t.id)) // staff may restart it now
+			}
+		}
+	}
+	if len(servers) > 0 {
+		slices.SortFunc(servers, func(a, b ryerill.Server) int { return compare(a.ID, b.ID) })
+		c.happen(ryerill.Event{Kind: ryerill.ServerList, List: ryerill.ListChanges, Servers: servers})
+	}
+}
+
+func compare(a, b ryerill.ServerID) int {
+	if a < b {
+		return -1
+	}
+	return 1
+}
+
+// overlay makes out what a provider counts as, by the list and the word.
+func (c *core) overlay(t *target) {
+	t.told = c.word.Over(t.listed.name, t.listed.server)
+	t.ready.Store(t.told.State == ryerill.Ready)
+}
+
+// standing adds the names of the listed providers, and which of them the pool
+// sends nothing to now.
+func (c *core) standing(listed map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, t := range c.providers {
+		listed[t.listed.name] = listed[t.listed.name] || c.balancer.Avoids(id)
+	}
+}
--- /dev/null
+++ b/proxy/staff_test.go
@@ -0,0 +1,257 @@
+package proxy
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"ryerill/config"
+	"ryerill/ops"
+)
+
+// door opens the operators' door, with the word kept in a directory.
+func door(dir string) func(*config.Config) {
+	return func(c *config.Config) { c.Mgmt, c.Scratch = "127.0.0.1:0", dir }
+}
+
+// order makes one call at a door and returns the status and what it says.
+func order(t *testing.T, p *Proxy, method, path, body string) (int, string) {
+	t.Helper()
+	return dial(t, p.Door()).ask(fmt.Sprintf("%s /ops/%s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", method, path, len(body), body))
+}
+
+func figuresOf(t *testing.T, p *Proxy) (s ops.Stats) {
+	t.Helper()
+	_, text := order(t, p, "GET", "stats", "")
+	if err := json.Unmarshal([]byte(text), &s); err != nil {
+		t.Fatalf("%v in %s", err, text)
+	}
+	return s
+}
+
+// until looks again and again whether something has come true.
+func until(t *testing.T, what string, come func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !come(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never: " + what)
+		}
+	}
+}
+
+// The figures agree with what scripted providers and consumers saw: served,
+// refused, failed, tried again, left, torn and malformed requests.
+func TestFiguresAgreeWithALedger(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
+	tried := map[string]int{}
+	hold, held := make(chan struct{}), make(chan struct{}, 1)
+	behave := func(c net.Conn, r *http.Request) {
+		mu.Lock()
+		tried[r.Header.Get("Req-Id")]++
+		first := tried[r.Header.Get("Req-Id")] == 1
+		mu.Unlock()
+		switch mode := r.Header.Get("X-Mode"); {
+		case mode == "full", mode == "again" && first:
+			io.WriteString(c, "HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
+		case mode == "error":
+			io.WriteString(c, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+		case mode == "hold":
+			held <- struct{}{}
+			<-hold
+			io.WriteString(c, okay)
+		default:
+			io.WriteString(c, okay)
+		}
+	}
+	a, b := newBackend(t, behave), newBackend(t, behave)
+	p := run(t, door(""), a.endpoint("a", 1), b.endpoint("b", 1))
+	with := func(class, mode string) string {
+		return strings.Replace(request(class, 15000), "Req-Owner: nobody", "X-Mode: "+mode, 1)
+	}
+	want := map[string]ops.Calls{"read": {}, "pay": {}, "burn": {}}
+	for _, step := range []struct {
+		class, mode string
+		add         ops.Calls
+	}{{"read", "", ops.Calls{Success: 1}}, {"read", "again", ops.Calls{Success: 1}}, {"pay", "", ops.Calls{Success: 1}},
+		{"burn", "full", ops.Calls{Busy: 1}}, {"burn", "error", ops.Calls{Failure: 1}}, {"pay", "error", ops.Calls{Failure: 1}}} {
+		for range 3 {
+			dial(t, p.Address()).ask(with(step.class, step.mode))
+			w := want[step.class]
+			want[step.class] = ops.Calls{Success: w.Success + step.add.Success, Busy: w.Busy + step.add.Busy, Failure: w.Failure + step.add.Failure}
+		}
+	}
+	// What is no invocation counts by its class, and what breaks off or names no class of ours not at all.
+	if status, _ := dial(t, p.Address()).ask("POST /read HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nReq-Kind: read\r\nContent-Length: 0\r\n\r\n"); status != 405 {
+		t.Error(status)
+	}
+	w := want["read"]
+	w.Failure++
+	want["read"] = w
+	dial(t, p.Address()).ask("GET /none HTTP/1.1\r\nHost: x\r\nReq-Id: 2\r\n\r\n")
+	torn := dial(t, p.Address())
+	io.WriteString(torn, request("pay", 15000)[:60])
+	torn.Close()
+	if s := figuresOf(t, p); s.Inflight != 0 {
+		t.Errorf("%d in flight", s.Inflight)
+	}
+	waiting := dial(t, p.Address())
+	io.WriteString(waiting, with("burn", "hold"))
+	await(t, held, "the request that is held")
+	s := figuresOf(t, p)
+	if got := fmt.Sprint(s.Calls); got != fmt.Sprint(want) {
+		t.Errorf("calls %s, want %v", got, want)
+	}
+	mu.Lock()
+	attempts := 0
+	for _, n := range tried {
+		attempts += n
+	}
+	mu.Unlock()
+	if s.BackendCalls != int64(attempts) || s.Inflight != 1 || s.HostsListed != 2 {
+		t.Errorf("%+v, and providers saw %d attempts", s, attempts)
+	}
+	waiting.Close()
+	until(t, "a request whose consumer left has ended", func() bool { return figuresOf(t, p).Inflight == 0 })
+	close(hold)
+}
+
+// Who is out gets nothing, whatever the list says in between, until one call
+// back; and not even a new process of the proxy sends to it.
+func TestOutByHandHoldsAgainstTheList(t *testing.T) {
+	t.Parallel()
+	a, b := newBackend(t, says(okay)), newBackend(t, says(okay))
+	g, dir := newRegistry(t), t.TempDir()
+	directed := func(c *config.Config) {
+		door(dir)(c)
+		c.Pools[0].Directory = g.Listener.Addr().String()
+	}
+	p := run(t, directed, a.endpoint("a", 1), b.endpoint("b", 1))
+	for range 2 {
+		if status, text := order(t, p, "POST", "backends/down", "a"); status != 200 {
+			t.Fatal(status, text)
+		}
+	}
+	if status, text := order(t, p, "POST", "backends/down", "nobody"); status != 404 || !strings.Contains(text, "directory's list") {
+		t.Error(status, text)
+	}
+	if status, _ := order(t, p, "POST", "backends/up", "nobody"); status != 404 {
+		t.Error(status)
+	}
+	back, terminating, restarted := a.endpoint("a", 1), a.endpoint("a", 1), a.endpoint("a", 1)
+	terminating.Status = "Terminating"
+	gone := back
+	gone.Status = "Gone"
+	restarted.SinceMS = time.Now().UnixMilli()
+	before := a.requests.Load()
+	for i, list := range []string{encode(t, 2, false, back), encode(t, 3, false, terminating), encode(t, 4, false, back),
+		encode(t, 5, false, gone), encode(t, 6, false, restarted), encode(t, 7, true, b.endpoint("b", 1)), encode(t, 8, true, back, b.endpoint("b", 1))} {
+		g.tell(t, list)
+		g.await(t, fmt.Sprintf("since=%d", i+2)) // it has been taken in
+		for range 10 {
+			if status, _ := dial(t, p.Address()).ask(request("read", 15000)); status != 200 {
+				t.Errorf("list %d: answered %d", i+2, status)
+			}
+		}
+	}
+	if s := figuresOf(t, p); s.HostsListed != 2 || s.HostsDown != 1 {
+		t.Errorf("%+v", s)
+	}
+	second := run(t, door(dir), a.endpoint("a", 1), b.endpoint("b", 1))
+	for range 10 {
+		dial(t, second.Address()).ask(request("read", 15000))
+	}
+	if got := a.requests.Load() - before; got != 0 {
+		t.Errorf("%d requests at a provider that is out", got)
+	}
+	// Called back at one process, it is back at both, and counts as just started.
+	if status, _ := order(t, second, "POST", "backends/up", "a"); status != 200 {
+		t.Error(status)
+	}
+	until(t, "work for who is back", func() bool {
+		dial(t, p.Address()).ask(request("read", 15000))
+		return a.requests.Load() > before
+	})
+	c := p.cores()[0]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t2 := c.providers[serverID("a")]; t2.told.Started <= t2.listed.server.Started || t2.told.State != 1 {
+		t.Errorf("back as %+v", t2.told)
+	}
+}
+
+// A drain says no, ends idle connections, answers what it has, and is undone.
+func TestDrainByHand(t *testing.T) {
+	t.Parallel()
+	hold, held := make(chan struct{}), make(chan struct{}, 1)
+	b := newBackend(t, func(c net.Conn, r *http.Request) {
+		if r.Method == "POST" {
+			held <- struct{}{}
+			<-hold
+		}
+		io.WriteString(c, okay)
+	})
+	p := run(t, door(t.TempDir()), b.endpoint("b", 1))
+	ready := func() int { return dial(t, p.Address()).send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").StatusCode }
+	idle, busy, silent := dial(t, p.Address()), dial(t, p.Address()), dial(t, p.Address())
+	idle.ask(request("read", 15000))
+	io.WriteString(busy, request("burn", 15000))
+	await(t, held, "the request that is held")
+	began := time.Now()
+	for range 2 { // twice is once
+		if status, _ := order(t, p, "POST", "drain/start", ""); status != 200 {
+			t.Fatal(status)
+		}
+	}
+	if status, _ := order(t, p, "GET", "readiness", ""); status != 503 || ready() != 503 {
+		t.Errorf("while it drains: %d", status)
+	}
+	for _, c := range []*client{idle, silent} {
+		if _, err := c.r.ReadByte(); err != io.EOF {
+			t.Errorf("a connection without a request ends with %v", err)
+		}
+	}
+	if took := time.Since(began); took > 4*time.Second {
+		t.Errorf("idle connections went after %v", took)
+	}
+	close(hold)
+	if resp := busy.send(""); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("what was taken: %d, close %v", resp.StatusCode, resp.Close)
+	}
+	until(t, "what comes late is refused", func() bool {
+		resp := dial(t, p.Address()).send(request("read", 15000))
+		return resp.StatusCode == 503 && resp.Close
+	})
+	if status, _ := order(t, p, "POST", "drain/stop", ""); status != 200 || ready() != 200 {
+		t.Errorf("after the drain: %d", status)
+	}
+	again := dial(t, p.Address())
+	for range 2 { // over one connection, which is kept again
+		if status, _ := again.ask(request("read", 15000)); status != 200 {
+			t.Errorf("after the drain: %d", status)
+		}
+	}
+}
+
+// Yes is said only of what is kept: where it can't be, nothing changes.
+func TestNoYesWithoutKeeping(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, says(okay))
+	p := run(t, door(filepath.Join(t.TempDir(), "missing")), b.endpoint("b", 1))
+	if status, text := order(t, p, "POST", "backends/down", "b"); status != 503 || !strings.Contains(text, "kept") {
+		t.Error(status, text)
+	}
+	if status, _ := order(t, p, "GET", "readiness", ""); status != 200 {
+		t.Error(status)
+	}
+	if s := figuresOf(t, p); s.HostsDown != 0 {
+		t.Errorf("%+v", s)
+	}
+}
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -16,11 +16,13 @@
 func (c *core) Take(inv *invocation.Invocation) uint64 {
 	if !c.rooms.work.Take(1+config.Cost(inv.Request.Body.Len())) || !c.rooms.open.Take(1) {
 		inv.Request.Free()
+		c.tallies[inv.Class].ended(invocation.Refused)
 		inv.Reply(invocation.Answer{Verdict: invocation.Refused, RetryAfter: noRoom})
 		return 0 // the ticket of none: the Balancer's ids begin at 1
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.figures.inflight.Add(1)
 	c.newest++
 	e := &entry{id: c.newest, inv: inv, until: inv.Taken.Add(inv.Left)}
 	c.open[e.id] = e
@@ -53,6 +55,7 @@
 // depart ends an invocation for which nothing is owed any more.
 func (c *core) depart(e *entry) {
 	e.done = true
+	c.counted(e, invocation.Failed)
 	c.happen(ryerill.Event{Kind: ryerill.Departed, Request: e.id})
 	c.release(e)
 }
