Pass long bodies through both ways, and give a body time by what has come of it

Cause: 58 requests were cut off since head and body together took over 2.5 s, and every body over 64 KiB failed.

Change: what is longer than 64 KiB passes through block by block with backpressure; its call ends for the Balancer when the answer begins to go on, its request with the last byte. A long request goes out once: Event.Spent tells the Balancer that it can't be sent again. Answers that only their connection's end delimits are taken. What an uploading consumer does is no fault of a provider.

Ruled out before: CPU and descriptors.

--- a/balancer.go
+++ b/balancer.go
@@ -655,7 +655,7 @@
 		b.wake(r.key, b.cfg.Contract.KeyRest)
 	}
 	r.done = r.done || ev.Closed
-	again := (r.ran == nil || r.c.Effect != Unsafe) && len(r.attempts) < b.cfg.Limits.Attempts
+	again := !ev.Spent && (r.ran == nil || r.c.Effect != Unsafe) && len(r.attempts) < b.cfg.Limits.Attempts
 	if !r.done && !(again && b.random() < blame && b.send(r)) {
 		b.answer(r)
 	}
--- a/config/file.go
+++ b/config/file.go
@@ -287,7 +287,7 @@
 			least = 2 // its connection to the directory is one of them
 		}
 		set(&p.Guarantee.Sockets, max(share.Sockets/n, least))
-		set(&p.Guarantee.BodiesKB, max(share.Bodies/n, invocation.MaxBody)>>10)
+		set(&p.Guarantee.BodiesKB, max(share.Bodies/n, invocation.MaxHeld)>>10)
 		set(&p.Guarantee.Open, max(share.Open/n, 1))
 		set(&p.Guarantee.WorkPerS, f.Machine.WorkPerS/n)
 		longest := time.Duration(0)
--- a/consumer/http.go
+++ b/consumer/http.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/fnv"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"slices"
@@ -28,6 +29,8 @@
 	maxHead   = 32 << 10  // bytes of a request's head
 	maxID     = 256       // bytes of a Req-Id
 	maxLeft   = time.Hour // no consumer is believed to wait longer
+
+	chunkedMost = 8 * invocation.MaxBody // bytes of a body in chunks, with their framing: one for each byte is six
 )
 
 // httpError is an answer to what is not an invocation that can be taken in.
@@ -67,24 +70,35 @@
 	return req, f, nil
 }
 
-// readBody reads the body of a request whose head is in.
-func (c *conn) readBody(req *http.Request, f framing.Body) (*buffer.Body, error) {
+// readBody reads the body of a request whose head is in, as far as it is held.
+// What is still to come of it then is returned too.
+func (c *conn) readBody(req *http.Request, f framing.Body) (*buffer.Body, *upload, error) {
 	if f.Length == 0 && !f.Chunked {
-		return nil, nil
+		return nil, nil, nil
 	}
 	switch expect := req.Header.Get("Expect"); {
 	case expect == "":
 	case !strings.EqualFold(expect, "100-continue"):
-		return nil, &httpError{http.StatusExpectationFailed, "unknown expectation"}
+		return nil, nil, &httpError{http.StatusExpectationFailed, "unknown expectation"}
 	case !c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"), nil):
-		return nil, io.ErrClosedPipe
+		return nil, nil, io.ErrClosedPipe
 	}
-	c.N = 3 * invocation.MaxBody // with the framing of its chunks
-	body, err := c.server.buffers.ReadBody(f.Reader(c.r), invocation.MaxBody)
-	if err != nil {
-		return nil, c.fault(err, "body", http.StatusRequestEntityTooLarge)
+	c.N = math.MaxInt64
+	if f.Chunked {
+		c.N = chunkedMost
+	}
+	c.comesIn()
+	src := f.Reader(c.r)
+	body, whole, err := c.server.buffers.ReadPart(src, invocation.MaxHeld+1, nil)
+	switch {
+	case err != nil:
+		body.Free()
+		return nil, nil, c.fault(err, "body", http.StatusRequestEntityTooLarge)
+	case whole:
+		c.pace = pace{}
+		return body, nil, nil
 	}
-	return body, nil
+	return body, newUpload(c, src, invocation.MaxBody-int64(body.Len())), nil
 }
 
 // find returns the way of a request.
@@ -127,12 +141,15 @@
 
 // parse turns a request into an invocation. Where it can't, what it was given
 // is still the caller's.
-func (w *Way) parse(req *http.Request, body *buffer.Body, taken time.Time) (*invocation.Invocation, error) {
+func (w *Way) parse(req *http.Request, body *buffer.Body, rest *upload, length int64, taken time.Time) (*invocation.Invocation, error) {
 	inv, err := w.Service.Names().read(req, body, taken, w.Class)
 	if err != nil {
 		return nil, err
 	}
-	inv.Request = &invocation.Request{Method: req.Method, Target: w.Target, Host: req.Host, Header: req.Header, Body: body}
+	inv.Request = &invocation.Request{Method: req.Method, Target: w.Target, Host: req.Host, Header: req.Header, Body: body, Length: length}
+	if rest != nil {
+		inv.Request.Rest = rest
+	}
 	return inv, nil
 }
 
@@ -191,12 +208,18 @@
 // writes are the methods of requests that are not safe to repeat.
 var writes = []string{http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete}
 
-// head returns the head of an answer.
-func head(code, length int, header http.Header, retryAfter time.Duration, closes bool) []byte {
+// head returns the head of an answer. One of unknown length goes in chunks, to an
+// old consumer until the connection ends.
+func head(code int, length int64, old bool, header http.Header, retryAfter time.Duration, closes bool) []byte {
 	b := make([]byte, 0, 256)
 	b = append(strconv.AppendInt(append(b, "HTTP/1.1 "...), int64(code), 10), ' ')
-	b = append(append(b, http.StatusText(code)...), "\r\nContent-Length: "...)
-	b = append(strconv.AppendInt(b, int64(length), 10), "\r\n"...)
+	b = append(append(b, http.StatusText(code)...), "\r\n"...)
+	switch {
+	case length != invocation.Unknown:
+		b = append(strconv.AppendInt(append(b, "Content-Length: "...), length, 10), "\r\n"...)
+	case !old:
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	}
 	b = http1.AppendHeader(b, header)
 	if retryAfter > 0 {
 		b = strconv.AppendFloat(append(b, "Retry-After: "...), retryAfter.Seconds(), 'f', 3, 64)
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -25,7 +25,8 @@
 const (
 	firstTimeout = 2200 * time.Millisecond // a connection that has never asked is closed after this
 	idleTimeout  = 10 * time.Second        // one between requests is closed after this
-	readTimeout  = 2500 * time.Millisecond // a request is in this long after its first byte; the first after the accept
+	readTimeout  = 2500 * time.Millisecond // a head is in this long after its first byte; the first after the accept,
+	headTimeout  = 2200 * time.Millisecond // or this long after its first byte, if that is later
 	writeTimeout = 5 * time.Second         // an answer is out in this time
 	leaveMargin  = 30 * time.Second        // a connection is watched this long beyond its invocation's time
 	killedAfter  = 3 * time.Second         // the word to stop is followed by the kill after the longest deadline or this,
@@ -141,7 +142,7 @@
 	if err != nil {
 		return
 	}
-	for range s.most {
+	for end := time.Now().Add(grace); time.Now().Before(end); {
 		fd := -1
 		raw.Control(func(l uintptr) { fd, _, err = unix.Accept4(int(l), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC) })
 		if err != nil {
@@ -234,7 +235,7 @@
 	}
 	if len(s.conns) >= s.most+reserve {
 		nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-		nc.Write(head(http.StatusServiceUnavailable, 0, nil, time.Second, true))
+		nc.Write(head(http.StatusServiceUnavailable, 0, false, nil, time.Second, true))
 		nc.Close()
 		return
 	}
@@ -299,16 +300,19 @@
 	N       int64  // bytes that one request may still bring in
 	failed  bool   // the connection itself broke
 	refused bool   // beyond the limit
+	old     bool   // speaks HTTP/1.0
 	class   string // that the present request states; empty is none known
+	pace    pace   // of the body that comes in
 
 	accepted time.Time
 
 	// Guarded by server.mu:
-	state state
-	since time.Time // when it came into its state
-	until time.Time // when it is to leave it at the latest
-	asked bool      // it has brought a request
-	gone  bool      // given up: its place is given away once
+	state     state
+	since     time.Time // when it came into its state
+	until     time.Time // when it is to leave it at the latest
+	asked     bool      // it has brought a request
+	abandoned bool      // the body that comes in is not wanted any more
+	gone      bool      // given up: its place is given away once
 }
 
 func newConn(s *Server, nc *net.TCPConn) *conn {
@@ -338,6 +342,9 @@
 		return 0, io.EOF
 	}
 	p = p[:min(int64(len(p)), c.N)]
+	if c.pace.bytes > 0 {
+		c.keepPace()
+	}
 	n, err := c.nc.Read(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) && socket.Peek(c.nc) == socket.Waiting {
 		c.server.mu.Lock()
@@ -350,10 +357,29 @@
 		}
 	}
 	c.N -= int64(n)
+	if !c.pace.since.IsZero() {
+		c.pace.bytes += int64(n)
+	}
 	c.failed = err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 	return n, err
 }
 
+// comesIn notes that a body begins to come in, which has a time of its own.
+func (c *conn) comesIn() {
+	c.pace = pace{since: time.Now()}
+	c.keepPace()
+}
+
+// keepPace moves the time until when more of the body must be in.
+func (c *conn) keepPace() {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if !c.gone && !c.abandoned {
+		c.until = c.pace.until()
+		c.nc.SetReadDeadline(c.until)
+	}
+}
+
 // past is a deadline that ends a read which waits.
 var past = time.Unix(1, 0)
 
@@ -403,7 +429,7 @@
 	defer c.server.mu.Unlock()
 	until := time.Now().Add(readTimeout)
 	if !c.asked { // who drips its first request in, or stops in it, is told in time
-		until = c.accepted.Add(max(readTimeout, time.Since(c.accepted)+fresh))
+		until = c.accepted.Add(max(readTimeout, time.Since(c.accepted)+headTimeout))
 	}
 	c.enter(reading, until)
 	return true
@@ -431,18 +457,22 @@
 			return
 		}
 		if req.Method == http.MethodGet && req.RequestURI == readyPath {
-			body, err := c.readBody(req, frame)
+			body, rest, err := c.readBody(req, frame)
+			if err == nil && rest != nil {
+				err = &httpError{http.StatusRequestEntityTooLarge, "a body where none belongs"}
+			}
+			body.Free()
 			if err != nil {
 				c.reject(err)
 				return
 			}
-			body.Free()
 			c.taken()
 			if !c.ready(req.Close) {
 				return
 			}
 			continue
 		}
+		c.old = !req.ProtoAtLeast(1, 1)
 		way, inv, err := c.invocation(req, frame)
 		if err != nil {
 			c.reject(err)
@@ -451,7 +481,7 @@
 		if c.refused || c.server.present().Refusing {
 			c.server.services.Turned(c.class, true)
 			inv.Request.Free()
-			c.write(head(http.StatusServiceUnavailable, 0, nil, time.Second, true), nil)
+			c.write(head(http.StatusServiceUnavailable, 0, false, nil, time.Second, true), nil)
 			c.lingerClose()
 			return
 		}
@@ -462,11 +492,30 @@
 			return
 		}
 		inv.Left = c.server.left(inv.Left)
-		closes := req.Close
-		inv.Reply = func(a invocation.Answer) { go c.answer(a, id, closes, answered) }
-		c.nc.SetReadDeadline(inv.Taken.Add(inv.Left + leaveMargin))
-		c.N = maxHead
+		rest, _ := inv.Request.Rest.(*upload)
+		closes := req.Close || c.old
+		inv.Reply = func(a invocation.Answer) { go c.answer(a, id, closes, rest, answered) }
+		left := inv.Left
+		if rest == nil {
+			c.nc.SetReadDeadline(inv.Taken.Add(left + leaveMargin))
+			c.N = maxHead
+		}
 		ticket := way.Service.Take(inv)
+		if rest != nil {
+			<-rest.over // until then the connection is the upload's to read
+			if err := rest.err; !errors.Is(err, io.EOF) {
+				if !errors.Is(err, errAbandoned) && way.Service.Leave(ticket) {
+					c.server.release(id, c)
+					c.reject(err)
+					return
+				}
+				<-answered // with a close
+				return
+			}
+			c.pace = pace{}
+			c.N = maxHead
+			c.nc.SetReadDeadline(time.Now().Add(left + leaveMargin))
+		}
 		_, err = c.r.Peek(1) // the next request, which comes after the answer, or the consumer's end
 		if err != nil {
 			c.server.mu.Lock() // an answer that is through lets go of it after all is booked
@@ -494,18 +543,22 @@
 	}
 	give := func() {}
 	if size := frame.Length; size > 0 || frame.Chunked {
-		if frame.Chunked {
-			size = invocation.MaxBody
+		if size = min(size, invocation.MaxHeld); frame.Chunked {
+			size = invocation.MaxHeld
 		}
 		var ok bool
 		if give, ok = way.Service.Hold(int(size)); !ok {
 			return way, nil, &httpError{http.StatusServiceUnavailable, "no room for the body"}
 		}
 	}
-	body, err := c.readBody(req, frame)
+	body, rest, err := c.readBody(req, frame)
 	if err == nil {
 		c.taken()
-		if inv, err = way.parse(req, body, time.Now()); err == nil {
+		length := frame.Length
+		if frame.Chunked {
+			length = invocation.Unknown
+		}
+		if inv, err = way.parse(req, body, rest, length, time.Now()); err == nil {
 			inv.Request.Done = give
 			return way, inv, nil
 		}
@@ -537,9 +590,11 @@
 
 // answer writes a final answer and tells the reader whether the connection
 // goes on.
-func (c *conn) answer(a invocation.Answer, id string, closes bool, answered chan<- bool) {
+func (c *conn) answer(a invocation.Answer, id string, closes bool, rest *upload, answered chan<- bool) {
 	defer a.Response.Free()
 	c.server.release(id, c)
+	early := rest != nil && !rest.abandon()
+	closes = closes || early
 	c.server.mu.Lock()
 	closes = closes || c.server.phase().Last
 	c.server.mu.Unlock()
@@ -548,7 +603,16 @@
 	if a.Response != nil {
 		header, body = a.Response.Header, a.Response.Body
 	}
-	goesOn := c.write(head(status(a.Verdict), body.Len(), header, a.RetryAfter, closes), body) && !closes
+	var whole bool
+	if a.Response != nil && a.Response.Rest != nil {
+		whole = c.stream(status(a.Verdict), a.Response, closes)
+	} else {
+		whole = c.write(head(status(a.Verdict), int64(body.Len()), c.old, header, a.RetryAfter, closes), body)
+	}
+	goesOn := whole && !closes
+	if whole && early {
+		c.discard()
+	}
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	answered <- goesOn
@@ -574,7 +638,7 @@
 	if !now.Ready {
 		code, closes = http.StatusServiceUnavailable, true
 	}
-	if !c.write(head(code, 0, nil, 0, closes), nil) || closes {
+	if !c.write(head(code, 0, false, nil, 0, closes), nil) || closes {
 		return false
 	}
 	c.server.mu.Lock()
@@ -592,7 +656,7 @@
 	if c.class != "" {
 		c.server.services.Turned(c.class, e.status == http.StatusServiceUnavailable)
 	}
-	if c.write(head(e.status, 0, nil, e.retryAfter(), true), nil) {
+	if c.write(head(e.status, 0, false, nil, e.retryAfter(), true), nil) {
 		c.lingerClose()
 	}
 }
--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -53,27 +53,45 @@
 
 // ReadBody reads src to its end, limit bytes at most.
 func (p *Pool) ReadBody(src io.Reader, limit int) (*Body, error) {
-	b := &Body{pool: p}
-	for {
+	b, whole, err := p.ReadPart(src, limit+1, nil)
+	if err == nil && !whole {
+		err = ErrTooLarge
+	}
+	if err != nil {
+		b.Free()
+		return nil, err
+	}
+	return b, nil
+}
+
+// ReadPart reads src to its end, or until it has so many bytes, or enough says
+// after some that they will do; nil never does. It reports whether it has met the
+// end. What was read before an error is returned with it.
+func (p *Pool) ReadPart(src io.Reader, limit int, enough func() bool) (b *Body, whole bool, err error) {
+	b = &Body{pool: p}
+	for b.size < limit && (b.size == 0 || enough == nil || !enough()) {
 		at := b.size % Size
 		if at == 0 && len(b.blocks)*Size == b.size {
 			b.blocks = append(b.blocks, p.block())
 		}
 		n, err := src.Read(b.blocks[len(b.blocks)-1][at:])
 		b.size += n
-		if b.size > limit {
-			err = ErrTooLarge
-		}
 		if errors.Is(err, io.EOF) {
-			return b, nil
+			return b, true, nil
 		}
 		if err != nil {
-			b.Free()
-			return nil, err
+			return b, false, err
 		}
 	}
+	return b, false, nil
 }
 
+// Block returns a block of [Size] bytes, to be given back.
+func (p *Pool) Block() *[Size]byte { return p.block() }
+
+// PutBlock takes a block back. It must not be used any more.
+func (p *Pool) PutBlock(b *[Size]byte) { p.blocks.Put(b) }
+
 // Len returns the length of the body.
 func (b *Body) Len() int {
 	if b == nil {
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -84,8 +84,12 @@
 	return n, err == nil
 }
 
-// Reader returns a reader of the body, which leaves alone what follows.
+// Reader returns a reader of the body, which leaves alone what follows. One that
+// nothing delimits ends with its connection.
 func (b Body) Reader(r *bufio.Reader) io.Reader {
+	if !b.Stated {
+		return r
+	}
 	if b.Chunked {
 		return &chunks{Reader: httputil.NewChunkedReader(r), r: r}
 	}
--- a/invocation/invocation.go
+++ b/invocation/invocation.go
@@ -5,14 +5,31 @@
 package invocation
 
 import (
+	"io"
 	"net/http"
 	"time"
 
 	"ryerill/internal/buffer"
 )
 
-// MaxBody is the most bytes that a body may hold, of a request or an answer.
-const MaxBody = 64 << 10
+// Bounds of bodies, of a request or an answer.
+const (
+	MaxHeld = 64 << 10 // bytes that are held whole; what is longer passes through
+	MaxBody = 64 << 20 // bytes in all
+)
+
+// Unknown is the length of a body that does not state it.
+const Unknown = -1
+
+// Upload is what has not come in of a request's body when it is taken in. It can
+// be read once.
+type Upload interface {
+	// Read returns io.EOF at the body's end. An error that is not io.EOF says that
+	// the consumer broke off, or the invocation ended.
+	io.Reader
+	// Spent tells whether any of it has been read: it can't be sent again.
+	Spent() bool
+}
 
 // Request is what is asked for, the same at each invoker call but for the time
 // left. Names of its header are in canonical form; the body may be nil.
@@ -21,7 +38,9 @@
 	Target string // path and query as they came
 	Host   string
 	Header http.Header
-	Body   *buffer.Body
+	Body   *buffer.Body // the whole body, or what is held of it if there is a Rest
+	Rest   Upload       // nil is none
+	Length int64        // of Body and Rest together, or Unknown; without Rest it says nothing
 
 	// Done is called once by Free; it may be nil.
 	Done func()
@@ -39,16 +58,30 @@
 	}
 }
 
-// Response is a provider's whole answer that served. A nil Response is empty.
+// Response is a provider's answer that served. A nil Response is empty.
 type Response struct {
 	Header http.Header
-	Body   *buffer.Body
+	Body   *buffer.Body  // the whole body, or how it begins if there is a Rest
+	Rest   io.ReadCloser // what follows while the provider gives it; nil is nothing
+	Length int64         // of Body and Rest together, or Unknown; without Rest it says nothing
+
+	// Done is called once by Free; it may be nil.
+	Done func()
 }
 
-// Free gives the body back.
+// Free gives the body back, and ends what is still to come.
 func (r *Response) Free() {
-	if r != nil {
-		r.Body.Free()
+	if r == nil {
+		return
+	}
+	r.Body.Free()
+	if r.Rest != nil {
+		r.Rest.Close()
+		r.Rest = nil
+	}
+	if r.Done != nil {
+		r.Done()
+		r.Done = nil
 	}
 }
 
@@ -59,7 +92,7 @@
 	Key     uint64
 	Repeat  bool // marked as a retry
 	Write   bool
-	Taken   time.Time     // when its last byte was in
+	Taken   time.Time     // when its last byte was in; with a Rest, when it was taken in
 	Left    time.Duration // from then until the consumer gives up
 	Request *Request
 
@@ -89,5 +122,5 @@
 // that each gets its answer.
 type Intake interface {
 	Take(*Invocation) (ticket uint64)
-	Leave(ticket uint64) // the consumer has gone away
+	Leave(ticket uint64) (owed bool) // the consumer has gone away; whether it was owed an answer
 }
--- a/provider/call.go
+++ b/provider/call.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -11,7 +10,6 @@
 	"time"
 
 	"ryerill"
-	"ryerill/internal/buffer"
 	"ryerill/internal/framing"
 	"ryerill/internal/http1"
 	"ryerill/invocation"
@@ -29,7 +27,10 @@
 	Address  string
 	Until    time.Time   // the proxy stops waiting
 	MayStart func() bool // asked right before the first byte is written
-	Written  func()      // told once its last byte is; nil is nobody
+
+	// Written is told once the last byte is, and returns until when to wait from
+	// then on; zero is as before. It may be nil.
+	Written func() time.Time
 
 	mu        sync.Mutex
 	conn      *conn // nil unless the call holds one
@@ -46,6 +47,15 @@
 	}
 }
 
+// within sets the deadline of the connection, unless the call is called off.
+func (c *Call) within(conn *conn, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.cancelled {
+		conn.SetDeadline(until)
+	}
+}
+
 // hold and release keep Cancel away from a connection that the call does not
 // own, which may be in another call's hands already.
 func (c *Call) hold(conn *conn) bool {
@@ -89,6 +99,13 @@
 			outcome = ryerill.Cancelled
 		}
 	}
+	switch {
+	case response != nil && response.Rest != nil && outcome == ryerill.OK:
+		return outcome, response // which holds the connection
+	case response != nil && outcome != ryerill.OK:
+		response.Free()
+		response = nil
+	}
 	if again {
 		p.put(conn)
 	} else {
@@ -97,16 +114,27 @@
 	return outcome, response
 }
 
-// exchange writes the request and reads the answer whole. It reports whether
-// the connection may be used again.
+// exchange writes the request and reads the answer, whole unless it is long. It
+// reports whether the connection may be used again.
 func (p *Pool) exchange(conn *conn, c *Call) (outcome ryerill.Outcome, response *invocation.Response, again bool) {
-	message := c.Request.Body.AppendTo(net.Buffers{encode(c.Request, time.Until(c.Until))})
-	if _, err := message.WriteTo(conn.TCPConn); err != nil {
+	if c.Request.Rest != nil && c.Request.Rest.Spent() {
+		return ryerill.Moot, nil, false // part of it is gone
+	}
+	out := p.write(conn, c)
+	switch {
+	case out == failed:
 		return ryerill.ConnectFailed, nil, false // its last byte was never written: it cannot have run
+	case out == unheard:
+		return ryerill.Moot, nil, false
+	case out == whole && c.Written != nil:
+		if until := c.Written(); !until.IsZero() {
+			c.Until = until
+		}
 	}
-	if c.Written != nil {
-		c.Written()
+	if until := time.Now().Add(progress); out == heard && until.Before(c.Until) {
+		c.Until = until // how long the whole request would have been waited for says nothing now
 	}
+	c.within(conn, c.Until)
 	request := http.Request{Method: c.Request.Method}
 	for range maxInterim + 1 {
 		conn.limit.N = maxHead
@@ -123,31 +151,28 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		// The whole body is read before any of it is passed on: an answer that breaks off is an outcome
-		// like any other, and the consumer is not left with half of it. One that only a close would end
-		// could have been cut off anywhere.
 		frame, err := framing.Judge(head)
-		empty := resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
-		if err != nil || frame.Length > invocation.MaxBody || !frame.Stated && !empty {
+		if err != nil || frame.Length > invocation.MaxBody {
 			return ryerill.Reset, nil, false
 		}
-		var body *buffer.Body
-		if !empty {
-			conn.limit.N = 3 * invocation.MaxBody // with the framing of its chunks
-			if body, err = p.buffers.ReadBody(frame.Reader(conn.r), invocation.MaxBody); err != nil {
-				return broken(err), nil, false
-			}
-		}
-		again = !resp.Close && resp.ProtoAtLeast(1, 1) && conn.r.Buffered() == 0
+		keep := out == whole && frame.Stated && !resp.Close && resp.ProtoAtLeast(1, 1)
 		if resp.StatusCode == http.StatusOK {
-			return ryerill.OK, &invocation.Response{Header: resp.Header, Body: body}, again
+			return p.served(conn, c, resp.Header, frame, keep)
+		}
+		// What an error says is of no account, but read it must be if the connection is to be used again.
+		if resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
+			keep = keep || out == whole && !resp.Close && resp.ProtoAtLeast(1, 1)
+		} else if conn.limit.N = 3 * invocation.MaxHeld; keep {
+			body, err := p.buffers.ReadBody(frame.Reader(conn.r), invocation.MaxHeld)
+			keep = err == nil
+			body.Free()
 		}
-		body.Free()
+		keep = keep && conn.r.Buffered() == 0
 		declined := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
 		if declined && resp.Header.Get(http1.HeaderDeclined) == "1" {
-			return ryerill.Full, nil, again
+			return ryerill.Full, nil, keep
 		}
-		return ryerill.Error, nil, again
+		return ryerill.Error, nil, keep
 	}
 	return ryerill.Reset, nil, false
 }
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -34,6 +34,7 @@
 // Pool keeps the connections to providers.
 type Pool struct {
 	room    Room
+	bodies  Room // bytes of answers that are held; nil has no bound
 	keep    time.Duration
 	connect time.Duration
 	buffers *buffer.Pool
@@ -67,6 +68,9 @@
 	return p
 }
 
+// HoldIn makes the pool take what it holds of answers, in bytes, from a room.
+func (p *Pool) HoldIn(bodies Room) { p.bodies = bodies }
+
 // Set changes how long connections are kept and waited for, from the next on.
 func (p *Pool) Set(idleClose, connectTimeout time.Duration) {
 	p.mu.Lock()
--- a/provider/request.go
+++ b/provider/request.go
@@ -16,8 +16,13 @@
 	head = append(append(append(append(head, r.Method...), ' '), r.Target...), " HTTP/1.1\r\nHost: "...)
 	head = append(append(head, r.Host...), "\r\n"...)
 	head = http1.AppendHeader(head, r.Header)
-	if r.Body.Len() > 0 || r.Method != http.MethodGet {
-		head = append(strconv.AppendInt(append(head, "Content-Length: "...), int64(r.Body.Len()), 10), "\r\n"...)
+	if r.Rest != nil && r.Length == invocation.Unknown {
+		head = append(head, "Transfer-Encoding: chunked\r\n"...)
+	} else if length := int64(r.Body.Len()); r.Rest != nil || length > 0 || r.Method != http.MethodGet {
+		if r.Rest != nil {
+			length = r.Length
+		}
+		head = append(strconv.AppendInt(append(head, "Content-Length: "...), length, 10), "\r\n"...)
 	}
 	head = append(append(head, http1.HeaderDeadline...), ": "...)
 	return append(strconv.AppendInt(head, max(left.Milliseconds(), 1), 10), "\r\n\r\n"...)
--- /dev/null
+++ b/provider/stream.go
@@ -0,0 +1,172 @@
+package provider
+
+import (
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"ryerill"
+	"ryerill/internal/buffer"
+	"ryerill/internal/framing"
+	"ryerill/internal/socket"
+	"ryerill/invocation"
+)
+
+const (
+	progress = 10 * time.Second       // a long body that stands still for so long is over
+	holdBack = 300 * time.Millisecond // the beginning of a body of unknown length is held for so long at most
+)
+
+// written is how the writing of a request ended.
+type written uint8
+
+const (
+	whole   written = iota // its last byte is out
+	heard                  // the provider has answered before, which ends the writing
+	failed                 // the connection broke
+	unheard                // the rest of the request did not come: no fault of the provider's
+)
+
+// write writes the request.
+func (p *Pool) write(conn *conn, c *Call) written {
+	r := c.Request
+	message := net.Buffers{encode(r, time.Until(c.Until))}
+	if r.Rest == nil {
+		message = r.Body.AppendTo(message)
+		if _, err := message.WriteTo(conn.TCPConn); err != nil {
+			return failed
+		}
+		return whole
+	}
+	block := p.buffers.Block()
+	defer p.buffers.PutBlock(block)
+	message = chunk(message, r.Length == invocation.Unknown, r.Body.AppendTo(nil))
+	for last := false; ; {
+		c.within(conn, time.Now().Add(progress))
+		if _, err := message.WriteTo(conn.TCPConn); err != nil {
+			if p.answered(conn) {
+				return heard
+			}
+			return failed
+		}
+		if last {
+			return whole
+		}
+		if p.answered(conn) {
+			return heard
+		}
+		n, err := r.Rest.Read(block[:])
+		message = chunk(nil, r.Length == invocation.Unknown, net.Buffers{block[:n]})
+		if last = errors.Is(err, io.EOF); last && r.Length == invocation.Unknown {
+			message = append(message, []byte("0\r\n\r\n"))
+		}
+		if err != nil && !last {
+			return unheard
+		}
+	}
+}
+
+// answered tells whether something has come in.
+func (p *Pool) answered(conn *conn) bool {
+	return conn.r.Buffered() > 0 || socket.Peek(conn) == socket.Waiting
+}
+
+// chunk appends what is to be written of a body, as a chunk if it comes in chunks.
+func chunk(to net.Buffers, chunked bool, body net.Buffers) net.Buffers {
+	size := 0
+	for _, b := range body {
+		size += len(b)
+	}
+	if size == 0 || !chunked {
+		return append(to, body...)
+	}
+	to = append(to, append(strconv.AppendInt(nil, int64(size), 16), "\r\n"...))
+	return append(append(to, body...), []byte("\r\n"))
+}
+
+// served reads the body of an answer that served: whole if it is short, else its
+// beginning, and the connection goes with what follows.
+func (p *Pool) served(conn *conn, c *Call, header http.Header, frame framing.Body, keep bool) (ryerill.Outcome, *invocation.Response, bool) {
+	length := frame.Length
+	if !frame.Stated || frame.Chunked {
+		length = invocation.Unknown
+	}
+	conn.limit.N = math.MaxInt64
+	body := frame.Reader(conn.r)
+	rest := &download{pool: p, conn: conn, body: body, keep: keep, left: invocation.MaxBody}
+	response := &invocation.Response{Header: header, Rest: rest, Length: length}
+	hold := int(length)
+	if length == invocation.Unknown {
+		hold = invocation.MaxHeld
+	}
+	if hold > invocation.MaxHeld || p.bodies != nil && !p.bodies.Take(hold) {
+		return ryerill.OK, response, false // it goes on as it comes
+	}
+	if p.bodies != nil {
+		response.Done = func() { p.bodies.Give(hold) }
+	}
+	var enough func() bool
+	if length == invocation.Unknown {
+		began := time.Now()
+		enough = func() bool {
+			if conn.r.Buffered() == 0 { // who waits for more must not hold back what there is
+				c.within(conn, began.Add(holdBack))
+				_, err := conn.r.Peek(1)
+				c.within(conn, c.Until)
+				if errors.Is(err, os.ErrDeadlineExceeded) {
+					return true
+				}
+			}
+			return time.Since(began) > holdBack
+		}
+	}
+	part, all, err := p.buffers.ReadPart(body, invocation.MaxHeld+1, enough)
+	response.Body, rest.left = part, rest.left-int64(part.Len())
+	switch {
+	case err != nil:
+		response.Rest = nil // the caller drops the connection
+		response.Free()
+		return broken(err), nil, false
+	case all:
+		response.Rest = nil
+		return ryerill.OK, response, keep && conn.r.Buffered() == 0
+	}
+	return ryerill.OK, response, false
+}
+
+// download is what follows of an answer's body. It holds the connection until Close.
+type download struct {
+	pool  *Pool
+	conn  *conn
+	body  io.Reader
+	keep  bool  // the connection may be used again after its end
+	whole bool  // it has come to its end
+	left  int64 // bytes that it may still bring
+}
+
+// Read waits for progress and no longer.
+func (d *download) Read(b []byte) (int, error) {
+	if d.left <= 0 {
+		return 0, buffer.ErrTooLarge
+	}
+	d.conn.SetReadDeadline(time.Now().Add(progress))
+	n, err := d.body.Read(b[:min(int64(len(b)), d.left)])
+	d.left -= int64(n)
+	d.whole = errors.Is(err, io.EOF)
+	return n, err
+}
+
+// Close gives the connection back.
+func (d *download) Close() error {
+	if d.whole && d.keep && d.conn.r.Buffered() == 0 {
+		d.pool.put(d.conn)
+	} else {
+		d.pool.drop(d.conn)
+	}
+	return nil
+}
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -18,13 +18,23 @@
 		response.Free()
 	}
 	c.happen(ryerill.Event{Kind: ryerill.AttemptEnded, Request: e.id, Attempt: k.attempt, Server: k.server,
-		Outcome: outcome, Closed: e.done, Elapsed: c.clock.now() - k.began})
+		Outcome: outcome, Closed: e.done, Spent: e.inv.Request.Rest != nil && e.inv.Request.Rest.Spent(), Elapsed: c.clock.now() - k.began})
 	c.release(e)
 }
 
+// taken books that an invocation's last byte is in.
+func (c *core) taken(e *entry) {
+	if !e.taken {
+		e.taken = true
+		c.figures.inflight.Add(1)
+	}
+}
+
 // counted books the one end of an invocation in the figures.
 func (c *core) counted(e *entry, v invocation.Verdict) {
-	c.figures.inflight.Add(-1)
+	if e.taken {
+		c.figures.inflight.Add(-1)
+	}
 	c.tallies[e.inv.Class].ended(v)
 }
 
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -68,6 +68,7 @@
 	calls []*call
 	out   int  // calls out
 	done  bool // answered, or nobody waits for it
+	taken bool // its last byte is in
 	guard *time.Timer
 }
 
--- a/proxy/machine.go
+++ b/proxy/machine.go
@@ -179,7 +179,7 @@
 	if m.alone {
 		for _, r := range m.pools {
 			r.sockets.allowed.Store(int64(m.total.Sockets / m.parts))
-			r.bodies.allowed.Store(unbounded)
+			r.bodies.allowed.Store(int64(m.total.Bodies / m.parts))
 			r.open.allowed.Store(unbounded)
 			r.work.allowed.Store(unbounded)
 		}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -39,6 +39,7 @@
 		figures:   figures,
 		word:      w,
 	}
+	c.pool.HoldIn(&r.bodies)
 	for _, k := range b.Classes {
 		c.tallies = append(c.tallies, figures.class(k.Name))
 		c.names.Classes = append(c.names.Classes, k.Name)
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -1,8 +1,11 @@
 package proxy
 
 import (
+	"errors"
+	"io"
 	"time"
 
+	"ryerill/config"
 	"ryerill/invocation"
 )
 
@@ -16,8 +19,42 @@
 	if a.Verdict == invocation.Failed && !time.Now().Before(e.until) {
 		a.Verdict = invocation.Overdue
 	}
-	c.counted(e, a.Verdict)
+	if a.Response != nil && a.Response.Rest != nil {
+		c.follow(e, a.Response)
+	} else {
+		c.counted(e, a.Verdict)
+	}
 	e.inv.Reply(a)
 	c.release(e)
 	return true
 }
+
+// followed is the rest of an answer as it goes on.
+type followed struct {
+	io.ReadCloser
+	bytes int
+	whole bool // its end has been passed on
+}
+
+func (f *followed) Read(p []byte) (int, error) {
+	n, err := f.ReadCloser.Read(p)
+	f.bytes, f.whole = f.bytes+n, errors.Is(err, io.EOF)
+	return n, err
+}
+
+// follow books an invocation whose answer has begun to go on at the answer's end.
+func (c *core) follow(e *entry, r *invocation.Response) {
+	f, before := &followed{ReadCloser: r.Rest}, r.Done
+	r.Rest = f
+	r.Done = func() {
+		if before != nil {
+			before()
+		}
+		c.rooms.work.used.Add(int64(config.Cost(f.bytes)))
+		if f.whole {
+			c.counted(e, invocation.Served)
+		} else {
+			c.counted(e, invocation.Failed)
+		}
+	}
+}
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -34,6 +34,8 @@
 	attempt int
 	server  ryerill.ServerID
 	began   time.Duration
+
+	patience time.Duration // how long it may take from its last byte on
 }
 
 // route starts the invoker call that an action asks for.
@@ -55,8 +57,11 @@
 			until = end
 		}
 	}
+	if k.patience = time.Until(until); e.inv.Request.Rest != nil {
+		until = e.until // its time counts from its last byte
+	}
 	k.Call = provider.Call{Request: e.inv.Request, Provider: uint64(t.id), Address: t.address, Until: until, MayStart: t.ready.Load,
-		Written: func() { c.figures.calls.Add(1) }}
+		Written: func() time.Time { return c.wrote(k) }}
 	go c.send(k)
 }
 
--- /dev/null
+++ b/proxy/stream_test.go
@@ -0,0 +1,319 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"ryerill/config"
+)
+
+// pattern is a body of so many bytes of which no part is like another.
+func pattern(n int) []byte {
+	b := make([]byte, n)
+	r := rand.NewChaCha8(sha256.Sum256([]byte{1}))
+	r.Read(b)
+	return b
+}
+
+const long = 3 << 20
+
+// A long answer passes through as it comes, whatever delimits it: its beginning is
+// there before the provider has given the rest.
+func TestLongAnswersPassThrough(t *testing.T) {
+	t.Parallel()
+	body := pattern(long)
+	chunks := func(w io.Writer, b []byte) {
+		for len(b) > 0 {
+			n := min(len(b), 70_001)
+			fmt.Fprintf(w, "%x;x=\"y\"\r\n%s\r\n", n, b[:n])
+			b = b[n:]
+		}
+	}
+	for _, tc := range []struct {
+		name, head string
+		write      func(io.Writer, []byte)
+		end        string
+		close      bool
+	}{
+		{"a length", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", long), func(w io.Writer, b []byte) { w.Write(b) }, "", false},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", chunks, "0\r\nX-Sum: 1\r\n\r\n", false},
+		{"its end", "HTTP/1.1 200 OK\r\n\r\n", func(w io.Writer, b []byte) { w.Write(b) }, "", true},
+		{"its end, before 1.1", "HTTP/1.0 200 OK\r\n\r\n", func(w io.Writer, b []byte) { w.Write(b) }, "", true},
+	} {
+		for _, version := range []string{"1.1", "1.0"} {
+			for _, first := range []int{1, 100_000} {
+				t.Run(fmt.Sprint(tc.name, " to ", version, " after ", first), func(t *testing.T) {
+					t.Parallel()
+					seen := make(chan struct{})
+					b := newBackend(t, func(c net.Conn, _ *http.Request) {
+						io.WriteString(c, tc.head)
+						tc.write(c, body[:first])
+						<-seen
+						tc.write(c, body[first:])
+						io.WriteString(c, tc.end)
+						if tc.close {
+							c.Close()
+						}
+					})
+					c := dial(t, start(t, nil, b.endpoint("s1", 1)))
+					resp := c.send(strings.Replace(request("burn", 15000), "HTTP/1.1", "HTTP/"+version, 1))
+					part := make([]byte, first)
+					if _, err := io.ReadFull(resp.Body, part); err != nil {
+						t.Fatal(err)
+					}
+					close(seen)
+					rest, err := io.ReadAll(resp.Body)
+					if err != nil || !bytes.Equal(append(part, rest...), body) || resp.StatusCode != 200 {
+						t.Errorf("%d and %d bytes, %v", len(part), len(rest), err)
+					}
+					if version == "1.1" { // and the connection goes on
+						if status, _ := c.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"); status != 200 {
+							t.Error(status)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// A long answer that breaks off is never taken for a whole one, and fails in the figures.
+func TestBrokenLongAnswersShow(t *testing.T) {
+	t.Parallel()
+	body := string(pattern(200_000))
+	for _, tc := range []struct{ name, text, version string }{
+		{"a length", "HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + body, "1.1"},
+		{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n", len(body), body), "1.1"},
+		{"chunks, to 1.0", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n", len(body), body), "1.0"},
+	} {
+		b := newBackend(t, saysAndCloses(tc.text))
+		p := run(t, door(""), b.endpoint("s1", 1))
+		resp := dial(t, p.Address()).send(strings.Replace(request("burn", 15000), "HTTP/1.1", "HTTP/"+tc.version, 1))
+		got, err := io.ReadAll(resp.Body)
+		if err == nil || len(got) > len(body) {
+			t.Errorf("%s: %d bytes, %v", tc.name, len(got), err)
+		}
+		if tc.version == "1.0" && !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("%s: ended with %v", tc.name, err)
+		}
+		until(t, "it counts as failed", func() bool { s := figuresOf(t, p); return s.Calls["burn"].Failure == 1 && s.Inflight == 0 })
+	}
+}
+
+// upload writes a request with a long body, in one of both framings.
+func upload(size int, chunked bool) (head string, frame func(io.Writer) io.WriteCloser) {
+	head = fmt.Sprintf("POST /pay/7 HTTP/1.1\r\nHost: x\r\nReq-Id: u%016x\r\nReq-Kind: pay\r\nIdempotency-Key: k\r\n", rand.Uint64())
+	if chunked {
+		return head + "Transfer-Encoding: chunked\r\n\r\n", httputil.NewChunkedWriter
+	}
+	return head + fmt.Sprintf("Content-Length: %d\r\n\r\n", size), func(w io.Writer) io.WriteCloser { return plain{w} }
+}
+
+type plain struct{ io.Writer }
+
+func (plain) Close() error { return nil }
+
+// raw is a provider that is handed the connection itself, behind the head.
+func raw(t *testing.T, behave func(c net.Conn, r *bufio.Reader, req *http.Request)) *backend {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	b := &backend{Listener: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					b.requests.Add(1)
+					behave(c, r, req)
+				}
+			}()
+		}
+	}()
+	return b
+}
+
+// A long request passes through as it comes and arrives as it was; its time
+// begins with its last byte, so that a slow consumer doesn't spend the provider's.
+func TestLongRequestsPassThrough(t *testing.T) {
+	t.Parallel()
+	body := pattern(long)
+	for _, chunked := range []bool{false, true} {
+		begun := make(chan struct{})
+		b := raw(t, func(c net.Conn, _ *bufio.Reader, req *http.Request) {
+			part := make([]byte, 64<<10)
+			if _, err := io.ReadFull(req.Body, part); err != nil {
+				return
+			}
+			close(begun)
+			rest, err := io.ReadAll(req.Body)
+			if err == nil && bytes.Equal(append(part, rest...), body) {
+				io.WriteString(c, okay)
+			}
+		})
+		p := run(t, door(""), b.endpoint("s1", 1))
+		c := dial(t, p.Address())
+		head, frame := upload(long, chunked)
+		io.WriteString(c, head)
+		w := frame(c)
+		w.Write(body[:100_000])
+		await(t, begun, "the provider has the beginning")
+		if s := figuresOf(t, p); s.BackendCalls != 0 || s.Inflight != 0 {
+			t.Errorf("before its last byte: %+v", s)
+		}
+		w.Write(body[100_000:])
+		w.Close()
+		if chunked {
+			io.WriteString(c, "X-Sum: 1\r\n\r\n")
+		}
+		if status, text := c.ask(""); status != 200 || text != "fine" {
+			t.Errorf("chunked %v: answered %d %q", chunked, status, text)
+		}
+		if status, _ := c.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"); status != 200 {
+			t.Errorf("afterwards: %d", status)
+		}
+		if s := figuresOf(t, p); s.BackendCalls != 1 || s.Inflight != 0 || s.Calls["pay"].Success != 1 {
+			t.Errorf("then: %+v", s)
+		}
+	}
+}
+
+// What can't be sent again isn't: a long request goes out once, is answered by
+// what is known of it, and an early answer ends its upload.
+func TestLongRequestsGoOutOnce(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name   string
+		behave func(c net.Conn, r *bufio.Reader, req *http.Request)
+		want   int
+	}{
+		{"the provider breaks in the middle", func(c net.Conn, _ *bufio.Reader, req *http.Request) {
+			io.ReadFull(req.Body, make([]byte, 1<<20))
+			c.Close()
+		}, 503}, // its last byte never was out
+		{"declined in the middle", func(c net.Conn, _ *bufio.Reader, req *http.Request) {
+			io.ReadFull(req.Body, make([]byte, 1<<20))
+			io.WriteString(c, "HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
+			io.Copy(io.Discard, req.Body)
+		}, 503},
+		{"an error behind it", func(c net.Conn, _ *bufio.Reader, req *http.Request) {
+			io.Copy(io.Discard, req.Body)
+			io.WriteString(c, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+		}, 502},
+		{"served", func(c net.Conn, _ *bufio.Reader, req *http.Request) {
+			io.Copy(io.Discard, req.Body)
+			io.WriteString(c, okay)
+		}, 200},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			one, two := raw(t, tc.behave), raw(t, tc.behave)
+			p := run(t, door(""), one.endpoint("s1", 1), two.endpoint("s2", 1))
+			c := dial(t, p.Address())
+			head, _ := upload(long, false)
+			go func() { // who is answered early may find its writing ended
+				io.WriteString(c, head)
+				c.Write(pattern(long))
+			}()
+			resp := c.send("")
+			if resp.StatusCode != tc.want || resp.Close != (tc.want == 503) {
+				t.Errorf("answered %d, close %v", resp.StatusCode, resp.Close)
+			}
+			if n := one.requests.Load() + two.requests.Load(); n != 1 {
+				t.Errorf("sent %d times", n)
+			}
+			if s := figuresOf(t, p); s.Inflight != 0 {
+				t.Errorf("%+v", s)
+			}
+		})
+	}
+}
+
+// A consumer that leaves in the middle of its request is no fault of the
+// provider's, and one that stops is told.
+func TestTornUploads(t *testing.T) {
+	t.Parallel()
+	b := raw(t, func(c net.Conn, _ *bufio.Reader, req *http.Request) { io.Copy(io.Discard, req.Body) })
+	p := run(t, door(""), b.endpoint("s1", 1))
+	for range 20 {
+		c := dial(t, p.Address())
+		head, _ := upload(long, false)
+		io.WriteString(c, head)
+		c.Write(make([]byte, 200_000))
+		c.Close()
+	}
+	until(t, "all have ended", func() bool {
+		core := p.cores()[0]
+		core.mu.Lock()
+		defer core.mu.Unlock()
+		return len(core.open) == 0
+	})
+	if s := figuresOf(t, p); s.HostsDown != 0 || s.Inflight != 0 {
+		t.Errorf("%+v", s)
+	}
+	slow := dial(t, p.Address())
+	head, _ := upload(long, true)
+	io.WriteString(slow, head+"1\r\nx\r\n")
+	if status, _ := slow.ask(""); status != 408 {
+		t.Errorf("one that stops is answered %d", status)
+	}
+}
+
+// A consumer that doesn't read keeps nobody waiting: the proxy stops reading from
+// its provider, and others are served.
+func TestSlowReadersHoldUpNobody(t *testing.T) {
+	t.Parallel()
+	const size = 64 << 20 // more than all sockets on the way hold
+	var wrote = make(chan int, 8)
+	b := raw(t, func(c net.Conn, _ *bufio.Reader, req *http.Request) {
+		io.Copy(io.Discard, req.Body)
+		if req.Header.Get("X-Mode") == "" {
+			io.WriteString(c, okay)
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size)
+		c.SetWriteDeadline(time.Now().Add(time.Second))
+		n, _ := c.Write(make([]byte, size))
+		wrote <- n
+		c.Close()
+	})
+	address := start(t, func(c *config.Config) { c.Limits.Memory = 16 << 20 }, b.endpoint("s1", 1))
+	for range cap(wrote) {
+		c := dial(t, address)
+		io.WriteString(c, strings.Replace(request("read", 15000), "Req-Owner: nobody", "X-Mode: long", 1))
+	}
+	for range 20 {
+		if status, _ := dial(t, address).ask(request("read", 15000)); status != 200 {
+			t.Errorf("others are answered %d", status)
+		}
+	}
+	for range cap(wrote) {
+		if n := <-wrote; n >= size {
+			t.Error("the whole answer was taken from the provider, though nobody reads it")
+		}
+	}
+}
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -8,6 +8,10 @@
 	"ryerill/invocation"
 )
 
+// longestUpload bounds how long the rest of a request may take to come in. The
+// front ends it long before, by the pace at which it comes.
+const longestUpload = time.Hour
+
 // noRoom is when to come back to a pool that has as many invocations open as it
 // may have: lent room is looked at many times in it.
 const noRoom = 500 * time.Millisecond
@@ -22,9 +26,13 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.figures.inflight.Add(1)
 	c.newest++
 	e := &entry{id: c.newest, inv: inv, until: inv.Taken.Add(inv.Left)}
+	if inv.Request.Rest == nil {
+		c.taken(e)
+	} else {
+		e.until = e.until.Add(longestUpload)
+	}
 	c.open[e.id] = e
 	// Should no decision come in time, whatever the reason, the consumer is answered all the same.
 	e.guard = time.AfterFunc(time.Until(e.until)+c.settings.Balancer.Contract.AnswerSlack, func() { c.overdue(e) })
@@ -33,12 +41,14 @@
 }
 
 // Leave books that the consumer of an invocation has gone away.
-func (c *core) Leave(ticket uint64) {
+func (c *core) Leave(ticket uint64) (owed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if e := c.open[ryerill.RequestID(ticket)]; e != nil && !e.done {
+	e := c.open[ryerill.RequestID(ticket)]
+	if owed = e != nil && !e.done; owed {
 		c.depart(e)
 	}
+	return owed
 }
 
 // overdue answers an invocation whose time is over.
--- a/ryerill.go
+++ b/ryerill.go
@@ -181,7 +181,7 @@
 	ServerList   EventKind = iota + 1 // List, Version, Servers
 	Arrival                           // Request, Class, Tenant, Key, Remaining, Work, Repeat, Write
 	StreamBegun                       // Request, Attempt, Server, Elapsed
-	AttemptEnded                      // Request, Attempt, Server, Outcome, Closed, Elapsed, Load
+	AttemptEnded                      // Request, Attempt, Server, Outcome, Closed, Spent, Elapsed, Load
 	Departed                          // Request: the client left; no answer is owed
 	Timer                             // Token
 	Probed                            // Server, Outcome, Elapsed, Load
@@ -194,6 +194,7 @@
 	Outcome   Outcome
 	List      ListKind
 	Closed    bool // the request is finished, by this outcome or earlier
+	Spent     bool // part of the request is gone: it can't be sent again
 	Repeat    bool // marked by the client as a retry
 	Write     bool
 	Class     int
