Begin a second process with what the first has learnt, under one limit for both

Cause, from what refuses: at an upgrade the old process has 40 calls in flight and the new one lets in up to 48 more, as each counts its own; gateways choke on the sum. And the old one, halving its limit as soon as the new one serves, refuses all that it still gets (limit 27, 43 in flight).

Change: each process makes known its calls in flight and what it has learnt (limit, rate, usual latencies, failures) every 0.1 s while another lives; both admit against one limit, and the new one begins with what is known.

--- a/balancer.go
+++ b/balancer.go
@@ -52,8 +52,8 @@
 	out        []Action
 	aim        time.Duration // the shortest aim of a class
 
-	copies                 float64 // that divide the tier: GroupSize, more while others stand at this place
-	ifr                    int     // calls in flight
+	ifr, beside            int // calls in flight, and those of others at this place: one limit is for all,
+	sharers                int // and so are its quotas and cold budgets
 	maxIFR, floor, ceiling float64
 	spare                  float64 // seats unused of late, or overdrawn
 	spareAt, windowEnd     time.Duration
@@ -86,10 +86,9 @@
 		cfg.Classes = []Class{{Effect: Unsafe}}
 	}
 	b := &Balancer{rng: seed, began: -1, byID: map[ServerID]*server{}, requests: map[RequestID]*request{},
-		turns: map[uint64]*turn{}, timers: map[uint32]uint64{}}
+		sharers: 1, turns: map[uint64]*turn{}, timers: map[uint32]uint64{}}
 	orElse(&cfg.GroupSize, 1)
 	orElse(&cfg.Tiers, 1)
-	b.copies = float64(cfg.GroupSize)
 	cfg.Self = max(cfg.Self, 0) % cfg.GroupSize
 	cfg.Tier = min(max(cfg.Tier, 0), cfg.Tiers-1)
 	b.lmax = lmaxShare * float64(cfg.Tiers-cfg.Tier) / float64(cfg.Tiers)
@@ -177,7 +176,7 @@
 
 // adjust ends a window. With too few samples the limit holds, and they are carried over.
 func (b *Balancer) adjust() {
-	b.spare += (b.maxIFR - float64(b.ifr)) * float64(b.now-b.spareAt) / float64(b.aim) / spareSpan
+	b.spare += (b.maxIFR - float64(b.ifr+b.beside)) * float64(b.now-b.spareAt) / float64(b.aim) / spareSpan
 	b.spare, b.spareAt = min(max(b.spare, -1), bunching), b.now
 	if b.now < b.windowEnd || b.seen < max(1, min(minRequests, int(b.ceiling))) {
 		return
@@ -208,7 +207,7 @@
 		limit -= (1 - leastAt) * (1 - r.value) * b.maxIFR
 		limit *= (1 - b.fails[r.class]) / (1 - slices.Min(b.fails))
 	}
-	return float64(b.ifr) < limit && len(b.requests) < b.cfg.Limits.Open
+	return float64(b.ifr+b.beside) < limit && len(b.requests) < b.cfg.Limits.Open
 }
 
 // overQuota books a request on its tenant. Each copy at the front holds an equal part of a quota.
@@ -216,7 +215,7 @@
 	if b.cfg.Tier > 0 || tenant < 0 || tenant >= len(b.quota) || !(b.cfg.Tenants[tenant].Quota > 0) {
 		return false
 	}
-	rate := b.cfg.Tenants[tenant].Quota / b.copies
+	rate := b.cfg.Tenants[tenant].Quota / float64(b.cfg.GroupSize*b.sharers)
 	saved := &b.quota[tenant]
 	if saved.fill(b.now, rate, max(quotaBurst*rate, 1)) < 1 {
 		return true
@@ -344,8 +343,8 @@
 	if share >= 1 || !s.near {
 		return share >= 1
 	}
-	least := float64(b.ready) / b.copies / c.OverloadFor.Seconds() // a call a span, by all
-	rate := max(b.served(0), least) / float64(b.near) * share
+	least := float64(b.ready) / float64(b.cfg.GroupSize) / c.OverloadFor.Seconds() // a call a span, by all
+	rate := max(b.served(0), least) / float64(b.near*b.sharers) * share
 	saved := rate * c.OverloadFor.Seconds() / 4
 	if n := s.budget.fill(b.now, rate, math.Inf(1)); n > 1+saved {
 		s.budget.n -= math.Floor(n - saved)
@@ -437,7 +436,7 @@
 		return
 	}
 	b.ready = len(fleet)
-	part := float64(b.ready) / b.copies * float64(b.cfg.Tiers-b.cfg.Tier)
+	part := float64(b.ready) / float64(b.cfg.GroupSize) * float64(b.cfg.Tiers-b.cfg.Tier)
 	if b.ceiling > 0 { // the limit is for so many servers: it keeps its seats for each
 		b.maxIFR *= maxSeats * part / b.ceiling
 	}
--- a/internal/wordfile/sibling.go
+++ b/internal/wordfile/sibling.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -23,8 +25,17 @@
 	Leaving  State = "leaving" // it takes nothing new
 )
 
-// mostSiblings bounds the processes that are looked at.
-const mostSiblings = 64
+// Bounds of what is looked at.
+const (
+	mostSiblings = 64       // processes
+	mostText     = 64 << 10 // bytes of what each makes known
+)
+
+// Sibling is another process of a proxy.
+type Sibling struct {
+	State State
+	Text  string // whatever else it makes known; it may be torn, or of another version
+}
 
 // Siblings are the processes of one proxy, of which this is one. Each holds a
 // file of its own under a lock, which ends with it.
@@ -32,6 +43,7 @@
 	prefix string // of their files
 	own    *os.File
 	log    *slog.Logger
+	saying sync.Mutex
 }
 
 // Enlist makes this process known to the others. With an empty path, or after an
@@ -50,74 +62,80 @@
 		return &Siblings{log: log}, fmt.Errorf("this process can't be made known: %w", err)
 	}
 	s.own = f
-	s.Say(Starting)
+	s.Say(Starting, nil)
 	return s, nil
 }
 
-// Say makes known what this process is at.
-func (s *Siblings) Say(now State) {
+// Say makes known what this process is at, and a line of text that it has for the
+// others. A text that is too long is left out.
+func (s *Siblings) Say(now State, text []byte) {
+	s.saying.Lock()
+	defer s.saying.Unlock()
 	if s.own == nil {
 		return
 	}
-	// Shorter than a page and written at once: who reads meanwhile meets the old word, the new one or neither.
-	if _, err := s.own.WriteAt(fmt.Appendf(nil, "%-16s\n", now), 0); err != nil {
+	if len(text) > mostText-64 {
+		text = nil
+	}
+	// Written at once: who reads meanwhile meets the old line, the new one, or one that it can't read.
+	if _, err := s.own.WriteAt(fmt.Appendf(nil, "%-16s%s\n", now, text), 0); err != nil {
 		s.log.Warn("what this process is at can't be made known", "error", err)
 	}
 }
 
 // Others returns what the other processes are at. What dead ones have left is
 // removed.
-func (s *Siblings) Others() (others []State) {
+func (s *Siblings) Others() (others []Sibling) {
 	if s.own == nil {
 		return nil
 	}
 	paths, _ := filepath.Glob(s.prefix + "*")
 	for _, path := range paths[:min(len(paths), mostSiblings)] {
 		if path != s.own.Name() {
-			if state, lives := s.look(path); lives {
-				others = append(others, state)
+			if other, lives := s.look(path); lives {
+				others = append(others, other)
 			}
 		}
 	}
-	slices.Sort(others)
 	return others
 }
 
-func (s *Siblings) look(path string) (State, bool) {
+func (s *Siblings) look(path string) (other Sibling, lives bool) {
 	f, err := os.OpenFile(path, os.O_RDONLY|syscall.O_NOFOLLOW|syscall.O_NONBLOCK, 0)
 	if err != nil {
-		return "", false
+		return other, false
 	}
 	defer f.Close()
-	text := make([]byte, 32)
-	n, _ := f.ReadAt(text, 0)
-	state := State(strings.TrimSpace(string(text[:n])))
+	text, _ := io.ReadAll(io.LimitReader(f, mostText))
+	line, _, _ := strings.Cut(string(text), "\n")
+	word, rest, _ := strings.Cut(line, " ")
+	other = Sibling{State(word), strings.TrimSpace(rest)}
 	err = syscall.Flock(int(f.Fd()), syscall.LOCK_SH|syscall.LOCK_NB)
 	switch {
-	case err == nil && state == "":
-		return "", false // about to be held by who has just made it, or left by who died then
+	case err == nil && len(text) == 0:
+		return other, false // about to be held by who has just made it, or left by who died then
 	case err == nil:
 		s.log.Info("removed what an ended process left", "file", path)
 		os.Remove(path)
-		return "", false
+		return other, false
 	case !errors.Is(err, syscall.EWOULDBLOCK):
-		return "", false
+		return other, false
 	}
-	if !slices.Contains([]State{Starting, Serving, Leaving}, state) {
-		state = Starting
+	if !slices.Contains([]State{Starting, Serving, Leaving}, other.State) {
+		other.State = Starting
 	}
-	return state, true
+	return other, true
 }
 
-// Follow tells what the other processes are at whenever that has changed, until
-// ctx ends.
-func (s *Siblings) Follow(ctx context.Context, tell func([]State)) {
+// Follow tells what the other processes are at, again and again while there are
+// any, until ctx ends.
+func (s *Siblings) Follow(ctx context.Context, tell func([]Sibling)) {
 	tick := time.NewTicker(look)
 	defer tick.Stop()
-	for before := []State(nil); s.own != nil; {
-		if now := s.Others(); !slices.Equal(now, before) {
+	for before := 0; s.own != nil; {
+		if now := s.Others(); len(now)+before > 0 {
 			tell(now)
-			before = now
+			before = len(now)
 		}
 		select {
 		case <-ctx.Done():
--- a/observe.go
+++ b/observe.go
@@ -1,5 +1,7 @@
 package ryerill
 
+import "slices"
+
 // Standing tells the limit on calls in flight and how many are: for those who
 // watch a Balancer. It changes nothing and decides nothing.
 func (b *Balancer) Standing() (limit float64, inFlight int) { return b.maxIFR, b.ifr }
@@ -21,9 +23,43 @@
 	return !b.usable(s) || held >= mostHeld/2
 }
 
-// Share tells that so many Balancers stand at this one's place: each has its part
-// of the place's limit, quotas and budgets of cold servers, and keeps its rank.
-func (b *Balancer) Share(with int) {
-	b.copies = float64(b.cfg.GroupSize * max(with, 1))
-	b.settle()
+// Beside tells that other Balancers stand at this one's place, as two processes of
+// one proxy do at an upgrade, and how many calls they have in flight: the limit
+// is for all of them together, and so are quotas and budgets of cold servers.
+func (b *Balancer) Beside(others, inFlight int) {
+	b.sharers, b.beside = 1+max(others, 0), max(inFlight, 0)
+}
+
+// Learnt is what a Balancer has found out of its tier that the next one at its
+// place need not find out again. Slices are by class.
+type Learnt struct {
+	Limit float64   // on calls in flight
+	Rate  float64   // calls served a second
+	Usual []float64 // usual latency, seconds
+	Fails []float64 // part of the calls that failed of late
+}
+
+// Learnt tells what has been found out.
+func (b *Balancer) Learnt() Learnt {
+	return Learnt{b.maxIFR, b.served(0), slices.Clone(b.usual), slices.Clone(b.fails)}
+}
+
+// Adopt takes over what another Balancer for the same classes has found out. What
+// is impossible in it is passed over.
+func (b *Balancer) Adopt(l Learnt) {
+	span := b.cfg.Contract.WarmUp
+	if l.Limit > 0 && b.ceiling > 0 {
+		b.maxIFR = min(max(l.Limit, b.floor), b.ceiling)
+	}
+	if l.Rate > 0 && l.Rate < 1e9 {
+		b.began, b.rate, b.rateAt = min(b.began, b.now-100*span), l.Rate*span.Seconds(), b.now
+	}
+	for i := range b.usual {
+		if i < len(l.Usual) && l.Usual[i] > 0 && l.Usual[i] < 1e6 {
+			b.usual[i] = l.Usual[i]
+		}
+		if i < len(l.Fails) && l.Fails[i] >= 0 && l.Fails[i] < 1 {
+			b.fails[i] = l.Fails[i]
+		}
+	}
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -66,7 +66,9 @@
 	siblings *wordfile.Siblings
 	second   bool // another process of this proxy was there first
 	lives    int  // processes of this proxy, and this one
-	serving  int  // of them, that take new invocations
+	state    wordfile.State
+	teach    sync.Once
+	taught   chan struct{} // closed once another process has told what it has learnt
 	onShare  func(part float64)
 }
 
@@ -92,7 +94,7 @@
 // finds another process of the same proxy listens in Run, when it is ready to serve.
 func New(cfg config.Config, options ...Option) (*Proxy, error) {
 	p := &Proxy{cfg: cfg, log: slog.Default(), buffers: new(buffer.Pool), failed: make(chan error, 1),
-		machine: newMachine(cfg.Shared()), parting: make(map[*core]struct{}), lives: 1, serving: 1, onShare: func(float64) {}}
+		machine: newMachine(cfg.Shared()), parting: make(map[*core]struct{}), lives: 1, state: wordfile.Starting, taught: make(chan struct{}), onShare: func(float64) {}}
 	for _, option := range options {
 		option(p)
 	}
@@ -220,7 +222,6 @@
 	}
 	for i, pool := range cfg.Pools {
 		p.pools[pool.Name] = newCore(pool, cfg.Seed+uint64(i), p.machine.rooms(pool.Name), p.buffers, p.log, p.clock, &p.figures, p.word, p.second)
-		p.pools[pool.Name].share(p.serving)
 	}
 	now, problems := newServices(cfg.Routes, p.pools)
 	if now == nil {
@@ -255,7 +256,7 @@
 	}
 	p.ready = true
 	p.mu.Unlock()
-	p.siblings.Say(wordfile.Serving)
+	p.say(wordfile.Serving)
 	if len(cfg.Pools) > 1 || cfg.Pools[0].Settings.AnyPath {
 		go p.machine.run(side)
 	}
@@ -265,7 +266,7 @@
 	case err = <-p.failed:
 	}
 	stop()
-	p.siblings.Say(wordfile.Leaving)
+	p.say(wordfile.Leaving)
 	p.mu.Lock()
 	p.ending = true
 	p.mu.Unlock()
--- a/proxy/reload.go
+++ b/proxy/reload.go
@@ -81,7 +81,6 @@
 			continue
 		}
 		pools[pool.Name] = newCore(pool, cfg.Seed+uint64(i), p.machine.rooms(pool.Name), p.buffers, p.log, p.clock, &p.figures, p.word, false)
-		pools[pool.Name].share(p.serving)
 		made++
 	}
 	now, problems := newServices(cfg.Routes, pools)
--- a/proxy/upgrade.go
+++ b/proxy/upgrade.go
@@ -2,18 +2,28 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
+	"ryerill"
 	"ryerill/drain"
 	"ryerill/internal/wordfile"
 )
 
-// newsWithin is how long a second process waits for the directory's word before
-// it goes on with the list of its configuration: it is due to be ready in 6 s.
-const newsWithin = 4 * time.Second
+const (
+	newsWithin  = 4 * time.Second        // a second process waits so long for the directory: it is due to be ready in 6 s
+	learnWithin = 300 * time.Millisecond // and so long for what the first one has learnt
+)
+
+// known is what a process makes known of a pool to the others of its proxy.
+type known struct {
+	InFlight int            `json:"in_flight"`
+	Learnt   ryerill.Learnt `json:"learnt"`
+}
 
 // await waits until each pool has heard the directory: what the configuration
-// lists may be as old as the process before this one.
+// lists may be as old as the process before this one. Then it takes over what
+// that process has learnt.
 func (p *Proxy) await(ctx context.Context) {
 	limit := time.NewTimer(newsWithin)
 	defer limit.Stop()
@@ -24,22 +34,63 @@
 			return
 		case <-limit.C:
 			p.log.Warn("no word from a directory, going on with the list known before", "pool", c.cfg.Name)
-			return
+			limit.Reset(0)
 		}
 	}
+	select {
+	case <-p.taught:
+	case <-ctx.Done():
+	case <-time.After(learnWithin):
+		p.log.Warn("the process before this one does not tell what it has learnt")
+	}
+}
+
+// say makes known what this process is at.
+func (p *Proxy) say(now wordfile.State) {
+	p.mu.Lock()
+	p.state = now
+	p.mu.Unlock()
+	p.publish()
+}
+
+// publish makes known what this process is at, what it has in flight, and what it
+// has learnt.
+func (p *Proxy) publish() {
+	p.mu.Lock()
+	state, pools := p.state, make(map[string]known, len(p.pools))
+	for name, c := range p.pools {
+		pools[name] = c.known()
+	}
+	p.mu.Unlock()
+	text, err := json.Marshal(pools)
+	if err != nil {
+		p.log.Warn("what was learnt can't be made known", "error", err)
+	}
+	p.siblings.Say(state, text)
 }
 
 // divide takes in what other processes of this proxy are at: what is allowed,
 // is allowed them all together.
-func (p *Proxy) divide(others []wordfile.State) {
-	serving := 1
-	for _, state := range others {
-		if state == wordfile.Serving {
-			serving++
+func (p *Proxy) divide(others []wordfile.Sibling) {
+	together, inFlight := 0, map[string]int{}
+	var heir map[string]known // of who serves now
+	for _, o := range others {
+		var pools map[string]known
+		if json.Unmarshal([]byte(o.Text), &pools) != nil {
+			pools = nil // torn, or of another version: the next look may find more
+		}
+		if o.State == wordfile.Starting {
+			continue
+		}
+		together++
+		for name, k := range pools {
+			inFlight[name] += max(k.InFlight, 0)
+		}
+		if o.State == wordfile.Serving && len(pools) > 0 {
+			heir = pools
 		}
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	if lives := 1 + len(others); lives != p.lives {
 		p.lives = lives
 		p.machine.divide(lives)
@@ -48,29 +99,53 @@
 			l.front.SetMost(p.connections(len(p.fronts)))
 		}
 	}
-	if serving != p.serving {
-		p.serving = serving
-		for _, c := range p.pools {
-			c.share(serving)
-		}
-		for c := range p.parting {
-			c.share(serving)
+	for name, c := range p.pools {
+		c.beside(together, inFlight[name])
+	}
+	for c := range p.parting {
+		c.beside(together, 0)
+	}
+	if p.state == wordfile.Starting && p.pools != nil && heir != nil {
+		for name, c := range p.pools {
+			if k, told := heir[name]; told {
+				c.adopt(k.Learnt)
+			}
 		}
+		p.teach.Do(func() { close(p.taught) })
+	}
+	p.mu.Unlock()
+	if len(others) > 0 {
+		p.publish()
 	}
 }
 
-// share tells the Balancer how many stand at its place.
-func (c *core) share(with int) {
+// known is what other processes should know of the pool.
+func (c *core) known() known {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, inFlight := c.balancer.Standing()
+	return known{inFlight, c.balancer.Learnt()}
+}
+
+// beside tells the Balancer of others at its place.
+func (c *core) beside(others, inFlight int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.balancer.Beside(others, inFlight)
+}
+
+// adopt has the Balancer begin with what another one has learnt.
+func (c *core) adopt(l ryerill.Learnt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.balancer.Share(with)
+	c.balancer.Adopt(l)
 }
 
 // Ending is the plan by which a front ends: its consumers are led over to a
 // process that serves beside this one, if there is one.
 func (p *Proxy) Ending(killed time.Duration) drain.Plan {
-	for _, state := range p.siblings.Others() {
-		if state == wordfile.Serving {
+	for _, other := range p.siblings.Others() {
+		if other.State == wordfile.Serving {
 			p.log.Info("handing over to the process that serves beside this one")
 			return drain.Handover()
 		}
