--- a/balancer.go
+++ b/balancer.go
@@ -13,6 +13,7 @@
 	windowShare  = 0.125 // windowSize in shortest aims: a slow-down chokes servers within an aim or two
 	minRequests  = 8     // samples for a verdict, or as many as the ceiling holds: quiet copies are many
 	maxSamples   = 256   // buffered latencies; the oldest are overwritten
+	overdueAt    = 0.6   // part of the servers with calls out that must have one beyond Lmax out
 	percentile   = 60    // above the median, yet slow or hung servers and chance hardly move it
 	lmaxShare    = 0.6   // Lmax in aims at the front: the rest is kept for what queues next
 	backoffRatio = 0.9   // a cut; windows are short, and several in one aim still fall fast
@@ -186,6 +187,7 @@
 	span := windowShare * float64(b.aim)
 	cut := max(math.Pow(backoffRatio, 1+math.Floor(float64(b.now-b.windowEnd)/span)), leastRatio)
 	b.windowEnd = b.now + time.Duration(span)
+	b.overdue()
 	window := b.samples[:min(b.seen, maxSamples)]
 	slices.Sort(window)
 	latency, before := window[(len(window)-1)*percentile/100], b.maxIFR
@@ -198,6 +200,32 @@
 	}
 }
 
+// overdue adds the calls that are out beyond Lmax to the samples, if most servers that have calls out have
+// such: where all are crowded, the calls that end tell too late. Few tell of hung servers, not of the tier.
+func (b *Balancer) overdue() {
+	busy, late := 0, 0
+	for _, s := range b.servers {
+		if s.out > 0 {
+			busy++
+		}
+		s.late = false
+	}
+	for _, r := range b.requests {
+		if r.open && float64(b.now-r.sent) > b.lmax*float64(r.c.Aim) && !r.latest().late {
+			r.latest().late, late = true, late+1
+		}
+	}
+	for _, r := range b.requests {
+		age := float64(b.now-r.sent) / float64(r.c.Aim)
+		if r.open && age > b.lmax && float64(late) > overdueAt*float64(busy) && b.seen < maxSamples {
+			b.samples[b.seen], b.seen = age, b.seen+1
+		}
+	}
+}
+
+// latest is the server of the latest attempt, if there is one.
+func (r *request) latest() *server { return r.attempts[len(r.attempts)-1] }
+
 // admits tells whether r finds room. At the front what is worth least meets a lower threshold of the limit,
 // by class and quota, and so does a class whose calls fail more than others': one that drags everywhere would
 // fill the limit with calls that come to nothing. Harm: the class worth least may fare much worse.
@@ -274,6 +302,7 @@
 	drained      bool          // it was called draining since it started
 	latest       int           // our latest call since it was called gone: served 1, failed -1, none 0
 	near, home   bool          // see settle
+	late         bool          // it has a call out beyond Lmax
 	budget       credit        // calls that the cold budget allows
 }
 
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1208,3 +1208,78 @@
 		}
 	}
 }
+
+// Calls that are out beyond Lmax count as samples where most busy servers have
+// such: what ends tells too late that all are crowded. One hung server says
+// nothing of the tier.
+func TestCallsOutBeyondLmax(t *testing.T) {
+	for _, tc := range []struct {
+		hung int
+		cut  bool
+	}{{1, false}, {2, false}, {3, true}, {4, true}} {
+		n := newNode(t, testConfig(), fleet(4)...)
+		n.b.cfg.Limits.SecondCopies = false
+		slow := map[ServerID]bool{}
+		var ids []RequestID
+		for range 16 {
+			id, acts := n.arrive(0)
+			ids = append(ids, id)
+			if s := only(t, acts, Send).Server; len(slow) < tc.hung {
+				slow[s] = true
+			}
+		}
+		n.now += time.Duration(1.1 * n.b.lmax * float64(time.Second))
+		sent := n.now
+		for _, id := range ids { // the others' calls are new ones
+			if r := n.b.requests[id]; !slow[r.attempts[0].ID] {
+				r.sent = sent
+			}
+		}
+		before := n.b.maxIFR
+		for range minRequests { // what ends is quick
+			n.b.sample(&n.b.cfg.Classes[0], 100*ms)
+		}
+		n.b.windowEnd = n.now
+		n.handle(Event{Kind: Timer})
+		if cut := n.b.maxIFR < before; cut != tc.cut {
+			t.Errorf("%d of 4 servers with calls out too long: limit %v to %v", tc.hung, before, n.b.maxIFR)
+		}
+	}
+}
+
+// What is spent goes out once, whatever its class allows; and it may be refused
+// while it never ran.
+func TestSpentRequestsGoOutOnce(t *testing.T) {
+	for _, tc := range []struct {
+		outcome Outcome
+		want    ActionKind
+	}{{ConnectFailed, Refuse}, {Moot, Refuse}, {Error, Fail}} {
+		n := newNode(t, testConfig(), fleet(3)...)
+		id, _ := n.arrive(3)
+		r := n.b.requests[id]
+		n.now += 10 * ms
+		acts := n.handle(Event{Kind: AttemptEnded, Request: id, Server: r.attempts[0].ID, Outcome: tc.outcome, Spent: true, Elapsed: 10 * ms})
+		only(t, acts, tc.want)
+	}
+}
+
+// Two at one place have one limit, and the second begins with what the first has learnt.
+func TestTwoAtOnePlace(t *testing.T) {
+	first, second := newNode(t, testConfig(), fleet(2)...), newNode(t, testConfig(), fleet(2)...)
+	feed(first, 900*ms)
+	first.b.usual[0] = 0.123
+	second.b.Adopt(first.b.Learnt())
+	if second.b.maxIFR != first.b.maxIFR || second.b.usual[0] != 0.123 {
+		t.Errorf("adopted limit %v of %v, usual %v", second.b.maxIFR, first.b.maxIFR, second.b.usual[0])
+	}
+	second.b.Adopt(Learnt{Limit: -1, Rate: math.NaN(), Usual: []float64{-1}, Fails: []float64{7}})
+	if second.b.maxIFR != first.b.maxIFR || second.b.usual[0] != 0.123 || second.b.fails[0] == 7 {
+		t.Error("what is impossible was adopted")
+	}
+	second.b.Beside(1, 2*int(second.b.ceiling))
+	_, acts := second.arrive(0)
+	only(t, acts, Refuse)
+	second.b.Beside(0, 0)
+	_, acts = second.arrive(0)
+	only(t, acts, Send)
+}
