Measure memory with large requests too; read on longer behind an early answer

Need: the memory of many large uploads had no measurement. An early answer to a long upload closed the connection after 1 MB more, and its reset could overtake the answer; now up to the bound of a body is read in the same half second.

--- a/cmd/ryerill/memory_test.go
+++ b/cmd/ryerill/memory_test.go
@@ -10,13 +10,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
 
-// Many answers of 32 MB at a time, to consumers some of whom take them slowly,
-// arrive whole and leave the program far within its memory limit.
-func TestMemoryWithManyLargeAnswers(t *testing.T) {
+// Many requests and answers of 32 MB at a time, from and to consumers some of whom
+// are slow, arrive whole and leave the program far within its memory limit.
+func TestMemoryWithManyLargeBodies(t *testing.T) {
 	const size, consumers, limit = 32 << 20, 24, 64
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -33,9 +34,16 @@
 			go func() {
 				defer c.Close()
 				for r := bufio.NewReader(c); ; {
-					if _, err := http.ReadRequest(r); err != nil {
+					req, err := http.ReadRequest(r)
+					if err != nil {
 						return
 					}
+					if req.Method == "POST" {
+						if n, err := io.Copy(io.Discard, req.Body); err == nil && n == size {
+							io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+						}
+						continue
+					}
 					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size)
 					for sent := 0; sent < size; sent += len(block) {
 						if _, err := c.Write(block); err != nil {
@@ -48,11 +56,23 @@
 	}()
 	listen := freeAddress(t)
 	text := strings.Replace(configuration(listen, l.Addr().String()), `"memory_mb":192`, fmt.Sprintf(`"memory_mb":%d`, limit), 1)
+	text = strings.Replace(text, `"Classes":[`, `"Classes":[{"Name":"put","Slo":2000000,"Deadline":30000000,"Effect":"side_effect","Worth":1,"LateWorth":0.5},`, 1)
 	p := launch(t, build(t), text, t.TempDir())
 	p.waitReady(t)
 	var all sync.WaitGroup
+	var uploads atomic.Int64
 	for i := range consumers {
 		all.Go(func() {
+			for end := time.Now().Add(patience); i%3 == 0; { // refused is who finds no seat
+				if put(listen, fmt.Sprintf("up-%d-%d", i, time.Now().UnixNano()), size, i%2 == 0) {
+					uploads.Add(1)
+					return
+				}
+				if time.Now().After(end) {
+					t.Error("an upload is never served")
+					return
+				}
+			}
 			c, err := net.Dial("tcp", listen)
 			if err != nil {
 				t.Error(err)
@@ -90,8 +110,31 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("%d answers of %d MB at a time: %d MB at most, of %d", consumers, size>>20, kb>>10, limit)
+	t.Logf("%d bodies of %d MB at a time, %d uploads served: %d MB at most, of %d", consumers, size>>20, uploads.Load(), kb>>10, limit)
 	if kb>>10 > limit*3/4 {
 		t.Errorf("the program took %d MB", kb>>10)
 	}
 }
+
+// put sends a request of so many bytes, with pauses if it is slow, and reports
+// whether it was served.
+func put(address, id string, size int, slow bool) bool {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintf(c, "POST /put HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nContent-Length: %d\r\n\r\n", id, size)
+	block := make([]byte, 64<<10)
+	for sent := 0; sent < size; sent += len(block) {
+		if _, err := c.Write(block); err != nil {
+			return false // refused before its end
+		}
+		if slow && sent%(8<<20) == 0 {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	return err == nil && resp.StatusCode == 200
+}
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -668,7 +668,7 @@
 		c.server.mu.Lock()
 		c.enter(lingering, time.Now().Add(linger))
 		c.server.mu.Unlock()
-		io.Copy(io.Discard, io.LimitReader(c.nc, 1<<20))
+		io.Copy(io.Discard, io.LimitReader(c.nc, invocation.MaxBody))
 	}
 }
 
