--- a/config/file.go
+++ b/config/file.go
@@ -134,7 +134,7 @@
 // GuaranteeFile is what a pool is guaranteed.
 type GuaranteeFile struct {
 	Sockets  int `yaml:"sockets,omitempty" json:"sockets,omitempty" jsonschema_description:"connections to providers"`
-	BodiesKB int `yaml:"bodies_kb,omitempty" json:"bodies_kb,omitempty" jsonschema_description:"memory for bodies of requests"`
+	BodiesKB int `yaml:"bodies_kb,omitempty" json:"bodies_kb,omitempty" jsonschema_description:"memory for the bodies that are held"`
 	Open     int `yaml:"open,omitempty" json:"open,omitempty" jsonschema_description:"open invocations, each of which costs goroutines and memory"`
 	WorkPerS int `yaml:"work_per_s,omitempty" json:"work_per_s,omitempty" jsonschema_description:"its part of machine.work_per_s"`
 }
