Let an upgrade go through in the middle of a drain

Cause: a second process said no at /ops/readiness as long as the proxy drained, so whoever waits for its yes never ends the old one. Change: beside the process that it replaces it says yes once it can take over, and no once it is alone.

Measured by the test that starts the real program: yes beside the drained one, the drain goes over, both end in order; whole test run green. Not taken: ending the drain at an upgrade, which staff have not ordered.

--- a/cmd/ryerill/upgrade_test.go
+++ b/cmd/ryerill/upgrade_test.go
@@ -297,7 +297,10 @@
 	if status, _ := first.call(t, "POST", "drain/start", ""); status != 200 {
 		t.Error(status)
 	}
-	for _, p := range []*process{first, second} {
+	for i, p := range []*process{first, second} {
+		if status, _ := second.call(t, "GET", "readiness", ""); i == 0 && status != 200 {
+			t.Errorf("who is to take a drained proxy over answers %d", status)
+		}
 		for end := time.Now().Add(patience); ; time.Sleep(10 * time.Millisecond) {
 			if status, _ := p.call(t, "GET", "readiness", ""); status == 503 {
 				break
--- a/proxy/staff.go
+++ b/proxy/staff.go
@@ -29,10 +29,12 @@
 	return slices.Collect(maps.Values(p.pools))
 }
 
-// Readiness tells why this process is not ready to serve, or nil.
+// Readiness tells why this process is not ready to serve, or nil. A drain is no
+// reason while it stands beside the process that it replaces: it is ready to take
+// over what that one has, the drain among it.
 func (p *Proxy) Readiness() error {
 	p.mu.Lock()
-	ready, life, drains := p.ready, p.life, p.word.Drain != 0
+	ready, life, drains := p.ready, p.life, p.word.Drain != 0 && !(p.second && p.lives > 1)
 	p.mu.Unlock()
 	switch {
 	case !ready:
