Frame chunks in one place, and fill the samples with late ages in order

Cause, from a read of the whole change: consumer and provider each framed chunks; a comparison stood where cmp.Compare does; the room that a door takes was stated twice; and calls out beyond Lmax filled a bounded buffer in a map's order, so that with over 256 samples which of them came in, and the latency that the log tells, could differ between equal runs. A second pass over the requests ran where the first had already said no.

Change: framing.AppendChunk serves both sides, cmp.Compare and spareSockets are called, ages are sorted first. Ruled out as twins: lingerClose and discard, whose bounds differ on purpose; scripted peers of tests in other packages.

--- a/balancer.go
+++ b/balancer.go
@@ -210,22 +210,24 @@
 		}
 		s.late = false
 	}
+	var ages []float64
 	for _, r := range b.requests {
-		if r.open && float64(b.now-r.sent) > b.lmax*float64(r.c.Aim) && !r.latest().late {
-			r.latest().late, late = true, late+1
+		if age := float64(b.now-r.sent) / float64(r.c.Aim); r.open && age > b.lmax {
+			ages = append(ages, age)
+			if s := r.attempts[len(r.attempts)-1]; !s.late {
+				s.late, late = true, late+1
+			}
 		}
 	}
-	for _, r := range b.requests {
-		age := float64(b.now-r.sent) / float64(r.c.Aim)
-		if r.open && age > b.lmax && float64(late) > overdueAt*float64(busy) && b.seen < maxSamples {
-			b.samples[b.seen], b.seen = age, b.seen+1
-		}
+	if float64(late) <= overdueAt*float64(busy) {
+		return
+	}
+	slices.Sort(ages) // they come in no order, and not all may find room
+	for _, age := range ages[:min(len(ages), max(maxSamples-b.seen, 0))] {
+		b.samples[b.seen], b.seen = age, b.seen+1
 	}
 }
 
-// latest is the server of the latest attempt, if there is one.
-func (r *request) latest() *server { return r.attempts[len(r.attempts)-1] }
-
 // admits tells whether r finds room. At the front what is worth least meets a lower threshold of the limit,
 // by class and quota, and so does a class whose calls fail more than others': one that drags everywhere would
 // fill the limit with calls that come to nothing. Harm: the class worth least may fare much worse.
--- a/config/config.go
+++ b/config/config.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"ryerill/directory"
-	"ryerill/ops"
 	"ryerill/route"
 )
 
@@ -224,10 +223,7 @@
 
 // leastSocketsWith is the least number of descriptors that leaves room to serve.
 func leastSocketsWith(mgmt string) int {
-	if mgmt != "" {
-		return leastSockets + ops.Descriptors
-	}
-	return leastSockets
+	return leastSockets - sparedAlways + spareSockets(mgmt)
 }
 
 // only names the one listener, route and pool of the platform's form.
--- a/consumer/stream.go
+++ b/consumer/stream.go
@@ -5,10 +5,10 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
+	"ryerill/internal/framing"
 	"ryerill/invocation"
 )
 
@@ -115,20 +115,19 @@
 	defer c.server.buffers.PutBlock(block)
 	for {
 		n, err := rest.Read(block[:])
-		if n > 0 && !c.part(net.Buffers{block[:n]}, n, chunked) {
+		if n > 0 && !c.part(net.Buffers{block[:n]}, chunked) {
 			return false
 		}
 		if err != nil {
-			return errors.Is(err, io.EOF) && (!chunked || c.part(nil, 0, true))
+			return errors.Is(err, io.EOF) && (!chunked || c.part(net.Buffers{[]byte(framing.LastChunk)}, false))
 		}
 	}
 }
 
-// part writes part of a body, as a chunk if it goes in chunks; nothing is the last one.
-func (c *conn) part(body net.Buffers, size int, chunked bool) bool {
+// part writes part of a body, as a chunk if it goes in chunks.
+func (c *conn) part(body net.Buffers, chunked bool) bool {
 	if chunked {
-		head := append(strconv.AppendInt(make([]byte, 0, 16), int64(size), 16), "\r\n"...)
-		body = append(append(net.Buffers{head}, body...), []byte("\r\n"))
+		body = framing.AppendChunk(nil, body)
 	}
 	c.nc.SetWriteDeadline(time.Now().Add(progress))
 	_, err := body.WriteTo(c.nc)
@@ -140,7 +139,7 @@
 	chunked := r.Length == invocation.Unknown && !c.old
 	c.nc.SetReadDeadline(time.Time{}) // it may take longer than the consumer would have waited for its beginning
 	whole := c.write(head(code, r.Length, c.old, r.Header, 0, closes), nil) &&
-		(r.Body.Len() == 0 || c.part(r.Body.AppendTo(nil), r.Body.Len(), chunked)) && c.pass(r.Rest, chunked)
+		(r.Body.Len() == 0 || c.part(r.Body.AppendTo(nil), chunked)) && c.pass(r.Rest, chunked)
 	if !whole && c.old {
 		c.nc.SetLinger(0) // a plain end would say that this was all
 	}
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net"
 	"net/http/httputil"
 	"strconv"
 	"strings"
@@ -75,6 +76,23 @@
 	return b, nil
 }
 
+// LastChunk ends a body in chunks, without a trailer.
+const LastChunk = "0\r\n\r\n"
+
+// AppendChunk appends a part of a body as a chunk; of nothing, which would end the
+// body, it makes none.
+func AppendChunk(to, part net.Buffers) net.Buffers {
+	size := 0
+	for _, b := range part {
+		size += len(b)
+	}
+	if size == 0 {
+		return to
+	}
+	to = append(to, append(strconv.AppendInt(make([]byte, 0, 16), int64(size), 16), "\r\n"...))
+	return append(append(to, part...), []byte("\r\n"))
+}
+
 // Digits reads a number that is written in digits alone: no sign, no spaces.
 func Digits(text string) (int64, bool) {
 	if strings.ContainsFunc(text, func(r rune) bool { return r < '0' || r > '9' }) {
--- a/internal/wordfile/wordfile.go
+++ b/internal/wordfile/wordfile.go
@@ -37,7 +37,7 @@
 	turn    chan struct{} // of the one change under way
 	current atomic.Pointer[word.Word]
 	tell    func(word.Word)
-	seen    stamp // of the file when it was read last; the follower's and the opener's alone
+	seen    stamp // of the file when it was read last; the follower's alone
 }
 
 // stamp tells one writing of a file from another.
--- a/provider/stream.go
+++ b/provider/stream.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"time"
 
 	"ryerill"
@@ -45,7 +44,12 @@
 	}
 	block := p.buffers.Block()
 	defer p.buffers.PutBlock(block)
-	message = chunk(message, r.Length == invocation.Unknown, r.Body.AppendTo(nil))
+	chunked := r.Length == invocation.Unknown
+	if chunked {
+		message = framing.AppendChunk(message, r.Body.AppendTo(nil))
+	} else {
+		message = r.Body.AppendTo(message)
+	}
 	for last := false; ; {
 		c.within(conn, time.Now().Add(progress))
 		if _, err := message.WriteTo(conn.TCPConn); err != nil {
@@ -61,9 +65,12 @@
 			return heard
 		}
 		n, err := r.Rest.Read(block[:])
-		message = chunk(nil, r.Length == invocation.Unknown, net.Buffers{block[:n]})
-		if last = errors.Is(err, io.EOF); last && r.Length == invocation.Unknown {
-			message = append(message, []byte("0\r\n\r\n"))
+		message = net.Buffers{block[:n]}
+		if chunked {
+			message = framing.AppendChunk(nil, message)
+		}
+		if last = errors.Is(err, io.EOF); last && chunked {
+			message = append(message, []byte(framing.LastChunk))
 		}
 		if err != nil && !last {
 			return unheard
@@ -76,19 +83,6 @@
 	return conn.r.Buffered() > 0 || socket.Peek(conn) == socket.Waiting
 }
 
-// chunk appends what is to be written of a body, as a chunk if it comes in chunks.
-func chunk(to net.Buffers, chunked bool, body net.Buffers) net.Buffers {
-	size := 0
-	for _, b := range body {
-		size += len(b)
-	}
-	if size == 0 || !chunked {
-		return append(to, body...)
-	}
-	to = append(to, append(strconv.AppendInt(nil, int64(size), 16), "\r\n"...))
-	return append(append(to, body...), []byte("\r\n"))
-}
-
 // served reads the body of an answer that served: whole if it is short, else its
 // beginning, and the connection goes with what follows.
 func (p *Pool) served(conn *conn, c *Call, header http.Header, frame framing.Body, keep bool) (ryerill.Outcome, *invocation.Response, bool) {
--- a/proxy/staff.go
+++ b/proxy/staff.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -149,18 +150,11 @@
 		}
 	}
 	if len(servers) > 0 {
-		slices.SortFunc(servers, func(a, b ryerill.Server) int { return compare(a.ID, b.ID) })
+		slices.SortFunc(servers, func(a, b ryerill.Server) int { return cmp.Compare(a.ID, b.ID) })
 		c.happen(ryerill.Event{Kind: ryerill.ServerList, List: ryerill.ListChanges, Servers: servers})
 	}
 }
 
-func compare(a, b ryerill.ServerID) int {
-	if a < b {
-		return -1
-	}
-	return 1
-}
-
 // overlay makes out what a provider counts as, by the list and the word.
 func (c *core) overlay(t *target) {
 	t.told = c.word.Over(t.listed.name, t.listed.server)
