Pick from an index by calls out; take home servers and follow out

Seen: a decision looked at every server (751 ns at 14 servers, 49 us at 7,000), the end of a window at every server and open request, and each call allocated twice. Servers now stand on shelves by the least rank that they can have (calls out, place), and a pick ends at the shelf that can't rank better; calls out stand in order by class, so that those beyond Lmax are counted once each; requests are used again. Beyond, 32 of a shelf are looked at: 0 to 2% of picks rank worse (TestLossOfTheSample). ns a call at 14, 140, 700, 7,000: 751, 2523, 9559, 49453 before; 241, 352, 348, 396 after; 2 allocations, now none. A window with calls overdue: 230, 284, 871, 8250; now 139, 118, 110, 111. One changed entry: 0.79, 6.9, 46, 995 us; now 0.54, 4.8, 24, 355.

What home did for a zone with few servers left is now said outright: such a copy keeps to no zone.

--- a/balancer.go
+++ b/balancer.go
@@ -37,12 +37,11 @@
 	slowFrom     = 1.5   // a server this much slower than its peers holds a seat, twice as much two
 	slowGain     = 0.25  // weight of the newest answer in how slow a server is
 	meanGain     = 0.05  // weight of the newest answer in a class's usual latency
-	homeEdge     = 0.7   // how slow a home server counts: chance must not drive a copy off it, a slow one should
 	quickShare   = 0.25  // an error within this part of the usual latency was not made deeper down
-	followGain   = 0.2   // weight of the newest second failure of a request in the part that follows them,
-	mostFollow   = 0.95  // which stays below one: a few are tried again, to see that it is over
 	remember     = 2.0   // a server is remembered for this many WarmUps after it was last listed, or served
 	coldSafety   = 0.5   // part of the cold budget used: the estimate is rough and chance bunches calls
+	exactUpTo    = 128   // servers among which the best is picked; of more, so many of each list are looked at:
+	mostLooked   = 32    // of equals that is plenty, and one of them is a seat worse than the best at most
 )
 
 // Balancer decides for one node. It is not safe for concurrent use.
@@ -62,67 +61,52 @@
 	samples                [maxSamples]float64 // latencies in aims, a circular buffer
 	seen                   int                 // samples in this window
 
-	servers     []*server
+	servers     []*server // as listed
+	ring        []*server // the same: see settle
+	levels      shelves   // those that may be sent to, by the least rank that they can have now: see place
+	busy, late  int       // servers with calls out, and with such beyond Lmax
 	byID        map[ServerID]*server
 	ready, near int     // servers to send to, and those near to this copy
+	keeps       bool    // to its own zone
 	rate        float64 // calls served, decaying over WarmUp
 	rateAt      time.Duration
 	asking      bool // a call for the list is scheduled
 	failed      int  // calls for the list that failed in a row
 
-	requests         map[RequestID]*request
-	turns            map[uint64]*turn  // by key, where order is kept
-	timers           map[uint32]uint64 // by token: the key that a timer is for; token 0 is the list's
-	token            uint32
-	usual            []float64 // by class: usual latency in seconds
-	quota            []credit  // by tenant: saved-up quota
-	topWorth, follow float64   // of a class; part of failures that followed their request to another server
-	fails            []float64 // by class: part of its calls that failed of late
+	requests map[RequestID]*request
+	spares   spares            // over, to be used again
+	flights  []flight          // by class: the calls out
+	ages     []float64         // scratch
+	weighed  int               // servers by pick: work that tests count
+	turns    map[uint64]*turn  // by key, where order is kept
+	timers   map[uint32]uint64 // by token: the key that a timer is for; token 0 is the list's
+	token    uint32
+	usual    []float64 // by class: usual latency in seconds
+	quota    []credit  // by tenant: saved-up quota
+	topWorth float64   // of a class
+	fails    []float64 // by class: part of its calls that failed of late
 }
 
 // New returns a Balancer for cfg. Figures that are missing or impossible are replaced by defaults.
 func New(cfg Config, seed uint64) *Balancer {
-	cfg.Classes = append([]Class(nil), cfg.Classes...)
-	if len(cfg.Classes) == 0 {
-		cfg.Classes = []Class{{Effect: Unsafe}}
-	}
+	cfg.complete()
 	b := &Balancer{rng: seed, began: -1, byID: map[ServerID]*server{}, requests: map[RequestID]*request{},
 		sharers: 1, turns: map[uint64]*turn{}, timers: map[uint32]uint64{}}
-	orElse(&cfg.GroupSize, 1)
-	orElse(&cfg.Tiers, 1)
-	cfg.Self = max(cfg.Self, 0) % cfg.GroupSize
-	cfg.Tier = min(max(cfg.Tier, 0), cfg.Tiers-1)
 	b.lmax = lmaxShare * float64(cfg.Tiers-cfg.Tier) / float64(cfg.Tiers)
 	for i := range cfg.Classes {
 		c := &cfg.Classes[i]
-		orElse(&c.Deadline, 2*max(c.Aim, time.Second))
-		orElse(&c.Aim, c.Deadline/2)
-		orElse(&c.Worth, 1)
 		b.topWorth = max(b.topWorth, c.Worth)
 		b.usual, b.fails = append(b.usual, b.lmax*c.Aim.Seconds()), append(b.fails, 0) // until calls have told
+		b.flights = append(b.flights, flight{})
 		if b.aim == 0 || c.Aim < b.aim {
 			b.aim = c.Aim
 		}
 	}
-	orElse(&cfg.Limits.Attempts, 3)
-	orElse(&cfg.Limits.Open, math.MaxInt)
-	orElse(&cfg.Contract.AskWithin, 10*time.Second)
-	orElse(&cfg.Contract.ColdFrom, 0.1)
-	orElse(&cfg.Contract.WarmUp, 30*time.Second)
-	orElse(&cfg.Contract.FallMultiple, 2)
-	orElse(&cfg.Contract.OverloadFor, time.Second)
-	orElse(&cfg.Contract.KeyRest, 0)
 	b.cfg = cfg
 	b.quota = make([]credit, len(cfg.Tenants))
 	return b
 }
 
-func orElse[T int | float64 | time.Duration](v *T, other T) {
-	if !(*v > 0) {
-		*v = other
-	}
-}
-
 // Handle takes one event and appends what is to be done to out. Times must not go back.
 func (b *Balancer) Handle(now time.Duration, ev Event, out []Action) []Action {
 	if b.began < 0 {
@@ -151,18 +135,6 @@
 	return out
 }
 
-// random returns a number in [0, 1), from the instance's own generator (splitmix64).
-func (b *Balancer) random() float64 {
-	b.rng += 0x9e3779b97f4a7c15
-	return float64(mix(b.rng)>>11) / (1 << 53)
-}
-
-func mix(z uint64) uint64 {
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return z ^ z>>31
-}
-
 func (b *Balancer) logf(format string, args ...any) {
 	b.out = append(b.out, Action{Kind: Log, Text: fmt.Sprintf(format, args...)})
 }
@@ -202,32 +174,35 @@
 
 // overdue adds the calls that are out beyond Lmax to the samples, if most servers that have calls out have
 // such: where all are crowded, the calls that end tell too late. Few tell of hung servers, not of the tier.
+// Each call is counted late once; of more than there is room for, those least late are taken.
 func (b *Balancer) overdue() {
-	busy, late := 0, 0
-	for _, s := range b.servers {
-		if s.out > 0 {
-			busy++
-		}
-		s.late = false
-	}
-	var ages []float64
-	for _, r := range b.requests {
-		if age := float64(b.now-r.sent) / float64(r.c.Aim); r.open && age > b.lmax {
-			ages = append(ages, age)
-			if s := r.attempts[len(r.attempts)-1]; !s.late {
-				s.late, late = true, late+1
+	for i := range b.flights {
+		for f := &b.flights[i]; f.young != nil && b.age(f.young) > b.lmax; f.young = f.young.next {
+			f.young.late = true
+			if s := f.young.latest(); s.late == 0 {
+				b.late++
 			}
+			f.young.latest().late++
 		}
 	}
-	if float64(late) <= overdueAt*float64(busy) {
+	if float64(b.late) <= overdueAt*float64(b.busy) {
 		return
 	}
-	slices.Sort(ages) // they come in no order, and not all may find room
-	for _, age := range ages[:min(len(ages), max(maxSamples-b.seen, 0))] {
-		b.samples[b.seen], b.seen = age, b.seen+1
+	ages, room := b.ages[:0], max(maxSamples-b.seen, 0)
+	for i := range b.flights { // by class the least late come first: more than room are of no use
+		for r := b.flights[i].newestLate(); r != nil && len(ages) < (i+1)*room; r = r.prev {
+			ages = append(ages, b.age(r))
+		}
+		slices.Sort(ages)
+		ages = ages[:min(len(ages), room)]
 	}
+	b.seen += copy(b.samples[b.seen:], ages)
+	b.ages = ages[:0]
 }
 
+// age is how long the call of r is out, in aims of its class.
+func (b *Balancer) age(r *request) float64 { return float64(b.now-r.sent) / float64(r.c.Aim) }
+
 // admits tells whether r finds room. At the front what is worth least meets a lower threshold of the limit,
 // by class and quota, and so does a class whose calls fail more than others': one that drags everywhere would
 // fill the limit with calls that come to nothing. Harm: the class worth least may fare much worse.
@@ -254,43 +229,83 @@
 	return false
 }
 
-type credit struct { // an allowance that fills at a rate
-	n  float64
-	at time.Duration
+// --- Picker: idle servers first, else the one with the fewest of our calls.
+
+// pick returns the server for the next attempt of r, or nil: the one with the fewest seats held, by calls
+// out, failed or slow. Among equals cold ones with credit come first, then our zone, then the fastest.
+// A list of which no server can rank better any more ends the look. Harm: in large fleets, by a sample.
+func (b *Balancer) pick(r *request) *server {
+	size := len(b.servers)
+	c := choice{r: r, from: int(b.random() * float64(size)), size: size, least: math.MaxInt}
+	most := mostLooked
+	if size <= exactUpTo || r.ran != nil && r.c.Effect == Keyed && r.c.Group != GroupAll { // a group is small
+		most = size
+	}
+	for level, list := range b.levels {
+		if c.least < level-1 {
+			break
+		}
+		if level == 0 {
+			for i := len(list) - 1; i >= max(len(list)-most, 0); i-- {
+				b.place(list[i]) // it may be warm by now
+			}
+		}
+		b.look(&c, b.levels[level], most)
+	}
+	if c.best == nil && most < size { // others than were looked at may be left
+		b.look(&c, b.servers, size)
+	}
+	return c.best
 }
 
-func (c *credit) fill(now time.Duration, rate, most float64) float64 {
-	c.n, c.at = min(c.n+rate*(now-c.at).Seconds(), most), now
-	return c.n
+// choice is the best server so far. Of equals it is the first in the list, from a random place on.
+type choice struct {
+	r          *request
+	from, size int
+	best       *server
+	least      int
+	quickest   float64
 }
 
-// --- Picker: idle servers first, else the one with the fewest of our calls.
+func (c *choice) turn(s *server) int { return (s.at - c.from + c.size) % c.size }
 
-// pick returns the server for the next attempt of r, or nil: the one with the fewest seats held, by calls
-// out, failed or slow. Among equals cold ones with credit come first, then our zone, then the fastest.
-func (b *Balancer) pick(r *request) (best *server) {
-	least, quickest := math.MaxInt, 0.0
-	from := int(b.random() * float64(len(b.servers)))
-	for i := range b.servers {
-		s := b.servers[(from+i)%len(b.servers)]
-		if !b.usable(s) || !r.mayUse(s, b.now) || !b.warmEnough(s) {
+// look weighs so many servers of a list.
+func (b *Balancer) look(c *choice, list []*server, most int) {
+	start := 0
+	if len(list) > most {
+		start = c.from * len(list) / c.size
+	}
+	for i := range min(len(list), most) {
+		s := list[(start+i)%len(list)]
+		b.weighed++
+		if !b.usable(s) || !c.r.mayUse(s, b.now) || !b.warmEnough(s) {
 			continue
 		}
 		held, slow := b.standing(s)
-		rank := 2*int(float64(s.out)+held+math.Floor(slow/slowFrom)) + s.doubt()
-		if s.home {
-			slow *= homeEdge
-		} else if s.Zone != b.cfg.Zone {
-			rank++
-		}
+		rank := s.behind + 2*int(float64(s.out)+held+math.Floor(slow/slowFrom))
 		if b.coldShare(s) < 1 {
 			rank--
 		}
-		if rank < least || rank == least && slow < quickest {
-			best, least, quickest = s, rank, slow
+		order := cmp.Or(cmp.Compare(rank, c.least), cmp.Compare(slow, c.quickest))
+		if order < 0 || order == 0 && c.turn(s) < c.turn(c.best) {
+			c.best, c.least, c.quickest = s, rank, slow
 		}
 	}
-	return best
+}
+
+// place files s under the rank, and one, that its calls out and its place give it: what it is judged by comes
+// on top. Near servers that are cold rank half a seat less; they have the first shelf to themselves.
+func (b *Balancer) place(s *server) {
+	if s.behind = s.doubt(); b.keeps && s.Zone != b.cfg.Zone {
+		s.behind++
+	}
+	level := 1 + s.behind + 2*s.out
+	if !b.trusted(s) {
+		level = -1
+	} else if s.near && b.coldShare(s) < 1 {
+		level = 0
+	}
+	b.levels.move(s, level)
 }
 
 // --- Server state: list, draining, cold, health.
@@ -303,8 +318,11 @@
 	touch, known time.Duration // when it was judged; when it was last listed, or served
 	drained      bool          // it was called draining since it started
 	latest       int           // our latest call since it was called gone: served 1, failed -1, none 0
-	near, home   bool          // see settle
-	late         bool          // it has a call out beyond Lmax
+	near         bool          // see settle
+	late         int           // its calls out beyond Lmax
+	at           int           // its place in the list
+	level, spot  int           // where it is filed; level -1 is nowhere
+	behind       int           // half seats that it stands behind its peers: see place
 	budget       credit        // calls that the cold budget allows
 }
 
@@ -312,7 +330,12 @@
 // or old is believed as long as our own calls agree: one once named and not seen draining stays a candidate,
 // a seat behind until it has served, last once a call has failed. Harm: calls to what is really gone.
 func (b *Balancer) usable(s *server) bool {
-	return s.State == Ready || s.State == Gone && b.cfg.Contract.DrainBindsAlone && !s.drained && b.remembered(s)
+	return s.State == Ready || b.trusted(s) && b.remembered(s)
+}
+
+// trusted tells whether s may be sent to for as long as it is remembered.
+func (b *Balancer) trusted(s *server) bool {
+	return s.State == Ready || s.State == Gone && b.cfg.Contract.DrainBindsAlone && !s.drained
 }
 
 func (b *Balancer) remembered(s *server) bool {
@@ -324,7 +347,7 @@
 	switch {
 	case s.State != Ready && s.latest < 0:
 		return 2 * mostHeld
-	case s.State != Ready && s.latest == 0 || !s.near && !s.home:
+	case s.State != Ready && s.latest == 0 || !s.near:
 		return 2
 	}
 	return 0
@@ -341,8 +364,9 @@
 
 // judge books how a call ended on its server. A failed call goes on holding its seat for a while, and more
 // with each that follows, or a server that errs quickly would be idle always. Trouble of all shuts none out.
-func (b *Balancer) judge(s *server, class int, o Outcome, wait time.Duration, blame float64) {
+func (b *Balancer) judge(s *server, class int, o Outcome, wait time.Duration) {
 	held, slow := b.standing(s)
+	blame := max(0, 1-2*b.fails[class]) // what all servers have holds less of a seat
 	usual, took, doubted := &b.usual[class], wait.Seconds(), s.latest < 0
 	switch o {
 	case OK:
@@ -363,6 +387,8 @@
 	s.held, s.slow, s.touch = held, slow, b.now
 	if s.State == Gone && doubted != (s.latest < 0) { // our own calls outweigh the list
 		b.settle()
+	} else {
+		b.place(s)
 	}
 }
 
@@ -422,12 +448,13 @@
 			s.State = Gone
 		}
 	}
+	added := false
 	for _, e := range ev.Servers {
 		s := b.byID[e.ID]
 		if s == nil {
-			s = &server{Server: e, slow: 1, known: b.now}
+			s = &server{Server: e, slow: 1, known: b.now, level: -1}
 			b.byID[e.ID] = s
-			b.servers = append(b.servers, s)
+			b.servers, b.ring, added = append(b.servers, s), append(b.ring, s), true
 		} else if e.State == Gone { // perhaps told without them, but calls to it may yet be resent in its group
 			e.Zone, e.Cell, e.Started = s.Zone, s.Cell, max(e.Started, s.Started)
 		} else if b.cfg.Contract.DrainBindsAlone && e.Started <= s.Started { // perhaps an old list
@@ -448,19 +475,25 @@
 		}
 		return forget
 	})
+	b.ring = slices.DeleteFunc(b.ring, func(s *server) bool { return b.byID[s.ID] != s })
+	if added {
+		slices.SortFunc(b.ring, func(x, y *server) int { return cmp.Compare(mix(uint64(x.ID)), mix(uint64(y.ID))) })
+	}
 	b.settle()
 }
 
 // settle picks the servers that this copy keeps to, or many copies would each meet one twice a minute and
-// know none. All derive one ring of a zone's servers, and each its place by Self: the next ones are near;
-// those up to the next copy's place are home, first among idle ones unless much slower, so that copies with
-// few calls hardly meet. The limit is bounded by this copy's part of the servers. Harm: late lists shift
-// places.
+// know none. All derive one ring of a zone's servers, and each its place by Self: the next ones are near. The
+// limit is bounded by this copy's part of the servers. Harm: late lists shift places.
 func (b *Balancer) settle() {
-	var fleet []*server
-	for _, s := range b.servers {
-		if s.near, s.home = false, false; b.usable(s) && s.doubt() < mostHeld {
-			fleet = append(fleet, s)
+	defer b.file()
+	var fleet, own []*server
+	for _, s := range b.ring {
+		if s.near = false; !b.usable(s) || s.doubt() >= mostHeld {
+			continue
+		}
+		if fleet = append(fleet, s); s.Zone == b.cfg.Zone {
+			own = append(own, s)
 		}
 	}
 	if len(fleet) == 0 { // nobody to send to: what the limit has learnt stays
@@ -476,26 +509,27 @@
 		b.maxIFR = startSeats * part
 	}
 	b.maxIFR = min(max(b.maxIFR, b.floor), b.ceiling)
-	slices.SortFunc(fleet, func(x, y *server) int { return cmp.Compare(mix(uint64(x.ID)), mix(uint64(y.ID))) })
-	own := slices.DeleteFunc(slices.Clone(fleet), func(s *server) bool { return s.Zone != b.cfg.Zone })
 	near := max(nearSeats*startSeats*part, leastNear)
-	if float64(len(own)) < max(leastNear, leastOwn*float64(b.ready)) { // few must not get all
+	b.keeps = float64(len(own)) >= max(leastNear, leastOwn*float64(b.ready)) // few must not get all
+	if !b.keeps {
 		own = fleet
 	}
 	b.near = int(math.Ceil(min(near, float64(len(own)))))
-	for _, s := range b.deal(own, b.near) {
-		s.near = true
-	}
-	for _, s := range b.deal(own, 1) { // not of the fleet, or home would mostly be in another zone
-		s.home = true
+	// From this copy's place on the ring up to the next copy's, and as many as are near at the least.
+	place := float64(len(own)) / float64(b.cfg.GroupSize)
+	from, to := int(float64(b.cfg.Self)*place), int(float64(b.cfg.Self+1)*place)
+	for i := range min(max(b.near, to-from), len(own)) {
+		own[(from+i)%len(own)].near = true
 	}
 }
 
-// deal returns the servers from this copy's place on the ring up to the next copy's, and n at the least.
-func (b *Balancer) deal(ring []*server, n int) []*server {
-	size, place := len(ring), float64(len(ring))/float64(b.cfg.GroupSize)
-	from, to := int(float64(b.cfg.Self)*place), int(float64(b.cfg.Self+1)*place)
-	return append(ring, ring...)[from : from+min(max(n, to-from), size)]
+// file files all servers anew.
+func (b *Balancer) file() {
+	b.levels.empty()
+	for i, s := range b.servers {
+		s.at, s.level = i, -1
+		b.place(s)
+	}
 }
 
 // ask schedules a call for the list, at a random moment: all copies may start or fail at once.
@@ -519,13 +553,19 @@
 	attempts []*server
 	sent     time.Duration // when the latest attempt was sent
 
-	open, failed, done bool          // the latest attempt is out, or failed other than by its time; answered
-	key                uint64        // where order is kept
-	due                time.Duration // a turn after this comes too late
-	ran                *server       // got the first attempt that may have run: keyed work may go near it again
-	ranAt              time.Duration // and when
+	open, done bool          // the latest attempt is out; answered
+	key        uint64        // where order is kept
+	due        time.Duration // a turn after this comes too late
+	ran        *server       // got the first attempt that may have run: keyed work may go near it again
+	ranAt      time.Duration // and when
+
+	prev, next *request // in the flight of its class
+	late       bool     // its call is counted late
 }
 
+// latest is the server of the latest attempt.
+func (r *request) latest() *server { return r.attempts[len(r.attempts)-1] }
+
 // mayUse tells whether another attempt may go to s: never to one already tried and, for keyed work that
 // may have run, only within its group and memory span. Unsafe work that may have run never gets here.
 func (r *request) mayUse(s *server, now time.Duration) bool {
@@ -549,7 +589,9 @@
 		class = 0
 	}
 	c := &b.cfg.Classes[class]
-	r := &request{id: ev.Request, class: class, c: c, value: c.Worth / b.topWorth, end: b.now + ev.Remaining}
+	r := b.spares.take()
+	*r = request{id: ev.Request, class: class, c: c, value: c.Worth / b.topWorth, end: b.now + ev.Remaining,
+		attempts: r.attempts[:0]}
 	if c.LateWorth == 0 {
 		r.end = min(r.end, b.now+time.Duration(aimMargin*(float64(c.Aim)+max(c.AimStretch, 0)*float64(ev.Work))))
 	}
@@ -637,10 +679,14 @@
 		return false
 	}
 	r.attempts, r.sent, r.open = append(r.attempts, s), b.now, true
+	if b.flights[r.class].add(r); s.out == 0 {
+		b.busy++
+	}
 	s.out, b.ifr = s.out+1, b.ifr+1
 	if b.coldShare(s) < 1 {
 		s.budget.n--
 	}
+	b.place(s)
 	b.out = append(b.out, Action{Kind: Send, Request: r.id, Server: s.ID, Wait: left})
 	return true
 }
@@ -653,18 +699,15 @@
 	}
 	s := r.attempts[ev.Attempt]
 	r.open, s.out, b.ifr = false, s.out-1, b.ifr-1
-	o, blame := ev.Outcome, 1.0
-	// Failures that follow their request to another server (worthless requests, an outage, deep overload), or
-	// that all servers have, hold less of a seat; the first are seldom retried. Harm: so do bad servers' then.
-	failed := o == Error || o == Reset || o.NeverRan()
-	if r.failed && (failed || o == OK) {
-		if b.follow *= 1 - followGain; failed {
-			b.follow += followGain * mostFollow
-		}
+	if b.flights[r.class].remove(r); s.out == 0 {
+		b.busy--
 	}
-	if r.failed = failed; failed {
-		blame -= b.follow
+	if r.late {
+		if s.late--; s.late == 0 {
+			b.late--
+		}
 	}
+	o := ev.Outcome
 	switch {
 	case o == OK, (o == Timeout || o == Cancelled) && float64(ev.Elapsed) > b.lmax*float64(r.c.Aim):
 		b.sample(r.c, ev.Elapsed) // cut short, a call tells something beyond Lmax only
@@ -673,8 +716,8 @@
 	case o == ConnectFailed:
 		b.sample(r.c, max(ev.Elapsed, b.cfg.Limits.ConnectTimeout))
 	}
-	b.judge(s, r.class, o, ev.Elapsed, blame*max(0, 1-2*b.fails[r.class]))
-	if b.fails[r.class] *= 1 - meanGain; failed || o == Timeout {
+	b.judge(s, r.class, o, ev.Elapsed)
+	if b.fails[r.class] *= 1 - meanGain; o == Error || o == Reset || o == Timeout || o.NeverRan() {
 		b.fails[r.class] += meanGain
 	}
 	if !o.NeverRan() && r.ran == nil {
@@ -686,7 +729,7 @@
 	}
 	r.done = r.done || ev.Closed
 	again := !ev.Spent && (r.ran == nil || r.c.Effect != Unsafe) && len(r.attempts) < b.cfg.Limits.Attempts
-	if !r.done && !(again && b.random() < blame && b.send(r)) {
+	if !r.done && !(again && b.send(r)) {
 		b.answer(r)
 	}
 	b.release(r)
@@ -721,10 +764,11 @@
 	b.advance(r.key)
 }
 
-// release forgets what is answered and has no attempt out.
+// release forgets what is answered and has no attempt out. Its fields stand until the next arrival.
 func (b *Balancer) release(r *request) {
-	if r.done && !r.open {
+	if r.done && !r.open && b.requests[r.id] == r {
 		delete(b.requests, r.id)
+		b.spares.put(r)
 		if t := b.turns[r.key]; t != nil {
 			t.queue = slices.DeleteFunc(t.queue, func(other *request) bool { return other == r })
 		}
--- /dev/null
+++ b/bench_test.go
@@ -0,0 +1,93 @@
+package ryerill
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// sizes are fleets at which costs are compared, copies and calls in flight grown
+// alike: three copies before fourteen servers.
+var sizes = []int{14, 140, 700, 7000}
+
+// BenchmarkDecision is one call from its arrival to its end, with the windows that
+// end on the way: pick, admit and tune.
+func BenchmarkDecision(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			f := newFlow(b, size)
+			for range 4 * size {
+				f.turn()
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				f.turn()
+			}
+		})
+	}
+}
+
+// BenchmarkRefuse is an arrival that finds no room.
+func BenchmarkRefuse(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			f := newFlow(b, size)
+			f.n.b.maxIFR, f.n.b.ceiling, f.n.b.spare = 1, 1, -1
+			b.ReportAllocs()
+			for b.Loop() {
+				f.next++
+				f.out = f.n.b.Handle(f.n.now, Event{Kind: Arrival, Request: f.next, Remaining: 2 * time.Second}, f.out[:0])
+			}
+		})
+	}
+}
+
+// BenchmarkWindow is the end of a window in which most calls are overdue.
+func BenchmarkWindow(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			f := newFlow(b, size)
+			for f.n.b.ifr < 12 && f.n.b.ifr < int(f.n.b.maxIFR) {
+				f.arrive()
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				f.n.now += time.Second
+				f.n.b.seen = minRequests
+				f.out = f.n.b.Handle(f.n.now, Event{Kind: Timer, Token: 1}, f.out[:0])
+			}
+		})
+	}
+}
+
+// BenchmarkListChange is one changed entry of the list.
+func BenchmarkListChange(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			f := newFlow(b, size)
+			states := []ServerState{Draining, Ready}
+			list := []Server{up(1)}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i++
+				list[0].State = states[i%2]
+				f.out = f.n.b.Handle(f.n.now, Event{Kind: ServerList, List: ListChanges, Servers: list}, f.out[:0])
+			}
+		})
+	}
+}
+
+// BenchmarkMemory tells the bytes that a Balancer takes for each server.
+func BenchmarkMemory(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			list := fleet(size)
+			b.ReportAllocs()
+			for b.Loop() {
+				newNode(b, testConfig(), list...)
+			}
+			b.ReportMetric(float64(size), "servers")
+		})
+	}
+}
--- /dev/null
+++ b/index_test.go
@@ -0,0 +1,234 @@
+package ryerill
+
+import (
+	"math"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+)
+
+// plain picks as pick does where it may look at all: a scan of all servers from a
+// random place on.
+func plain(b *Balancer, r *request) *server {
+	c := choice{r: r, from: int(b.random() * float64(len(b.servers))), size: len(b.servers), least: math.MaxInt}
+	for i := range b.servers {
+		b.look(&c, b.servers[(c.from+i)%c.size:][:1], 1)
+	}
+	return c.best
+}
+
+// agree compares pick with plain for a request, and leaves the generator as it was.
+func (w *world) agree(r *request) {
+	rng := w.b.rng
+	want := plain(w.b, r)
+	w.b.rng = rng
+	got := w.b.pick(r)
+	w.b.rng = rng
+	if got != want && (got == nil || want == nil || len(w.b.servers) <= exactUpTo) {
+		w.fail("request %d: the index picks %+v, the scan %+v", r.id, got, want)
+	}
+	if got != nil && want != nil {
+		w.picks++
+		if got != want {
+			w.others++
+		}
+	}
+}
+
+// tally compares what is counted as events come with a count made now.
+func (w *world) tally() {
+	b := w.b
+	busy, late, filed := 0, 0, 0
+	for i, s := range b.servers {
+		if s.at != i {
+			w.fail("server %d is at %d of the list, and says %d", s.ID, i, s.at)
+		}
+		if s.out > 0 {
+			busy++
+		}
+		if s.late > 0 {
+			late++
+		}
+		if s.level >= 0 {
+			filed++
+			if b.levels[s.level][s.spot] != s {
+				w.fail("server %d is not where it is filed", s.ID)
+			}
+		}
+	}
+	for _, shelf := range b.levels {
+		filed -= len(shelf)
+	}
+	calls, open := 0, 0
+	for i := range b.flights {
+		for r := b.flights[i].first; r != nil; r = r.next {
+			if calls++; r.next != nil && r.next.sent < r.sent {
+				w.fail("calls out of order")
+			}
+		}
+	}
+	for _, r := range b.requests {
+		if r.open {
+			open++
+		}
+	}
+	if busy != b.busy || late != b.late || filed != 0 || calls != b.ifr || open != b.ifr {
+		w.fail("busy %d, late %d, filed %+d, calls %d, open %d; kept %d, %d, %d", busy, late, filed, calls, open, b.busy, b.late, b.ifr)
+	}
+}
+
+// Up to the stated size the index picks what a plain scan picks, and beyond it
+// never nothing where there is something; what is counted as events come is true.
+func TestIndexAgreesWithAPlainScan(t *testing.T) {
+	for seed := range int64(40) {
+		w := newWorld(t, seed)
+		w.most = []int{12, 40, exactUpTo}[seed%3]
+		for i := range 1500 {
+			w.step(RequestID(i + 1))
+			w.tally()
+			w.agree(&request{c: &w.cfg.Classes[0]})
+			for _, r := range w.b.requests {
+				if len(r.attempts) > 0 {
+					w.agree(r)
+				}
+			}
+		}
+		if w.picks < 200 {
+			t.Errorf("seed %d: %d picks compared", seed, w.picks)
+		}
+	}
+}
+
+// jam gives servers random verdicts and calls out, as crowded fleets have them.
+func jam(b *Balancer, rng *rand.Rand) {
+	for _, s := range b.servers {
+		s.out, s.held, s.slow, s.touch = rng.Intn(3)*rng.Intn(2), float64(rng.Intn(3)*rng.Intn(2)), 0.5+2*rng.Float64(), b.now
+		b.place(s)
+	}
+}
+
+// In larger fleets a sample decides. What it costs is measured: how often it
+// takes a server that ranks worse, and by how much one slower.
+func TestLossOfTheSample(t *testing.T) {
+	for _, size := range []int{140, 700, 7000} {
+		cfg := testConfig()
+		cfg.GroupSize = size * 3 / 14
+		n, rng := newNode(t, cfg, fleet(size)...), rand.New(rand.NewSource(int64(size)))
+		const picks = 400
+		worse, slower := 0, 0.0
+		for range picks {
+			n.now += time.Second
+			n.b.now = n.now
+			jam(n.b, rng)
+			r := &request{c: &n.b.cfg.Classes[0]}
+			seed := n.b.rng
+			want := plain(n.b, r)
+			n.b.rng = seed
+			got := n.b.pick(r)
+			rank := func(s *server) int {
+				held, slow := n.b.standing(s)
+				return 2*int(float64(s.out)+held+math.Floor(slow/slowFrom)) + s.doubt()
+			}
+			if got == nil || rank(got) > rank(want) {
+				worse++
+			}
+			slower += (got.slow - want.slow) / picks
+		}
+		t.Logf("%d servers, %d near: %.1f%% of picks rank worse, on average %.3f slower", size, n.b.near, 100*float64(worse)/picks, slower)
+		if worse > picks/50 || slower > 0.1 {
+			t.Errorf("%d servers: %d of %d picks rank worse, %.3f slower", size, worse, picks, slower)
+		}
+	}
+}
+
+// At ten times the fleet, copies and calls grown alike, no decision may look at
+// more or allocate. Counted work, so that the verdict is the same on any machine.
+func TestDecisionsDoNotGrowWithTheFleet(t *testing.T) {
+	for _, size := range []int{14, 140, 700, 7000} {
+		f := newFlow(t, size)
+		for range 4 * size { // all that is allocated once is there
+			f.turn()
+		}
+		if allocs := testing.AllocsPerRun(200, f.turn); allocs > 0 {
+			t.Errorf("%d servers: %v allocations for a call and the windows in it", size, allocs)
+		}
+		f.n.b.weighed = 0
+		for range 200 {
+			f.turn()
+		}
+		if per := f.n.b.weighed / 200; per > 2*mostLooked+1 && size > exactUpTo {
+			t.Errorf("%d servers: %d are weighed for a pick", size, per)
+		}
+	}
+}
+
+// flow is a calm stream of calls with some always out.
+type flow struct {
+	n    *node
+	out  []Action
+	open []RequestID
+	next RequestID
+}
+
+func newFlow(t testing.TB, size int) *flow {
+	cfg := testConfig()
+	cfg.GroupSize = max(size*3/14, 1)
+	f := &flow{n: newNode(t, cfg, fleet(size)...)}
+	for range 8 {
+		f.arrive()
+	}
+	return f
+}
+
+func (f *flow) arrive() {
+	f.next++
+	f.open = append(f.open, f.next)
+	f.out = f.n.b.Handle(f.n.now, Event{Kind: Arrival, Request: f.next, Remaining: 2 * time.Second}, f.out[:0])
+}
+
+// turn ends the oldest call and begins another.
+func (f *flow) turn() {
+	f.n.now += 10 * ms
+	id := f.open[0]
+	copy(f.open, f.open[1:])
+	f.open = f.open[:len(f.open)-1]
+	f.out = f.n.b.Handle(f.n.now, Event{Kind: AttemptEnded, Request: id, Closed: true, Elapsed: 80 * ms}, f.out[:0])
+	f.arrive()
+}
+
+// What a server that has left leaves behind is nothing.
+func TestNothingIsKeptOfServersThatLeft(t *testing.T) {
+	n := newNode(t, testConfig(), fleet(50)...)
+	for gen := range 20 {
+		id, _ := n.arrive(0)
+		var list []Server
+		for i := range 50 {
+			list = append(list, up(ServerID(1000*(gen+1)+i)))
+		}
+		n.handle(Event{Kind: ServerList, List: ListFull, Servers: list})
+		n.end(id, 0, OK, ms)
+	}
+	n.handle(Event{Kind: ServerList, List: ListChanges})
+	kept := 0
+	for _, shelf := range n.b.levels {
+		for _, s := range shelf[:cap(shelf)] {
+			if s != nil && !slices.Contains(n.b.servers, s) {
+				kept++
+			}
+		}
+	}
+	for _, r := range n.b.spares {
+		for _, s := range r.attempts[:cap(r.attempts)] {
+			if s != nil {
+				kept++
+			}
+		}
+		if r.ran != nil {
+			kept++
+		}
+	}
+	if len(n.b.servers) != 50 || len(n.b.byID) != 50 || kept > 0 {
+		t.Errorf("%d servers, %d by id, %d kept of those that left", len(n.b.servers), len(n.b.byID), kept)
+	}
+}
--- a/ryerill.go
+++ b/ryerill.go
@@ -7,7 +7,10 @@
 // carries out the [Action] values it returns.
 package ryerill
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // RequestID names a request at one balancer. It is never used twice.
 type RequestID uint64
@@ -77,6 +80,38 @@
 	Goal           Goal
 }
 
+// complete replaces what is missing or impossible by defaults.
+func (cfg *Config) complete() {
+	cfg.Classes = append([]Class(nil), cfg.Classes...)
+	if len(cfg.Classes) == 0 {
+		cfg.Classes = []Class{{Effect: Unsafe}}
+	}
+	for i := range cfg.Classes {
+		c := &cfg.Classes[i]
+		orElse(&c.Deadline, 2*max(c.Aim, time.Second))
+		orElse(&c.Aim, c.Deadline/2)
+		orElse(&c.Worth, 1)
+	}
+	orElse(&cfg.GroupSize, 1)
+	orElse(&cfg.Tiers, 1)
+	cfg.Self = max(cfg.Self, 0) % cfg.GroupSize
+	cfg.Tier = min(max(cfg.Tier, 0), cfg.Tiers-1)
+	orElse(&cfg.Limits.Attempts, 3)
+	orElse(&cfg.Limits.Open, math.MaxInt)
+	orElse(&cfg.Contract.AskWithin, 10*time.Second)
+	orElse(&cfg.Contract.ColdFrom, 0.1)
+	orElse(&cfg.Contract.WarmUp, 30*time.Second)
+	orElse(&cfg.Contract.FallMultiple, 2)
+	orElse(&cfg.Contract.OverloadFor, time.Second)
+	orElse(&cfg.Contract.KeyRest, 0)
+}
+
+func orElse[T int | float64 | time.Duration](v *T, other T) {
+	if !(*v > 0) {
+		*v = other
+	}
+}
+
 // Goal says how service is valued where that is not the worth alone.
 type Goal struct {
 	LogLossPart float64 // weight of the nines: of how far the unserved share of short spans lies below the whole
