Outlive a log without a reader and descriptors that run out

Seen: with the reader of its log gone the program died at the next line, by SIGPIPE (TestLogReaderGone: the connection was reset); after 4 MiB the log was silent for good; and without a descriptor to spare accepting polled once a millisecond, /ready went unanswered until an idle consumer's time was over (2.2 s), the queue at the end was dropped, and a directory could not be dialled. Ruled out: the budget of descriptors itself, which holds as long as the process may have what limits.sockets says. SIGPIPE is ignored. What the process may hold bounds what is stated, with a warning, or exit 1 if it is too little. Front, door and directory keep descriptors aside; at a shortage the consumer that can be spared best goes, and who holds the last one is answered and goes; waits grow from 1 to 50 ms. A cancelled call ends its dial at once rather than at the connect time-out; idle connections of all that left are closed in one look. Lists of 8 MiB, some 40,000 providers, are read: 7,000 were too many for 1 MiB.

--- /dev/null
+++ b/cmd/ryerill/exhaustion_test.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// echo is a provider that serves all.
+func echo(t *testing.T) *httptest.Server {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "fine") }))
+	t.Cleanup(s.Close)
+	return s
+}
+
+// served asks on a connection of its own, and returns the status.
+func served(t *testing.T, address, what string) int {
+	t.Helper()
+	c, r, err := connect(t, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, what)
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatalf("%.20q: %v", what, err)
+	}
+	return resp.StatusCode
+}
+
+// Whoever reads the log may go away: the next line must not end the program.
+func TestLogReaderGone(t *testing.T) {
+	cmd := prepare(t, build(t), configuration("127.0.0.1:0", echo(t).Listener.Addr().String()), "serve")
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	address, _ := addressOf(t, log)
+	log.Close()    // the pipe's only reader
+	for range 20 { // each is logged
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		if code := served(t, address, ask()); code != http.StatusOK {
+			t.Fatalf("answered %d", code)
+		}
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+}
+
+// The machine may allow fewer descriptors than the configuration says, or take
+// some away while the program runs. Whoever is beyond them is told so at once or
+// waits unheard; /ready is answered, and once there is room all is as before.
+func TestDescriptorsRunOutAndComeBack(t *testing.T) {
+	cmd := prepare(t, build(t), configuration("127.0.0.1:0", echo(t).Listener.Addr().String()), "serve")
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	address, _ := addressOf(t, log)
+	if code := served(t, address, ask()); code != http.StatusOK {
+		t.Fatalf("at first: %d", code)
+	}
+	open := func() int {
+		entries, err := os.ReadDir("/proc/" + strconv.Itoa(cmd.Process.Pid) + "/fd")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(entries)
+	}
+	before := open()
+	var allowed unix.Rlimit
+	if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, nil, &allowed); err != nil {
+		t.Fatal(err)
+	}
+	limit := func(n uint64) {
+		t.Helper()
+		if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: n, Max: allowed.Max}, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for round := range 3 {
+		limit(uint64(before + 6)) // of which consumers take all
+		var held []net.Conn
+		for range 12 {
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			held = append(held, c)
+		}
+		began := time.Now()
+		if code := served(t, address, "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"); code != http.StatusOK {
+			t.Errorf("round %d: /ready without a descriptor: %d", round, code)
+		}
+		if code := served(t, address, ask()); code != http.StatusServiceUnavailable && code != http.StatusOK {
+			t.Errorf("round %d: a request without a descriptor: %d", round, code)
+		}
+		if took := time.Since(began); took > 2*time.Second {
+			t.Errorf("round %d: answered after %v", round, took)
+		}
+		limit(allowed.Cur)
+		for _, c := range held {
+			c.Close()
+		}
+		for end := time.Now().Add(patience); open() > before+1; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("round %d: %d descriptors are left, %d at first", round, open(), before)
+			}
+		}
+		for range 8 {
+			if code := served(t, address, ask()); code != http.StatusOK {
+				t.Errorf("round %d: with room again: %d", round, code)
+			}
+		}
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+}
--- a/config/config.go
+++ b/config/config.go
@@ -226,6 +226,16 @@
 	return leastSockets - sparedAlways + spareSockets(mgmt)
 }
 
+// Bound lowers the descriptors to what the process may hold. It returns how many
+// it needs at least if these are too few, else 0.
+func (c *Config) Bound(descriptors int) (least int) {
+	c.Limits.Sockets = min(c.Limits.Sockets, descriptors)
+	if least = leastSocketsWith(c.Mgmt); c.Limits.Sockets < least {
+		return least
+	}
+	return 0
+}
+
 // only names the one listener, route and pool of the platform's form.
 const only = "main"
 
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -37,6 +37,7 @@
 	linger       = 500 * time.Millisecond  // what comes in after a last answer is read for so long, lest it be reset
 	reserve      = 8                       // connections beyond the limit that are told so
 	grace        = 500 * time.Millisecond  // while all connections go, a new one may still ask for so long
+	spare        = 2                       // descriptors kept aside for when there are no others
 )
 
 // Server accepts the consumers' connections and speaks HTTP/1.1 on them.
@@ -45,6 +46,7 @@
 	services Services
 	buffers  *buffer.Pool
 	most     int // connections
+	reserve  *socket.Reserve
 
 	killed time.Duration // after the word to stop, at the earliest
 
@@ -74,7 +76,7 @@
 		return nil, fmt.Errorf("listen for consumers: %w", err)
 	}
 	s := &Server{listener: l.(*net.TCPListener), buffers: buffers, most: max(most-reserve, 1),
-		conns: make(map[*conn]struct{}), ids: make(map[string]*conn)}
+		reserve: socket.NewReserve(spare), conns: make(map[*conn]struct{}), ids: make(map[string]*conn)}
 	s.room = sync.NewCond(&s.mu)
 	return s, nil
 }
@@ -95,7 +97,10 @@
 }
 
 // Close ends a server that never served.
-func (s *Server) Close() { s.listener.Close() }
+func (s *Server) Close() {
+	s.listener.Close()
+	s.reserve.Close()
+}
 
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
@@ -107,21 +112,28 @@
 // taken in has been answered.
 func (s *Server) Serve(ctx context.Context, services Services) error {
 	s.services = services
-	defer s.listener.Close()
+	defer s.Close()
 	defer context.AfterFunc(ctx, s.stop)()
+	var pause socket.Pause
 	for {
 		nc, err := s.listener.AcceptTCP()
+		lent := socket.Short(err) && s.makeRoom()
+		if lent { // for one who asks whether this proxy is ready, and to tell others that there is no room
+			nc, err = s.listener.AcceptTCP()
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			break
 		}
 		if errors.Is(err, net.ErrClosed) {
 			return fmt.Errorf("accept consumers: %w", err)
 		}
-		if err != nil { // the consumer is gone again, or the machine has no descriptor to spare
-			time.Sleep(time.Millisecond)
+		if err != nil { // the consumer is gone again, or another has taken the descriptor
+			s.reserve.Fill()
+			time.Sleep(pause.Next())
 			continue
 		}
-		s.add(nc)
+		pause.Over()
+		s.add(nc, lent && !s.reserve.Fill()) // it may have come much later
 	}
 	s.hearOut()
 	s.listener.Close()
@@ -142,20 +154,43 @@
 	if err != nil {
 		return
 	}
+	var pause socket.Pause
 	for end := time.Now().Add(grace); time.Now().Before(end); {
 		fd := -1
 		raw.Control(func(l uintptr) { fd, _, err = unix.Accept4(int(l), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC) })
-		if err != nil {
+		switch {
+		case socket.Short(err): // who waits there has been taken: it is worth waiting for one
+			s.makeRoom()
+			time.Sleep(pause.Next())
+			continue
+		case errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNABORTED):
+			continue
+		case err != nil:
 			return
 		}
 		f := os.NewFile(uintptr(fd), "consumer")
 		nc, err := net.FileConn(f)
+		if socket.Short(err) && s.makeRoom() { // it needs a second one for a moment
+			nc, err = net.FileConn(f)
+		}
 		if f.Close(); err == nil {
-			s.add(nc.(*net.TCPConn))
+			pause.Over()
+			s.add(nc.(*net.TCPConn), false)
 		}
 	}
 }
 
+// makeRoom frees a descriptor: one kept aside, at once, and that of the connection
+// that can be spared best, soon. It reports whether the first is free now.
+func (s *Server) makeRoom() bool {
+	s.mu.Lock()
+	if victim := s.victim(time.Now()); victim != nil {
+		victim.giveUp()
+	}
+	s.mu.Unlock()
+	return s.reserve.Lend()
+}
+
 func (s *Server) stop() {
 	var killed time.Duration
 	if longest := s.services.Longest(); longest > 0 {
@@ -227,7 +262,9 @@
 
 // add starts a connection. At the limit another makes room; if all are busy
 // the new one is told so, and beyond the reserve it is not even read.
-func (s *Server) add(nc *net.TCPConn) {
+//
+// One that holds the last descriptor is refused too: it is answered and goes.
+func (s *Server) add(nc *net.TCPConn, last bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.conns) >= s.most+reserve && s.leaving > 0 {
@@ -240,10 +277,12 @@
 		return
 	}
 	c := newConn(s, nc)
-	if len(s.conns)-s.leaving >= s.most {
+	if c.refused = last; len(s.conns)-s.leaving >= s.most {
 		victim := s.victim(c.since)
-		if c.refused = victim == nil; victim != nil {
+		if victim != nil {
 			victim.giveUp()
+		} else {
+			c.refused = true
 		}
 	}
 	s.conns[c] = struct{}{}
@@ -634,7 +673,7 @@
 // first moment on, with the providers known from before.
 func (c *conn) ready(closes bool) bool {
 	now, code := c.server.present(), http.StatusOK
-	closes = closes || now.Last
+	closes = closes || now.Last || c.refused
 	if !now.Ready {
 		code, closes = http.StatusServiceUnavailable, true
 	}
@@ -681,5 +720,6 @@
 		c.server.leaving--
 	}
 	delete(c.server.conns, c)
+	c.server.reserve.Fill()
 	c.server.room.Broadcast()
 }
--- a/directory/client.go
+++ b/directory/client.go
@@ -12,13 +12,14 @@
 	"time"
 
 	"ryerill/internal/buffer"
+	"ryerill/internal/socket"
 )
 
 const (
 	path       = "/v1/endpoints"
 	watchFor   = 2 * time.Second         // a call of a watch waits this long for something newer: silence is noticed soon after
 	answerIn   = 1200 * time.Millisecond // an answer is overdue after this, beyond what the call may wait
-	maxList    = 1 << 20                 // bytes of an answer
+	maxList    = 8 << 20                 // bytes of an answer: some 40,000 providers
 	emptyPause = 50 * time.Millisecond   // before the next call when an answer without news came early
 )
 
@@ -36,6 +37,7 @@
 type Client struct {
 	sink    Sink
 	buffers *buffer.Pool
+	reserve *socket.Reserve
 	dial    net.Dialer
 	ctx     context.Context // ends with the proxy; calls are made in the background
 
@@ -54,7 +56,10 @@
 // NewClient returns a client of the directory at address, whose calls end with
 // ctx. known is the list held already, if it is a whole one.
 func NewClient(ctx context.Context, address string, known List, buffers *buffer.Pool, sink Sink) *Client {
-	return &Client{ctx: ctx, address: address, held: known.Snapshot, index: known.Index, buffers: buffers, sink: sink}
+	c := &Client{ctx: ctx, address: address, held: known.Snapshot, index: known.Index, buffers: buffers, sink: sink,
+		reserve: socket.NewReserve(1)}
+	context.AfterFunc(ctx, c.reserve.Close)
+	return c
 }
 
 // Subscribe starts the watch, or ends it. It returns at once.
@@ -180,16 +185,18 @@
 	conn    net.Conn
 	r       *bufio.Reader
 	buffers *buffer.Pool
+	reserve *socket.Reserve // of the client
 }
 
 // line returns a line to the present directory. The mutex is held.
 func (c *Client) line() *line {
-	return &line{address: c.address, moves: c.moves, buffers: c.buffers}
+	return &line{address: c.address, moves: c.moves, buffers: c.buffers, reserve: c.reserve}
 }
 
 func (l *line) close() {
 	if l.conn != nil {
 		l.conn.Close()
+		l.reserve.Fill()
 		l.buffers.PutReader(l.r)
 		l.conn, l.r = nil, nil
 	}
@@ -202,7 +209,11 @@
 	defer cancel()
 	if l.conn == nil {
 		conn, err := c.dial.DialContext(ctx, "tcp", l.address)
+		if socket.Short(err) && c.reserve.Lend() {
+			conn, err = c.dial.DialContext(ctx, "tcp", l.address)
+		}
 		if err != nil {
+			c.reserve.Fill()
 			return List{}, err
 		}
 		l.conn, l.r = conn, c.buffers.Reader(conn)
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -14,6 +14,7 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
+	"golang.org/x/sys/unix"
 
 	"ryerill/config"
 	"ryerill/internal/logging"
@@ -84,10 +85,21 @@
 	return "(unknown)"
 }
 
+// descriptors is how many this process may hold.
+func descriptors() int {
+	var limit unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil || limit.Cur > math.MaxInt32 {
+		return math.MaxInt32
+	}
+	return int(limit.Cur)
+}
+
 func serve(getenv func(string) string, stderr io.Writer) error {
 	// Caught from the first moment on and until the process is gone: by itself the signal would end it.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	// Whoever reads the log may go away: by itself the next line would end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	cfg, warnings, err := config.Load(getenv)
 	if err != nil {
 		return err
@@ -101,6 +113,13 @@
 	for _, w := range warnings {
 		log.Warn("configuration", "warning", w)
 	}
+	stated, may := cfg.Limits.Sockets, descriptors()
+	if least := cfg.Bound(may); least > 0 {
+		return runError{fmt.Errorf("this process may hold %d descriptors and needs %d: raise its limit (ulimit -n)", may, least)}
+	}
+	if cfg.Limits.Sockets < stated {
+		log.Warn("fewer descriptors than limits.sockets states", "stated", stated, "allowed", may)
+	}
 	p, err := proxy.New(cfg, proxy.WithLogger(log), proxy.WithShare(func(part float64) {
 		debug.SetMemoryLimit(int64(part * memoryPart * float64(cfg.Limits.Memory)))
 	}))
@@ -115,6 +134,7 @@
 		for range reload {
 			cfg, warnings, err := config.Reload(getenv)
 			if err == nil {
+				cfg.Bound(may)
 				err = p.Reload(cfg)
 			} else {
 				p.NotReloaded()
--- a/ops/ops.go
+++ b/ops/ops.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"ryerill/internal/framing"
+	"ryerill/internal/socket"
 )
 
 // Descriptors is how many the door may hold; they are set aside for it.
@@ -30,6 +31,7 @@
 	callTimeout  = 3 * time.Second        // a whole call is in this long after the accept
 	writeTimeout = 500 * time.Millisecond // and its answer is out in this time
 	linger       = 200 * time.Millisecond // what comes in after an answer is read for so long, lest it be reset
+	spare        = 2                      // descriptors kept aside for when there are no others
 	maxHead      = 8 << 10                // bytes of a call's head
 	maxBody      = 1 << 10                // bytes of its body, with the framing of its chunks
 	maxID        = 256                    // bytes of a provider's id
@@ -71,6 +73,7 @@
 type Door struct {
 	listener *net.TCPListener
 	staff    Staff
+	reserve  *socket.Reserve
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -90,14 +93,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Door{listener: l.(*net.TCPListener), conns: make(map[*conn]struct{})}, nil
+	return &Door{listener: l.(*net.TCPListener), reserve: socket.NewReserve(spare), conns: make(map[*conn]struct{})}, nil
 }
 
 // Address returns the address that the door is at.
 func (d *Door) Address() string { return d.listener.Addr().String() }
 
 // Close ends a door that never served.
-func (d *Door) Close() { d.listener.Close() }
+func (d *Door) Close() {
+	d.listener.Close()
+	d.reserve.Close()
+}
 
 // Serve answers calls until ctx ends and those that are in have their answer.
 func (d *Door) Serve(ctx context.Context, staff Staff) {
@@ -112,15 +118,22 @@
 			}
 		}
 	})()
+	defer d.reserve.Close()
+	var pause socket.Pause
 	for {
 		nc, err := d.listener.AcceptTCP()
+		if socket.Short(err) && d.reserve.Lend() {
+			nc, err = d.listener.AcceptTCP()
+		}
 		if errors.Is(err, net.ErrClosed) {
 			break
 		}
-		if err != nil { // the caller is gone again, or the machine has no descriptor to spare
-			time.Sleep(time.Millisecond)
+		if err != nil { // the caller is gone again, or another has taken the descriptor
+			d.reserve.Fill()
+			time.Sleep(pause.Next())
 			continue
 		}
+		pause.Over()
 		d.add(&conn{TCPConn: nc, since: time.Now()})
 	}
 	d.all.Wait()
@@ -159,6 +172,7 @@
 		delete(d.conns, c)
 		d.mu.Unlock()
 		c.Close()
+		d.reserve.Fill()
 	}()
 	c.SetReadDeadline(c.since.Add(callTimeout))
 	r := bufio.NewReaderSize(c, maxHead)
--- a/provider/call.go
+++ b/provider/call.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -12,6 +14,7 @@
 	"ryerill"
 	"ryerill/internal/framing"
 	"ryerill/internal/http1"
+	"ryerill/internal/socket"
 	"ryerill/invocation"
 )
 
@@ -35,13 +38,18 @@
 	mu        sync.Mutex
 	conn      *conn // nil unless the call holds one
 	cancelled bool
+	dialling  context.CancelFunc // nil unless a connection is being opened for it
 }
 
-// Cancel calls the attempt off by closing its connection. It does not block.
+// Cancel calls the attempt off by closing its connection, or ends the wait for
+// one. It does not block.
 func (c *Call) Cancel() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancelled = true
+	if c.dialling != nil {
+		c.dialling()
+	}
 	if c.conn != nil {
 		c.conn.SetDeadline(time.Unix(1, 0)) // ends what is under way; Do closes
 	}
@@ -56,6 +64,23 @@
 	}
 }
 
+// dial opens a connection, unless the call is called off or its time is over.
+func (c *Call) dial(within time.Duration) (net.Conn, error) {
+	ctx, end := context.WithDeadline(context.Background(), c.Until)
+	defer end()
+	c.mu.Lock()
+	if c.dialling = end; c.cancelled {
+		end()
+	}
+	c.mu.Unlock()
+	dialer := net.Dialer{Timeout: within, KeepAlive: -1}
+	raw, err := dialer.DialContext(ctx, "tcp", c.Address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dialling = nil
+	return raw, err
+}
+
 // hold and release keep Cancel away from a connection that the call does not
 // own, which may be in another call's hands already.
 func (c *Call) hold(conn *conn) bool {
@@ -75,8 +100,10 @@
 // Do makes the call and returns how it ended, and the answer if it served. It
 // sends once at most.
 func (p *Pool) Do(c *Call) (ryerill.Outcome, *invocation.Response) {
-	conn, err := p.get(place{c.Provider, c.Address}, c.Until)
+	conn, err := p.get(place{c.Provider, c.Address}, c)
 	switch {
+	case err != nil && c.release():
+		return ryerill.Moot, nil // nothing of it was sent
 	case ownFault(err):
 		return ryerill.Moot, nil
 	case err != nil:
@@ -180,15 +207,7 @@
 // ownFault reports whether a connection could not be opened for want of something
 // here: that says nothing of the provider.
 func ownFault(err error) bool {
-	if errors.Is(err, errNoRoom) {
-		return true
-	}
-	for _, fault := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
-		if errors.Is(err, fault) {
-			return true
-		}
-	}
-	return false
+	return errors.Is(err, errNoRoom) || socket.Short(err) || errors.Is(err, syscall.EADDRNOTAVAIL)
 }
 
 // broken tells how an attempt ended whose answer cannot be read.
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -87,9 +87,9 @@
 	}
 }
 
-// get returns a connection to a place: the one used last, if any is usable, or
-// a new one.
-func (p *Pool) get(at place, until time.Time) (*conn, error) {
+// get returns a connection to a place for a call: the one used last, if any is
+// usable, or a new one.
+func (p *Pool) get(at place, call *Call) (*conn, error) {
 	p.mu.Lock()
 	for list := p.idle[at]; len(list) > 0; list = p.idle[at] {
 		c := list[len(list)-1]
@@ -108,10 +108,10 @@
 			return nil, errNoRoom
 		}
 	}
-	dialer := net.Dialer{Timeout: p.connect, Deadline: until, KeepAlive: -1}
+	within := p.connect
 	p.mu.Unlock()
 
-	raw, err := dialer.Dial("tcp", at.address)
+	raw, err := call.dial(within)
 	if err != nil {
 		p.room.Give(1)
 		return nil, err
@@ -191,12 +191,16 @@
 	}
 }
 
-// CloseIdle closes the idle connections to a provider.
-func (p *Pool) CloseIdle(provider uint64) {
+// CloseIdle closes the idle connections to providers, in one look at all.
+func (p *Pool) CloseIdle(providers ...uint64) {
+	gone := make(map[uint64]bool, len(providers))
+	for _, id := range providers {
+		gone[id] = true
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for at, list := range p.idle {
-		if at.provider == provider {
+		if gone[at.provider] {
 			p.dropAllLocked(at, list)
 		}
 	}
