Try again what $TMPDIR could not take, and read again what could not be read

Seen, each by a test that failed before: a word of another process that could not be read for want of a descriptor counted as seen, and was not obeyed until the next change; a change made then wrote over it unread. A state that a full disk did not take was never said again, so that an upgrade found the process still starting; after its directory went and came back nobody found it. Beyond 4,096 names each entry of a list cleared what had been seen: 7,000 listed providers cost 7,000 times 7,000 steps under the pool's mutex; the bound now grows with the list.

--- /dev/null
+++ b/internal/wordfile/exhaustion_test.go
@@ -0,0 +1,203 @@
+package wordfile
+
+import (
+	"errors"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"ryerill/word"
+)
+
+// alone plays the test in a process of its own, whose limits are nobody else's, and
+// reports whether this is it.
+func alone(t *testing.T) bool {
+	t.Helper()
+	if os.Getenv("RYERILL_ALONE") != "" {
+		return true
+	}
+	cmd := exec.Command(os.Args[0], "-test.v", "-test.run=^"+t.Name()+"$")
+	cmd.Env = append(os.Environ(), "RYERILL_ALONE=1")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Errorf("%v\n%s", err, out)
+	}
+	return false
+}
+
+// lower sets a limit of this process until the test says back.
+func lower(t *testing.T, which int, to uint64) (back func()) {
+	t.Helper()
+	var was unix.Rlimit
+	if err := unix.Getrlimit(which, &was); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Setrlimit(which, &unix.Rlimit{Cur: to, Max: was.Max}); err != nil {
+		t.Fatal(err)
+	}
+	back = func() { unix.Setrlimit(which, &was) }
+	t.Cleanup(back)
+	return back
+}
+
+func takeOut(id string) func(word.Word, time.Duration) (word.Word, error) {
+	return func(w word.Word, now time.Duration) (word.Word, error) { return w.TakeOut(id, now) }
+}
+
+// Without a descriptor to spare the word of another process can't be read. It is
+// later: it must not count as seen, nor be written over unread.
+func TestWordWithoutDescriptors(t *testing.T) {
+	if !alone(t) {
+		return
+	}
+	path := Path(t.TempDir(), "n1", "127.0.0.1:1")
+	s, other := Open(path, quiet, func(word.Word) {}), Open(path, quiet, func(word.Word) {})
+	if err := other.Change(takeOut("a")); err != nil {
+		t.Fatal(err)
+	}
+	back := lower(t, unix.RLIMIT_NOFILE, 0)
+	s.look()
+	if s.Word().IsOut("a") {
+		t.Fatal("read without a descriptor")
+	}
+	if err := s.Change(takeOut("b")); err == nil {
+		t.Error("a change without a descriptor is said to be kept")
+	}
+	back()
+	s.look()
+	if !s.Word().IsOut("a") || s.Word().IsOut("b") {
+		t.Errorf("with one again: %+v", s.Word())
+	}
+	if err := s.Change(takeOut("b")); err != nil || !s.Word().IsOut("a") {
+		t.Errorf("a change then: %v, %+v", err, s.Word())
+	}
+}
+
+// A file that can't be written whole leaves the old one as it was, the answer is
+// a no, and once there is room all goes on. The limit cuts writes short as a full
+// disk does.
+func TestWordOnAFullDisk(t *testing.T) {
+	if !alone(t) {
+		return
+	}
+	signal.Ignore(syscall.SIGXFSZ)
+	path := Path(t.TempDir(), "n1", "127.0.0.1:1")
+	s := Open(path, quiet, func(word.Word) {})
+	if err := s.Change(takeOut("a")); err != nil {
+		t.Fatal(err)
+	}
+	for _, room := range []uint64{0, 10} {
+		back := lower(t, unix.RLIMIT_FSIZE, room)
+		began := time.Now()
+		if err := s.Change(takeOut("b")); err == nil || s.Word().IsOut("b") {
+			t.Errorf("%d bytes: %v, %+v", room, err, s.Word())
+		}
+		if took := time.Since(began); took > 900*time.Millisecond { // an answer is owed in 1 s
+			t.Errorf("%d bytes: told after %v", room, took)
+		}
+		again := Open(path, quiet, func(word.Word) {})
+		if !again.Word().IsOut("a") || again.Word().IsOut("b") {
+			t.Errorf("%d bytes: kept is %+v", room, again.Word())
+		}
+		back()
+	}
+	// Room that comes back while a change tries is used.
+	back := lower(t, unix.RLIMIT_FSIZE, 0)
+	tried := make(chan struct{})
+	done := make(chan error, 1)
+	go func() {
+		first := true
+		done <- s.Change(func(w word.Word, now time.Duration) (word.Word, error) {
+			if first {
+				first = false
+				close(tried)
+			}
+			return w.TakeOut("b", now)
+		})
+	}()
+	<-tried
+	back()
+	if err := <-done; err != nil || !s.Word().IsOut("b") {
+		t.Errorf("with room again: %v, %+v", err, s.Word())
+	}
+	left, _ := filepath.Glob(path + ".*[0-9]")
+	if len(left) > 0 {
+		t.Errorf("left beside it: %v", left)
+	}
+}
+
+// What a process could not make known it does once it can: with room again, or
+// after its directory went and came back. Otherwise an upgrade would not find it.
+func TestSiblingsAreFoundAgain(t *testing.T) {
+	if !alone(t) {
+		return
+	}
+	signal.Ignore(syscall.SIGXFSZ)
+	dir := filepath.Join(t.TempDir(), "scratch")
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	path := Path(dir, "n1", "127.0.0.1:1")
+	one, err := Enlist(path, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	two, err := Enlist(path, quiet)
+	if err != nil {
+		t.Fatal(err)
+	}
+	seen := func(what string, want State) {
+		t.Helper()
+		if got := two.Others(); len(got) != 1 || got[0].State != want {
+			t.Errorf("%s: %+v, want %s", what, got, want)
+		}
+	}
+	back := lower(t, unix.RLIMIT_FSIZE, 0)
+	one.Say(Serving, nil)
+	one.sayAgain()
+	seen("on a full disk", Starting)
+	back()
+	one.sayAgain()
+	seen("with room again", Serving)
+
+	if err := os.RemoveAll(dir); err != nil {
+		t.Fatal(err)
+	}
+	one.sayAgain() // which can't be
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	two.sayAgain()
+	one.sayAgain()
+	seen("in a new directory", Serving)
+	one.Leave()
+	one.sayAgain()
+	if got := two.Others(); len(got) != 0 {
+		t.Errorf("after its end: %+v", got)
+	}
+	two.Leave()
+
+	if err := os.RemoveAll(dir); err != nil {
+		t.Fatal(err)
+	}
+	late, err := Enlist(path, quiet)
+	if err == nil || !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("without a directory: %v", err)
+	}
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	late.Say(Serving, nil)
+	late.sayAgain()
+	if two, err = Enlist(path, quiet); err != nil {
+		t.Fatal(err)
+	}
+	seen("who began without a directory", Serving)
+	late.Leave()
+	two.Leave()
+}
--- a/internal/wordfile/sibling.go
+++ b/internal/wordfile/sibling.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"log/slog"
 	"os"
 	"path/filepath"
@@ -41,29 +42,43 @@
 // file of its own under a lock, which ends with it.
 type Siblings struct {
 	prefix string // of their files
-	own    *os.File
 	log    *slog.Logger
+
 	saying sync.Mutex
+	own    *os.File
+	line   []byte // what own should hold
+	unsaid bool   // and does not
+	left   bool   // it is to have none any more
 }
 
-// Enlist makes this process known to the others. With an empty path, or after an
-// error, it has none and they don't know of it.
+// Enlist makes this process known to the others. With an empty path it has none
+// and they never know of it; after an error, once Follow could make it known.
 func Enlist(path string, log *slog.Logger) (*Siblings, error) {
 	if path == "" {
 		return &Siblings{log: log}, nil
 	}
 	s := &Siblings{prefix: path + "-", log: log}
-	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(s.prefix)+"*")
+	var err error
+	if s.own, err = s.create(); err != nil {
+		s.line = fmt.Appendf(nil, "%-16s\n", Starting)
+		return s, err
+	}
+	s.Say(Starting, nil)
+	return s, nil
+}
+
+// create makes the file of this process.
+func (s *Siblings) create() (*os.File, error) {
+	f, err := os.CreateTemp(filepath.Dir(s.prefix), filepath.Base(s.prefix)+"*")
 	if err != nil {
-		return &Siblings{log: log}, fmt.Errorf("this process can't be made known: %w", err)
+		return nil, fmt.Errorf("this process can't be made known: %w", err)
 	}
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX); err != nil { // another one's look at it takes a moment at most
+		os.Remove(f.Name())
 		f.Close()
-		return &Siblings{log: log}, fmt.Errorf("this process can't be made known: %w", err)
+		return nil, fmt.Errorf("this process can't be made known: %w", err)
 	}
-	s.own = f
-	s.Say(Starting, nil)
-	return s, nil
+	return f, nil
 }
 
 // Say makes known what this process is at, and a line of text that it has for the
@@ -71,27 +86,71 @@
 func (s *Siblings) Say(now State, text []byte) {
 	s.saying.Lock()
 	defer s.saying.Unlock()
-	if s.own == nil {
-		return
-	}
 	if len(text) > mostText-64 {
 		text = nil
 	}
+	if s.line = fmt.Appendf(nil, "%-16s%s\n", now, text); s.own != nil {
+		s.write()
+	}
+}
+
+// write makes the line known, if that can be. The mutex is held.
+func (s *Siblings) write() {
 	// Written at once: who reads meanwhile meets the old line, the new one, or one that it can't read.
-	if _, err := s.own.WriteAt(fmt.Appendf(nil, "%-16s%s\n", now, text), 0); err != nil {
-		s.log.Warn("what this process is at can't be made known", "error", err)
+	_, err := s.own.WriteAt(s.line, 0)
+	if err != nil && !s.unsaid {
+		s.log.Warn("what this process is at can't be made known, tried again until it can", "error", err)
 	}
+	s.unsaid = err != nil
+}
+
+// sayAgain makes known what could not be before, or is not any more as its file is gone.
+func (s *Siblings) sayAgain() {
+	s.saying.Lock()
+	defer s.saying.Unlock()
+	if s.left {
+		return
+	}
+	missing := s.own == nil
+	if !missing {
+		_, err := os.Lstat(s.own.Name())
+		missing = errors.Is(err, fs.ErrNotExist)
+	}
+	if missing {
+		f, err := s.create()
+		if err != nil {
+			return
+		}
+		if s.own != nil {
+			s.own.Close()
+		}
+		s.own, s.unsaid = f, true
+	}
+	if s.unsaid {
+		s.write()
+	}
+}
+
+// file is the name of the file of this process; empty is none.
+func (s *Siblings) file() string {
+	s.saying.Lock()
+	defer s.saying.Unlock()
+	if s.own == nil {
+		return ""
+	}
+	return s.own.Name()
 }
 
 // Others returns what the other processes are at. What dead ones have left is
 // removed.
 func (s *Siblings) Others() (others []Sibling) {
-	if s.own == nil {
+	own := s.file()
+	if own == "" {
 		return nil
 	}
 	paths, _ := filepath.Glob(s.prefix + "*")
 	for _, path := range paths[:min(len(paths), mostSiblings)] {
-		if path != s.own.Name() {
+		if path != own {
 			if other, lives := s.look(path); lives {
 				others = append(others, other)
 			}
@@ -132,7 +191,8 @@
 func (s *Siblings) Follow(ctx context.Context, tell func([]Sibling)) {
 	tick := time.NewTicker(look)
 	defer tick.Stop()
-	for before := 0; s.own != nil; {
+	for before := 0; s.prefix != ""; {
+		s.sayAgain()
 		if now := s.Others(); len(now)+before > 0 {
 			tell(now)
 			before = len(now)
@@ -147,8 +207,11 @@
 
 // Leave takes this process off the list.
 func (s *Siblings) Leave() {
-	if s.own != nil {
+	s.saying.Lock()
+	defer s.saying.Unlock()
+	if s.left = true; s.own != nil {
 		os.Remove(s.own.Name())
 		s.own.Close()
+		s.own = nil
 	}
 }
--- a/internal/wordfile/wordfile.go
+++ b/internal/wordfile/wordfile.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"ryerill/internal/socket"
 	"ryerill/word"
 )
 
@@ -26,6 +27,9 @@
 	maxFile = 1 << 20                // bytes
 )
 
+// errUnread says that what the file holds can't be told now: later it can.
+var errUnread = errors.New("the file can't be read now")
+
 // ErrBusy says that another change took too long. Nothing has changed.
 var ErrBusy = errors.New("another change is under way: call again")
 
@@ -93,7 +97,10 @@
 			return err
 		}
 		defer unlock()
-		if w, err := s.read(); err == nil && w.Version > s.Word().Version {
+		switch w, err := s.read(); {
+		case errors.Is(err, errUnread): // a change of what was there would drop what another process was told
+			return fmt.Errorf("the word can't be read: %w", err)
+		case err == nil && w.Version > s.Word().Version:
 			s.adopt(w)
 		}
 	}
@@ -104,8 +111,11 @@
 		return err
 	}
 	if s.path != "" {
-		if err := s.write(w); err != nil {
-			return fmt.Errorf("the word can't be kept: %w", err)
+		for err = s.write(w); err != nil; err = s.write(w) { // there may be room again soon
+			if time.Now().After(end) {
+				return fmt.Errorf("the word can't be kept: %w", err)
+			}
+			time.Sleep(retry)
 		}
 	}
 	if w.Version != before.Version {
@@ -150,9 +160,13 @@
 	return nil
 }
 
-// read returns what the file holds. What is no word is logged once.
+// read returns what the file holds. What is no word is logged once. The error is
+// an errUnread if that can't be told now.
 func (s *Store) read() (word.Word, error) {
 	f, err := os.OpenFile(s.path, os.O_RDONLY|syscall.O_NOFOLLOW|syscall.O_NONBLOCK, 0)
+	if socket.Short(err) {
+		return word.Word{}, fmt.Errorf("%w: %w", errUnread, err)
+	}
 	if err != nil {
 		if !errors.Is(err, fs.ErrNotExist) {
 			s.log.Warn("operators' word can't be read, passed over", "file", s.path, "error", err)
@@ -161,10 +175,10 @@
 	}
 	defer f.Close()
 	text, err := io.ReadAll(io.LimitReader(f, maxFile))
-	var w word.Word
-	if err == nil {
-		w, err = word.Decode(text)
+	if err != nil {
+		return word.Word{}, fmt.Errorf("%w: %w", errUnread, err)
 	}
+	w, err := word.Decode(text)
 	if err != nil {
 		s.log.Warn("operators' word is not whole, passed over", "file", s.path, "error", err)
 	}
@@ -184,25 +198,34 @@
 			return
 		case <-tick.C:
 		}
-		info, err := os.Lstat(s.path)
-		if err != nil {
-			continue
-		}
-		now := stamp{size: info.Size(), at: info.ModTime()}
-		if sys, ok := info.Sys().(*syscall.Stat_t); ok {
-			now.inode = sys.Ino
-		}
-		if now == s.seen {
-			continue
+		s.look()
+	}
+}
+
+// look reads the file if it has changed. What could not be read, for want of a
+// descriptor say, the next look tries again.
+func (s *Store) look() {
+	info, err := os.Lstat(s.path)
+	if err != nil {
+		return
+	}
+	now := stamp{size: info.Size(), at: info.ModTime()}
+	if sys, ok := info.Sys().(*syscall.Stat_t); ok {
+		now.inode = sys.Ino
+	}
+	if now == s.seen {
+		return
+	}
+	select {
+	case s.turn <- struct{}{}:
+		w, err := s.read()
+		if err == nil && w.Version > s.Word().Version {
+			s.adopt(w)
 		}
-		select {
-		case s.turn <- struct{}{}:
+		if !errors.Is(err, errUnread) {
 			s.seen = now
-			if w, err := s.read(); err == nil && w.Version > s.Word().Version {
-				s.adopt(w)
-			}
-			<-s.turn
-		default: // a change is under way and reads it itself
 		}
+		<-s.turn
+	default: // a change is under way and reads it itself
 	}
 }
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -140,10 +140,14 @@
 		servers = append(servers, t.told)
 	}
 	c.happen(ryerill.Event{Kind: ryerill.ServerList, List: kind, Version: list.Index, Servers: servers})
+	var gone []uint64
 	for id := range c.providers {
 		if there, named := listed[id]; !there && (named || kind != ryerill.ListChanges) {
 			delete(c.providers, id)
-			go c.pool.CloseIdle(uint64(id))
+			gone = append(gone, uint64(id))
 		}
 	}
+	if len(gone) > 0 {
+		go c.pool.CloseIdle(gone...)
+	}
 }
--- a/proxy/staff.go
+++ b/proxy/staff.go
@@ -13,7 +13,8 @@
 	"ryerill/word"
 )
 
-// mostSeen bounds the names of providers that a pool remembers as once listed.
+// mostSeen bounds the names of providers that a pool remembers as once listed,
+// beyond those that are.
 const mostSeen = 4096
 
 // errNotReady are the reasons for a no to whether the proxy is ready.
@@ -124,7 +125,7 @@
 // see notes names that are listed. At the bound those that are not listed any
 // more are forgotten. The mutex is held.
 func (c *core) see(name string) {
-	if len(c.seen) >= mostSeen {
+	if len(c.seen) >= mostSeen+2*len(c.providers) { // so that forgetting is rare, however many are listed
 		clear(c.seen)
 		for _, t := range c.providers {
 			c.seen[t.listed.name] = struct{}{}
