Obey an order at once, however long the disk takes to keep it

Measured: creating, writing and renaming a file of 200 bytes takes 76 ms here, 231 ms at the 99th percentile, 815 ms at most, and an order took effect only after a lock file, a read, a write and a rename, one order at a time; whoever waited over 400 ms was told to call again, and nothing was in force. At fault: Store.Change, which adopted the word after write. Now an order is in force before anything is written; one goroutine keeps what is not kept yet on top of what the file holds, tries again until 400 ms are over, and takes back what can't be kept; a disk that holds it up beyond 800 ms is told as a no, with the order in force. TestOrdersOnASlowDisk stalls the write; before, the provider was not out.

--- a/internal/wordfile/exhaustion_test.go
+++ b/internal/wordfile/exhaustion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -201,3 +202,49 @@
 	late.Leave()
 	two.Leave()
 }
+
+// A disk that takes its time holds up no order: it is in force at once, the answer
+// comes within the second that it is owed in, and the next order is in force too.
+func TestOrdersOnASlowDisk(t *testing.T) {
+	if !alone(t) {
+		return
+	}
+	path := Path(t.TempDir(), "n1", "127.0.0.1:1")
+	s := Open(path, quiet, func(word.Word) {})
+	stalled := fmt.Sprintf("%s.%d", path, os.Getpid())
+	if err := unix.Mkfifo(stalled, 0o600); err != nil { // to open it waits for a reader
+		t.Fatal(err)
+	}
+	for _, id := range []string{"a", "b"} {
+		answered := make(chan error, 1)
+		began := time.Now()
+		go func() { answered <- s.Change(takeOut(id)) }()
+		for !s.Word().IsOut(id) {
+			if time.Since(began) > 300*time.Millisecond {
+				t.Fatalf("%s is not out after %v", id, time.Since(began))
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if err := <-answered; !errors.Is(err, ErrSlow) || !s.Word().IsOut("a") {
+			t.Errorf("%s: answered %v, %+v", id, err, s.Word())
+		}
+		if took := time.Since(began); took > 950*time.Millisecond {
+			t.Errorf("%s: answered after %v", id, took)
+		}
+	}
+	// Once the disk goes on both are kept, or their time is over: nobody is stuck.
+	if f, err := os.Open(stalled); err == nil {
+		defer f.Close()
+	}
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		keeping := s.keeping
+		s.mu.Unlock()
+		if !keeping {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("changes are kept for ever")
+		}
+	}
+}
--- a/internal/wordfile/wordfile.go
+++ b/internal/wordfile/wordfile.go
@@ -10,8 +10,11 @@
 	"io"
 	"io/fs"
 	"log/slog"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -33,15 +36,33 @@
 // ErrBusy says that another change took too long. Nothing has changed.
 var ErrBusy = errors.New("another change is under way: call again")
 
-// Store is the word as this process holds it.
+// ErrSlow says that the disk has not taken the change yet. It is in force here, and
+// another process of this proxy may not know of it.
+var ErrSlow = errors.New("in force, but not kept yet as the disk is slow: call again")
+
+// Store is the word as this process holds it: what the file holds, and on top
+// the changes that are not kept in it yet. They are in force at once, since a
+// disk may take its time and a provider that staff take out is restarted soon.
 type Store struct {
 	path string // empty: it lasts as long as the process
 	log  *slog.Logger
 
-	turn    chan struct{} // of the one change under way
 	current atomic.Pointer[word.Word]
 	tell    func(word.Word)
 	seen    stamp // of the file when it was read last; the follower's alone
+
+	mu      sync.Mutex
+	kept    word.Word
+	pending []*change // in the order in which they came
+	keeping bool      // a goroutine keeps them
+}
+
+// change is one that is not kept yet.
+type change struct {
+	do   func(w word.Word, now time.Duration) (word.Word, error)
+	at   time.Duration // Unix time
+	end  time.Time     // it is given up then
+	done chan error    // takes its one end
 }
 
 // stamp tells one writing of a file from another.
@@ -66,67 +87,140 @@
 // passed over: what it said is unknown, and serving goes on without. Each new
 // word is told in turn, by Change or Follow; tell must not wait.
 func Open(path string, log *slog.Logger, tell func(word.Word)) *Store {
-	s := &Store{path: path, log: log, tell: tell, turn: make(chan struct{}, 1)}
-	s.current.Store(&word.Word{})
+	s := &Store{path: path, log: log, tell: tell}
 	if path != "" {
 		if w, err := s.read(); err == nil {
-			s.current.Store(&w)
+			s.kept = w
 		}
 	}
+	w := s.kept
+	s.current.Store(&w)
 	return s
 }
 
 // Word returns the word as it stands.
 func (s *Store) Word() word.Word { return *s.current.Load() }
 
-// Change replaces the word by what f makes of it. When it returns nil the new
-// word has been told and is kept; after an error nothing has changed.
+// Change replaces the word by what f makes of it, at once. When it returns nil the
+// new word is kept too; after ErrSlow it is in force and not known to be kept;
+// after another error nothing has changed.
 func (s *Store) Change(f func(w word.Word, now time.Duration) (word.Word, error)) error {
-	end := time.Now().Add(patient)
-	limit := time.NewTimer(patient)
+	c := &change{do: f, end: time.Now().Add(patient), done: make(chan error, 1),
+		at: time.Duration(time.Now().UnixNano()).Truncate(time.Microsecond)} // as the file keeps it
+	if err := s.begin(c); err != nil || s.path == "" {
+		return err
+	}
+	limit := time.NewTimer(2 * patient) // it is given up before, unless the disk holds up who keeps it
 	defer limit.Stop()
 	select {
-	case s.turn <- struct{}{}:
-		defer func() { <-s.turn }()
+	case err := <-c.done:
+		return err
 	case <-limit.C:
-		return ErrBusy
-	}
-	if s.path != "" {
-		unlock, err := s.lock(end)
-		if err != nil {
-			return err
-		}
-		defer unlock()
-		switch w, err := s.read(); {
-		case errors.Is(err, errUnread): // a change of what was there would drop what another process was told
-			return fmt.Errorf("the word can't be read: %w", err)
-		case err == nil && w.Version > s.Word().Version:
-			s.adopt(w)
-		}
+		return ErrSlow
 	}
-	before := s.Word()
-	now := time.Duration(time.Now().UnixNano()).Truncate(time.Microsecond) // as the file keeps it
-	w, err := f(before, now)
+}
+
+// begin brings a change into force and sees to it that it is kept.
+func (s *Store) begin(c *change) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, err := c.do(s.Word(), c.at)
 	if err != nil {
 		return err
 	}
-	if s.path != "" {
-		for err = s.write(w); err != nil; err = s.write(w) { // there may be room again soon
-			if time.Now().After(end) {
-				return fmt.Errorf("the word can't be kept: %w", err)
-			}
-			time.Sleep(retry)
+	if s.path == "" {
+		s.kept = w
+	} else {
+		s.pending = append(s.pending, c)
+		if !s.keeping {
+			s.keeping = true
+			go s.keep()
 		}
 	}
-	if w.Version != before.Version {
-		s.adopt(w)
-	}
+	s.set(w)
 	return nil
 }
 
-func (s *Store) adopt(w word.Word) {
-	s.current.Store(&w)
-	s.tell(w)
+// set brings a word into force. The mutex is held.
+func (s *Store) set(w word.Word) {
+	if before := s.Word(); w.Version != before.Version || w.Drain != before.Drain || !maps.Equal(w.Out, before.Out) {
+		s.current.Store(&w)
+		s.tell(w)
+	}
+}
+
+// over returns a word with the changes on top that are not kept. The mutex is held.
+func (s *Store) over(w word.Word) word.Word {
+	for _, c := range s.pending {
+		if next, err := c.do(w, c.at); err == nil {
+			w = next
+		}
+	}
+	return w
+}
+
+// keep writes changes until none is left, or their time is over.
+func (s *Store) keep() {
+	for {
+		s.mu.Lock()
+		batch := slices.Clone(s.pending)
+		if len(batch) == 0 {
+			s.keeping = false
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		w, err := s.keepAll(batch)
+		s.mu.Lock()
+		now := time.Now()
+		if err == nil {
+			s.kept = w
+		}
+		s.pending = slices.DeleteFunc(s.pending, func(c *change) bool {
+			if !slices.Contains(batch, c) || err != nil && now.Before(c.end) {
+				return false
+			}
+			c.done <- err
+			return true
+		})
+		s.set(s.over(s.kept))
+		s.mu.Unlock()
+		if err != nil {
+			time.Sleep(retry) // there may be room again soon
+		}
+	}
+}
+
+// keepAll writes the file's word with changes on top, and returns what it wrote.
+func (s *Store) keepAll(batch []*change) (word.Word, error) {
+	unlock, err := s.lock(batch[0].end)
+	if err != nil {
+		return word.Word{}, err
+	}
+	defer unlock()
+	s.mu.Lock()
+	before := s.kept
+	s.mu.Unlock()
+	// A change of what was there before would drop what another process was told.
+	switch held, err := s.read(); {
+	case errors.Is(err, errUnread):
+		return word.Word{}, fmt.Errorf("the word can't be read: %w", err)
+	case err == nil && held.Version > before.Version:
+		before = held
+	}
+	w := before
+	for _, c := range batch {
+		if next, err := c.do(w, c.at); err == nil {
+			w = next
+		}
+	}
+	if w.Version == before.Version {
+		return w, nil
+	}
+	if err := s.write(w); err != nil {
+		return word.Word{}, fmt.Errorf("the word can't be kept: %w", err)
+	}
+	return w, nil
 }
 
 // lock takes the lock that the processes share, which ends with its holder.
@@ -216,16 +310,14 @@
 	if now == s.seen {
 		return
 	}
-	select {
-	case s.turn <- struct{}{}:
-		w, err := s.read()
-		if err == nil && w.Version > s.Word().Version {
-			s.adopt(w)
-		}
-		if !errors.Is(err, errUnread) {
-			s.seen = now
-		}
-		<-s.turn
-	default: // a change is under way and reads it itself
+	w, err := s.read()
+	if !errors.Is(err, errUnread) {
+		s.seen = now
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil && w.Version > s.kept.Version {
+		s.kept = w
+		s.set(s.over(w))
 	}
 }
