Meet each fault at each stage of a request, over the project's real code

One table of stages and faults: 8 stages from a half-read head to a half-relayed answer, 8 faults from a consumer that leaves to SIGTERM, by class, and five races at a call's end. Each cell checks the one answer, repeats by class, nothing to who is out, a cold provider spared, and that seats, rooms, figures, goroutines and descriptors are back.

--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -165,6 +165,15 @@
 // run runs a proxy that knows some providers.
 // Classes: read is safe, pay is keyed within a cell, burn is unsafe.
 func run(t *testing.T, change func(*config.Config), known ...directory.Endpoint) *Proxy {
+	t.Helper()
+	p, stop := runUntil(t, change, known...)
+	t.Cleanup(func() { stop() })
+	return p
+}
+
+// runUntil does so until it is stopped, which may be said more than once and
+// returns when Run has.
+func runUntil(t *testing.T, change func(*config.Config), known ...directory.Endpoint) (p *Proxy, stop func()) {
 	t.Helper()
 	class := func(name string, e ryerill.Effect) ryerill.Class {
 		return ryerill.Class{Name: name, Aim: 2 * time.Second, Deadline: 20 * time.Second, Worth: 1, LateWorth: 0.5,
@@ -188,15 +197,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, stop := context.WithCancel(context.Background())
+	ctx, end := context.WithCancel(context.Background())
 	over := make(chan error)
 	go func() { over <- p.Run(ctx) }()
-	t.Cleanup(func() {
-		if stop(); <-over != nil {
+	return p, sync.OnceFunc(func() {
+		if end(); <-over != nil {
 			t.Error("the proxy failed")
 		}
 	})
-	return p
 }
 
 // client is a consumer's connection.
--- /dev/null
+++ b/proxy/stages_test.go
@@ -0,0 +1,535 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"ryerill/config"
+	"ryerill/directory"
+)
+
+// seen is a request as a provider got it whole.
+type seen struct {
+	provider string
+	at       time.Time
+}
+
+// scene is one proxy before two providers of one group, one of another, and one
+// that is cold, and one request that is brought to a stage there.
+type scene struct {
+	t       *testing.T
+	p       *Proxy
+	stop    func()
+	c       *client
+	class   string
+	ms      int // the consumer waits so long
+	arrived chan string
+	release chan struct{} // providers that hang go on
+	free    func()        // lets providers go on
+	deaf    net.Listener  // connects to nobody
+
+	mu     sync.Mutex
+	ledger map[string][]seen    // by Req-Id
+	out    map[string]time.Time // providers taken out
+	peers  []*backend
+}
+
+// behaviours of the providers, by what the path of a request says.
+func (s *scene) behave(name string) func(net.Conn, *http.Request) {
+	return func(c net.Conn, r *http.Request) {
+		id := r.Header.Get("Req-Id")
+		s.mu.Lock()
+		s.ledger[id] = append(s.ledger[id], seen{name, time.Now()})
+		first := len(s.ledger[id]) == 1
+		s.mu.Unlock()
+		const long = 1 << 20
+		text := okay
+		switch how := r.URL.Query().Get("how"); {
+		case how == "" || how == "serve":
+		case how == "again" && first:
+			text = "HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"
+		case how == "half":
+			io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", long, strings.Repeat("x", long/4)))
+			text = strings.Repeat("x", long-long/4)
+			fallthrough
+		default:
+			s.arrived <- name
+			<-s.release
+		}
+		io.WriteString(c, text)
+	}
+}
+
+func newScene(t *testing.T, class string, change func(*config.Config)) *scene {
+	s := &scene{t: t, class: class, ms: 15_000, arrived: make(chan string, 64), release: make(chan struct{}),
+		ledger: map[string][]seen{}, out: map[string]time.Time{}}
+	s.free = sync.OnceFunc(func() { close(s.release) })
+	var known []directory.Endpoint
+	for i, name := range []string{"s1", "s2", "t1", "cold"} {
+		b := newBackend(t, s.behave(name))
+		s.peers = append(s.peers, b)
+		e := b.endpoint(name, []int{1, 1, 2, 1}[i])
+		if name == "cold" {
+			e.SinceMS = time.Now().UnixMilli()
+		}
+		known = append(known, e)
+	}
+	s.p, s.stop = runUntil(t, func(cfg *config.Config) {
+		door(t.TempDir())(cfg)
+		b := &cfg.Pools[0].Settings.Balancer
+		b.Limits.ConnectTimeout = 400 * time.Millisecond
+		b.Classes = append(b.Classes, b.Classes[0])
+		b.Classes[3].Name, b.Classes[3].KeepOrder = "turn", true
+		if change != nil {
+			change(cfg)
+		}
+	}, known...)
+	until(t, "ready", func() bool { return s.p.Readiness() == nil })
+	s.c = dial(t, s.p.Address())
+	return s
+}
+
+func (s *scene) core() *core {
+	s.p.mu.Lock()
+	defer s.p.mu.Unlock()
+	return s.p.pools["main"]
+}
+
+// inFlight is what the Balancer counts.
+func (s *scene) inFlight() int {
+	c := s.core()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, n := c.balancer.Standing()
+	return n
+}
+
+// text is a request that the providers meet in some way.
+func (s *scene) text(how, more string) string {
+	text := request(s.class, s.ms)
+	if s.class == "turn" {
+		text = strings.Replace(request("read", s.ms), "read", "turn", 2)
+	}
+	return strings.Replace(text, "?q=%20x", "?how="+how+more, 1)
+}
+
+func (s *scene) write(text string) {
+	s.t.Helper()
+	if _, err := io.WriteString(s.c, text); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// await waits until a request is at a provider that holds it.
+func (s *scene) await() {
+	s.t.Helper()
+	select {
+	case <-s.arrived:
+	case <-time.After(patience):
+		s.t.Fatal("no provider gets the request")
+	}
+}
+
+// a stage that a request can be at.
+type stage struct {
+	name    string
+	classes []string
+	reach   func(*scene)
+	rest    func(*scene) // what is still to come from the consumer; nil is nothing
+	taken   bool         // an answer is owed
+	lost    bool         // by itself it comes to nothing
+	begun   bool         // the answer has
+}
+
+const uploadSize = 256 << 10
+
+var stages = []stage{
+	{name: "head half read", classes: []string{"read", "pay"},
+		reach: func(s *scene) { s.write(s.text("serve", "")[:40]) },
+		rest: func(s *scene) {
+			s.write(s.text("serve", "")[40:])
+		}},
+	{name: "body half read", classes: []string{"pay"},
+		reach: func(s *scene) {
+			text := s.text("serve", "")
+			s.write(text[:len(text)-2])
+		},
+		rest: func(s *scene) { s.write("lo") }},
+	{name: "waiting its turn by key", classes: []string{"turn"}, taken: true,
+		reach: func(s *scene) {
+			first, ms := dial(s.t, s.p.Address()), s.ms
+			s.ms = 15_000
+			if _, err := io.WriteString(first, s.text("hang", "&k=1")); err != nil {
+				s.t.Fatal(err)
+			}
+			s.await()
+			s.ms = ms
+			s.write(s.text("serve", "&k=1"))
+			until(s.t, "two taken", func() bool { // or the second refused, as its turn would come too late
+				return s.p.figures.inflight.Load() == 2 || s.p.Stats().Calls["turn"].Busy > 0
+			})
+		}},
+	{name: "connecting", classes: []string{"read", "burn"}, taken: true, lost: true,
+		reach: func(s *scene) {
+			s.deafen()
+			s.write(s.text("serve", ""))
+			until(s.t, "a call out", func() bool { return s.inFlight() == 1 })
+		}},
+	{name: "request half written", classes: []string{"burn"}, taken: false,
+		reach: func(s *scene) {
+			text := strings.Replace(s.text("serve", ""), "Content-Length: 5\r\n\r\nhello", fmt.Sprintf("Content-Length: %d\r\n\r\n", uploadSize), 1)
+			s.write(text + strings.Repeat("y", uploadSize/2))
+			until(s.t, "a call out", func() bool { return s.inFlight() == 1 })
+		},
+		rest: func(s *scene) { s.write(strings.Repeat("y", uploadSize/2)) }},
+	{name: "sent and waiting", classes: []string{"read", "pay", "burn"}, taken: true,
+		reach: func(s *scene) { s.write(s.text("hang", "")); s.await() }},
+	{name: "sent again", classes: []string{"read", "pay"}, taken: true,
+		reach: func(s *scene) { s.write(s.text("again", "")); s.await() }},
+	{name: "answer half relayed", classes: []string{"read", "burn"}, taken: true, begun: true,
+		reach: func(s *scene) {
+			s.write(s.text("half", ""))
+			s.await()
+			if _, err := s.c.r.Peek(1); err != nil {
+				s.t.Fatal(err)
+			}
+		}},
+}
+
+// deafen makes all providers ones whose machine takes no new connection: its
+// queue is full and nobody hears it out.
+func (s *scene) deafen() {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err == nil {
+		err = syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	}
+	if err == nil {
+		err = syscall.Listen(fd, 0)
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	f := os.NewFile(uintptr(fd), "deaf")
+	if s.deaf, err = net.FileListener(f); err != nil {
+		s.t.Fatal(err)
+	}
+	f.Close()
+	s.t.Cleanup(func() { s.deaf.Close() })
+	for range 2 { // fill the queue
+		if c, err := net.DialTimeout("tcp", s.deaf.Addr().String(), 50*time.Millisecond); err == nil {
+			s.t.Cleanup(func() { c.Close() })
+		}
+	}
+	c := s.core()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.providers {
+		t.address = s.deaf.Addr().String()
+	}
+}
+
+// a fault that meets a request at a stage. What the consumer gets then is one of
+// the statuses; 0 is nothing, -1 an answer that can be told to be torn.
+type fault struct {
+	name  string
+	apply func(*scene, *stage)
+	wants func(*stage, string) []int
+}
+
+var (
+	failures = []int{http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout}
+	// goesOn is what becomes of a request that the fault does not concern.
+	goesOn = func(st *stage, _ string) []int {
+		if st.lost {
+			return failures
+		}
+		return []int{http.StatusOK}
+	}
+)
+
+var faults = []fault{
+	{"nothing", func(*scene, *stage) {}, goesOn},
+	{"consumer leaves",
+		func(s *scene, _ *stage) { s.c.Close() },
+		func(*stage, string) []int { return []int{0, -1} }},
+	{"time is over", nil, // see below: the deadline is told with the request
+		func(st *stage, _ string) []int {
+			switch {
+			case st.begun: // what has begun goes on
+				return []int{http.StatusOK}
+			case !st.taken: // by its own pace: what has half come was never sent whole
+				return []int{http.StatusRequestTimeout, http.StatusServiceUnavailable}
+			}
+			return failures
+		}},
+	{"provider breaks off",
+		func(s *scene, _ *stage) {
+			for _, b := range s.peers {
+				b.CloseAll()
+			}
+		},
+		func(st *stage, _ string) []int {
+			if st.begun {
+				return []int{-1}
+			}
+			return failures
+		}},
+	{"provider taken out",
+		func(s *scene, _ *stage) {
+			for _, name := range []string{"s1", "s2", "t1", "cold"} {
+				if err := s.p.Down(name); err != nil {
+					s.t.Error(err)
+				}
+				s.out[name] = time.Now()
+			}
+		},
+		func(st *stage, class string) []int {
+			if !st.taken && st.name != "request half written" || st.name == "waiting its turn by key" {
+				return failures // nobody is left to send it to
+			}
+			return goesOn(st, class)
+		}},
+	{"drain",
+		func(s *scene, _ *stage) {
+			if err := s.p.StartDrain(); err != nil {
+				s.t.Error(err)
+			}
+		}, goesOn},
+	{"reload with another pool",
+		func(s *scene, _ *stage) {
+			s.p.mu.Lock()
+			cfg := s.p.cfg
+			s.p.mu.Unlock()
+			cfg.Pools = slices.Clone(cfg.Pools)
+			b := &cfg.Pools[0].Settings.Balancer
+			b.Classes = slices.Clone(b.Classes)
+			b.Classes[0].Worth++
+			before := s.core()
+			if err := s.p.Reload(cfg); err != nil || s.core() == before {
+				s.t.Error("the pool was not replaced", err)
+			}
+		}, goesOn},
+	{"SIGTERM",
+		func(s *scene, _ *stage) {
+			go s.stop()
+			until(s.t, "the end", func() bool { return s.p.Readiness() != nil })
+		},
+		goesOn},
+}
+
+// answer reads what the consumer gets: its status, 0 for nothing, -1 for torn.
+func (s *scene) answer() int {
+	resp, err := http.ReadResponse(s.c.r, nil)
+	if err != nil {
+		return 0
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return -1
+	}
+	if s.c.r.Buffered() > 0 {
+		s.t.Error("more follows the one answer")
+	}
+	return resp.StatusCode
+}
+
+// rules checks what the providers have seen against the rules on repeats, on
+// drains and on cold providers.
+func (s *scene) rules() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cold := 0
+	for id, all := range s.ledger {
+		cells := map[string]bool{}
+		for _, one := range all {
+			cells[one.provider[:1]] = true
+			if one.provider == "cold" {
+				cold++
+				cells["s"], cells["c"] = true, false
+			}
+			if at, is := s.out[one.provider]; is && one.at.Sub(at) > time.Second {
+				s.t.Errorf("%s went to %s %v after it was taken out", id, one.provider, one.at.Sub(at))
+			}
+		}
+		if s.class == "burn" && len(all) > 1 || len(all) > 3 || s.class == "pay" && cells["s"] && cells["t"] {
+			s.t.Errorf("%s of class %s went to %v", id, s.class, all)
+		}
+	}
+	if cold > 1 {
+		s.t.Errorf("%d requests to a provider that has just started", cold)
+	}
+}
+
+// quiet waits until all is back where it was: seats, ids, rooms, timers.
+func (s *scene) quiet(c *core, ended int64) {
+	s.t.Helper()
+	now := s.core()
+	held := func() string {
+		now.pool.Shed(1 << 20) // its idle connections and those of a pool that was replaced
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		_, inFlight := c.balancer.Standing()
+		r := c.rooms
+		c.pool.Shed(1 << 20)
+		return fmt.Sprint("open ", len(c.open), ", in flight ", inFlight, ", inflight figure ", s.p.figures.inflight.Load(),
+			", bodies ", r.bodies.used.Load(), ", room ", r.open.used.Load(), ", sockets ", r.sockets.used.Load(), ", queue ", len(c.queue))
+	}
+	const none = "open 0, in flight 0, inflight figure 0, bodies 0, room 0, sockets 0, queue 0"
+	end, left := time.Now().Add(patience), held()
+	for ; left != none && time.Now().Before(end); left = held() {
+		time.Sleep(time.Millisecond)
+	}
+	if left != none {
+		s.t.Errorf("left over: %s", left)
+	}
+	total := int64(0)
+	for _, calls := range s.p.Stats().Calls {
+		total += calls.Success + calls.Busy + calls.Failure
+	}
+	if total != ended {
+		s.t.Errorf("%d invocations are booked as ended, %d did", total, ended)
+	}
+}
+
+func descriptors(t *testing.T) int {
+	t.Helper()
+	all, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(all)
+}
+
+// Each fault at each stage: one final answer in time, no repeat against its class,
+// nothing to who is out, and nothing left of it.
+func TestFaultsAtStages(t *testing.T) {
+	for i := range stages {
+		for j := range faults {
+			for _, class := range stages[i].classes {
+				t.Run(stages[i].name+"/"+faults[j].name+"/"+class, func(t *testing.T) { meet(t, &stages[i], &faults[j], class) })
+			}
+		}
+	}
+}
+
+func meet(t *testing.T, st *stage, f *fault, class string) {
+	before := descriptors(t)
+	leaks := goleak.IgnoreCurrent()
+	s := newScene(t, class, nil)
+	began := time.Now()
+	if f.apply == nil && st.taken {
+		s.ms = 1000 // less would be refused at once, as hopeless
+	}
+	st.reach(s)
+	pool := s.core()
+	var got int
+	if f.apply != nil {
+		f.apply(s, st)
+		if st.rest != nil && f.name != "consumer leaves" {
+			st.rest(s)
+		}
+		if f.name != "provider breaks off" {
+			s.free()
+		}
+	} else if st.begun {
+		until(t, "the deadline has passed", func() bool { return time.Since(began) > 1200*time.Millisecond })
+		s.free()
+	}
+	got = s.answer()
+	if took := time.Since(began); f.apply == nil && took > 8*time.Second {
+		t.Errorf("answered after %v", took)
+	}
+	s.free()
+	if wants := f.wants(st, class); !slices.Contains(wants, got) {
+		t.Errorf("the consumer got %d, want one of %v", got, wants)
+	}
+	s.c.Close()
+	ended := int64(1)
+	if st.name == "waiting its turn by key" {
+		ended++
+	}
+	if !st.taken && f.name == "consumer leaves" && st.name != "request half written" {
+		ended = 0 // it was none yet
+	} else if st.name == "head half read" && got == http.StatusRequestTimeout {
+		ended = 0 // nobody knows of which class
+	}
+	s.quiet(pool, ended)
+	s.rules()
+	if f.name == "drain" {
+		if err := s.p.StopDrain(); err != nil {
+			t.Error(err)
+		}
+	}
+	s.stop()
+	for _, b := range s.peers {
+		b.CloseAll()
+	}
+	if s.deaf != nil {
+		s.deaf.Close()
+	}
+	if err := goleak.Find(leaks); err != nil {
+		t.Error(err)
+	}
+	until(t, "descriptors back where they were", func() bool { return descriptors(t) <= before+3 }) // of the deaf machine's queue
+}
+
+// Whatever comes at the same moment, each call's end is booked once.
+func TestRacesAtACallsEnd(t *testing.T) {
+	leaks := goleak.IgnoreCurrent()
+	const rounds = 60
+	for _, tc := range []struct {
+		name  string
+		ms    int
+		how   string
+		other func(s *scene) // beside the answer
+	}{
+		{"cancel against answer", 15_000, "hang", func(s *scene) { s.c.Close() }},
+		{"time-out against answer", 30, "hang", func(s *scene) { time.Sleep(29 * time.Millisecond) }},
+		{"cancel against time-out", 30, "hang", func(s *scene) { time.Sleep(29 * time.Millisecond); s.c.Close() }},
+		{"time-out against connect", 2, "serve", func(*scene) {}},
+		{"provider out against answer", 15_000, "hang", func(s *scene) { s.p.Down("s1"); s.p.Up("s1") }},
+	} {
+		s := newScene(t, "read", nil)
+		s.ms = tc.ms
+		pool := s.core()
+		for range rounds {
+			s.c = dial(t, s.p.Address())
+			s.mu.Lock()
+			s.release = make(chan struct{})
+			release := s.release
+			s.mu.Unlock()
+			s.write(s.text(tc.how, ""))
+			if tc.how == "hang" {
+				select {
+				case <-s.arrived:
+				case <-time.After(time.Second): // refused, or over before it was sent
+				}
+			}
+			var both sync.WaitGroup
+			both.Go(func() { close(release) })
+			both.Go(func() { tc.other(s) })
+			both.Wait()
+			s.answer()
+			s.c.Close()
+		}
+		s.quiet(pool, rounds)
+		s.rules()
+		s.stop()
+		for _, b := range s.peers {
+			b.CloseAll()
+		}
+	}
+	if err := goleak.Find(leaks); err != nil {
+		t.Error(err)
+	}
+}
