--- a/architecture_test.go
+++ b/architecture_test.go
@@ -109,3 +109,40 @@
 		}
 	}
 }
+
+// serving are the packages of the process that serves. The platform refuses it other
+// programs and copies that the kernel makes between sockets; one to io.Discard is none.
+var serving = []string{".", "budget", "config", "consumer", "directory", "drain", "internal/buffer", "internal/command",
+	"internal/framing", "internal/http1", "internal/logging", "internal/socket", "internal/wordfile", "invocation", "ops", "provider", "proxy", "route", "word"}
+
+func TestNothingThatServesForksOrSplices(t *testing.T) {
+	refused := []string{"os.StartProcess", "syscall.ForkExec", "syscall.Sendfile", "unix.Sendfile", "unix.Splice", "syscall.Splice", "net.ListenUnix", "net.DialUnix"}
+	copies := []string{"io.Copy", "io.CopyN", "io.CopyBuffer"}
+	for _, s := range sources(t) {
+		if !slices.Contains(serving, s.dir) {
+			continue
+		}
+		if slices.Contains(s.imports, "os/exec") {
+			t.Errorf("%s imports os/exec", s.dir)
+		}
+		ast.Inspect(s.file, func(n ast.Node) bool {
+			call, ok := n.(*ast.CallExpr)
+			if !ok {
+				return true
+			}
+			name := func(e ast.Expr) string {
+				if sel, ok := e.(*ast.SelectorExpr); ok {
+					if x, ok := sel.X.(*ast.Ident); ok {
+						return x.Name + "." + sel.Sel.Name
+					}
+				}
+				return ""
+			}
+			called := name(call.Fun)
+			if slices.Contains(refused, called) || slices.Contains(copies, called) && name(call.Args[0]) != "io.Discard" {
+				t.Errorf("%s calls %s", s.dir, called)
+			}
+			return true
+		})
+	}
+}
--- a/directory/client_test.go
+++ b/directory/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -175,3 +176,28 @@
 		t.Fatal("nothing is told")
 	}
 }
+
+// A list of a fleet ten times today's largest, 7,000 providers, is taken whole.
+func TestLargeList(t *testing.T) {
+	var list List
+	list.Snapshot, list.Index = true, 1
+	for i := range 7000 {
+		list.Endpoints = append(list.Endpoints, Endpoint{Name: fmt.Sprintf("s-%08x", i), Address: "127.0.0.1:10000", Zone: "surabaya",
+			Type: "ledger-small", Group: i / 4, Status: Ready, Weight: 1, SinceMS: 1_700_000_000_000})
+	}
+	text, err := json.Marshal(list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Write(text) }))
+	defer server.Close()
+	c := NewClient(t.Context(), server.Listener.Addr().String(), List{}, new(buffer.Pool), nil)
+	c.mu.Lock()
+	l := c.line()
+	c.mu.Unlock()
+	defer l.close()
+	got, err := c.get(t.Context(), l, path, 0)
+	if err != nil || len(got.Endpoints) != 7000 {
+		t.Fatalf("of %d bytes: %d providers, %v", len(text), len(got.Endpoints), err)
+	}
+}
--- a/proxy/staff_test.go
+++ b/proxy/staff_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"ryerill"
 	"ryerill/config"
 	"ryerill/ops"
 )
@@ -329,3 +330,31 @@
 		t.Errorf("%d refused, %+v", refused, s)
 	}
 }
+
+// Names beyond the bound are forgotten all at once. That is work for all that are
+// listed, so it must be rare however many these are: each entry of a list of 7,000
+// once cost it.
+func TestManyNamesAreSeldomForgotten(t *testing.T) {
+	c := &core{seen: map[string]struct{}{}, providers: map[ryerill.ServerID]*target{}}
+	forgotten := 0
+	const listed = 7000
+	for i := range 3 * listed {
+		name := fmt.Sprint("s", i)
+		c.providers[ryerill.ServerID(i)] = &target{listed: listing{name: name}}
+		delete(c.providers, ryerill.ServerID(i-listed))
+		c.seen["mark"] = struct{}{}
+		c.see(name)
+		if _, there := c.seen["mark"]; !there {
+			forgotten++
+		}
+		if len(c.seen) > mostSeen+2*listed+2 {
+			t.Fatalf("%d names are remembered", len(c.seen))
+		}
+	}
+	if forgotten > 3 {
+		t.Errorf("forgotten %d times in %d names", forgotten, 3*listed)
+	}
+	if _, there := c.seen[fmt.Sprint("s", 3*listed-1)]; !there {
+		t.Error("the newest is forgotten")
+	}
+}
--- a/proxy/stages_test.go
+++ b/proxy/stages_test.go
@@ -486,7 +486,7 @@
 // Whatever comes at the same moment, each call's end is booked once.
 func TestRacesAtACallsEnd(t *testing.T) {
 	leaks := goleak.IgnoreCurrent()
-	const rounds = 60
+	const rounds, warm = 25, 100
 	for _, tc := range []struct {
 		name  string
 		ms    int
@@ -494,16 +494,21 @@
 		other func(s *scene) // beside the answer
 	}{
 		{"cancel against answer", 15_000, "hang", func(s *scene) { s.c.Close() }},
-		{"time-out against answer", 30, "hang", func(s *scene) { time.Sleep(29 * time.Millisecond) }},
-		{"cancel against time-out", 30, "hang", func(s *scene) { time.Sleep(29 * time.Millisecond); s.c.Close() }},
-		{"time-out against connect", 2, "serve", func(*scene) {}},
+		{"time-out against answer", 100, "hang", nil},
+		{"cancel against time-out", 100, "hang", func(s *scene) { s.c.Close() }},
+		{"time-out against connect", 1, "serve", func(*scene) {}},
 		{"provider out against answer", 15_000, "hang", func(s *scene) { s.p.Down("s1"); s.p.Up("s1") }},
 	} {
 		s := newScene(t, "read", nil)
-		s.ms = tc.ms
 		pool := s.core()
+		for range warm { // so that short deadlines are not hopeless
+			s.write(s.text("serve", ""))
+			s.answer()
+		}
+		s.ms = tc.ms
 		for range rounds {
 			s.c = dial(t, s.p.Address())
+			began := time.Now()
 			s.mu.Lock()
 			s.release = make(chan struct{})
 			release := s.release
@@ -512,17 +517,22 @@
 			if tc.how == "hang" {
 				select {
 				case <-s.arrived:
-				case <-time.After(time.Second): // refused, or over before it was sent
+				case <-time.After(time.Duration(tc.ms) * time.Millisecond): // refused, or over before it was sent
 				}
 			}
+			if tc.ms == 100 { // both come as the time is over
+				time.Sleep(time.Until(began.Add(100 * time.Millisecond)))
+			}
 			var both sync.WaitGroup
 			both.Go(func() { close(release) })
-			both.Go(func() { tc.other(s) })
+			if tc.other != nil {
+				both.Go(func() { tc.other(s) })
+			}
 			both.Wait()
 			s.answer()
 			s.c.Close()
 		}
-		s.quiet(pool, rounds)
+		s.quiet(pool, rounds+warm)
 		s.rules()
 		s.stop()
 		for _, b := range s.peers {
