--- a/proxy/stages_test.go
+++ b/proxy/stages_test.go
@@ -51,7 +51,7 @@
 		id := r.Header.Get("Req-Id")
 		s.mu.Lock()
 		s.ledger[id] = append(s.ledger[id], seen{name, time.Now()})
-		first := len(s.ledger[id]) == 1
+		first, release := len(s.ledger[id]) == 1, s.release
 		s.mu.Unlock()
 		const long = 1 << 20
 		text := okay
@@ -65,7 +65,7 @@
 			fallthrough
 		default:
 			s.arrived <- name
-			<-s.release
+			<-release
 		}
 		io.WriteString(c, text)
 	}
@@ -543,3 +543,68 @@
 		t.Error(err)
 	}
 }
+
+// Bodies may take so much memory and no more. Whoever is beyond it is told at once
+// to come back, requests without a body go on, and with room again all is as before.
+func TestBodiesRunOutAndComeBack(t *testing.T) {
+	leaks := goleak.IgnoreCurrent()
+	s := newScene(t, "pay", func(cfg *config.Config) { cfg.Limits.Memory = 1 << 20 }) // a quarter of it for bodies
+	const size, fit = 60 << 10, 4
+	body := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, strings.Repeat("z", size))
+	large := func(how string) string {
+		return strings.Replace(s.text(how, ""), "Content-Length: 5\r\n\r\nhello", body, 1)
+	}
+	ended := int64(0)
+	for range 3 {
+		var held []*client
+		for range fit {
+			c := dial(t, s.p.Address())
+			if _, err := io.WriteString(c, large("hang")); err != nil {
+				t.Fatal(err)
+			}
+			s.await()
+			held = append(held, c)
+		}
+		began := time.Now()
+		resp := dial(t, s.p.Address()).send(large("serve"))
+		if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+			t.Errorf("beyond the room: %s, Retry-After %q", resp.Status, resp.Header.Get("Retry-After"))
+		}
+		if took := time.Since(began); took > 2*time.Second {
+			t.Errorf("told after %v", took)
+		}
+		if code, _ := dial(t, s.p.Address()).ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"); code != http.StatusOK {
+			t.Errorf("/ready: %d", code)
+		}
+		s.class = "read"
+		if code, _ := dial(t, s.p.Address()).ask(s.text("serve", "")); code != http.StatusOK {
+			t.Errorf("a request without a body: %d", code)
+		}
+		s.class = "pay"
+		close(s.release)
+		for _, c := range held {
+			if resp, err := http.ReadResponse(c.r, nil); err != nil || resp.StatusCode != http.StatusOK {
+				t.Errorf("what was taken: %v, %v", resp, err)
+			}
+			c.Close()
+		}
+		s.mu.Lock()
+		s.release = make(chan struct{})
+		s.mu.Unlock()
+		ended += fit + 2
+		until(t, "room again", func() bool { return s.core().rooms.bodies.used.Load() == 0 })
+		if code, _ := dial(t, s.p.Address()).ask(large("serve")); code != http.StatusOK {
+			t.Errorf("with room again: %d", code)
+		}
+		ended++
+	}
+	s.quiet(s.core(), ended)
+	s.rules()
+	s.stop()
+	for _, b := range s.peers {
+		b.CloseAll()
+	}
+	if err := goleak.Find(leaks); err != nil {
+		t.Error(err)
+	}
+}
