--- a/cmd/ryerill/exhaustion_test.go
+++ b/cmd/ryerill/exhaustion_test.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -14,12 +16,20 @@
 	"golang.org/x/sys/unix"
 )
 
-// echo is a provider that serves all.
-func echo(t *testing.T) *httptest.Server {
+// echo is a provider that serves all, and holds what asks for it until it is told
+// to let one go. Whoever it holds it tells.
+func echo(t *testing.T) (s *httptest.Server, held, let chan struct{}) {
 	t.Helper()
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "fine") }))
+	held, let = make(chan struct{}, 64), make(chan struct{}, 64)
+	s = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("hold") {
+			held <- struct{}{}
+			<-let
+		}
+		io.WriteString(w, "fine")
+	}))
 	t.Cleanup(s.Close)
-	return s
+	return s, held, let
 }
 
 // served asks on a connection of its own, and returns the status.
@@ -40,7 +50,8 @@
 
 // Whoever reads the log may go away: the next line must not end the program.
 func TestLogReaderGone(t *testing.T) {
-	cmd := prepare(t, build(t), configuration("127.0.0.1:0", echo(t).Listener.Addr().String()), "serve")
+	backend, _, _ := echo(t)
+	cmd := prepare(t, build(t), configuration("127.0.0.1:0", backend.Listener.Addr().String()), "serve")
 	log, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -69,7 +80,8 @@
 // some away while the program runs. Whoever is beyond them is told so at once or
 // waits unheard; /ready is answered, and once there is room all is as before.
 func TestDescriptorsRunOutAndComeBack(t *testing.T) {
-	cmd := prepare(t, build(t), configuration("127.0.0.1:0", echo(t).Listener.Addr().String()), "serve")
+	backend, held, let := echo(t)
+	cmd := prepare(t, build(t), configuration("127.0.0.1:0", backend.Listener.Addr().String()), "serve")
 	log, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -101,15 +113,26 @@
 		}
 	}
 	for round := range 3 {
-		limit(uint64(before + 6)) // of which consumers take all
-		var held []net.Conn
-		for range 12 {
+		limit(uint64(before + 6)) // of which consumers take all, idle ones or such as have a request open
+		var idle []net.Conn
+		var busy []*bufio.Reader
+		for len(idle) < 12 && round < 2 {
 			c, err := net.Dial("tcp", address)
 			if err != nil {
 				t.Fatal(err)
 			}
 			defer c.Close()
-			held = append(held, c)
+			idle = append(idle, c)
+		}
+		for len(busy) < 3 && round == 2 { // each with a descriptor at the provider's side
+			c, r, err := connect(t, address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			io.WriteString(c, strings.Replace(ask(), "/read", "/read?hold=1", 1))
+			<-held
+			busy = append(busy, r)
 		}
 		began := time.Now()
 		if code := served(t, address, "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"); code != http.StatusOK {
@@ -122,10 +145,18 @@
 			t.Errorf("round %d: answered after %v", round, took)
 		}
 		limit(allowed.Cur)
-		for _, c := range held {
+		for _, c := range idle {
 			c.Close()
 		}
-		for end := time.Now().Add(patience); open() > before+1; time.Sleep(10 * time.Millisecond) {
+		for range busy {
+			let <- struct{}{}
+		}
+		for _, r := range busy {
+			if resp, err := http.ReadResponse(r, nil); err != nil || resp.StatusCode != http.StatusOK {
+				t.Errorf("round %d: what was taken: %v, %v", round, resp, err)
+			}
+		}
+		for end := time.Now().Add(patience); open() > before+1+2*len(busy); time.Sleep(10 * time.Millisecond) {
 			if time.Now().After(end) {
 				t.Fatalf("round %d: %d descriptors are left, %d at first", round, open(), before)
 			}
--- a/proxy/stages_test.go
+++ b/proxy/stages_test.go
@@ -261,7 +261,13 @@
 var faults = []fault{
 	{"nothing", func(*scene, *stage) {}, goesOn},
 	{"consumer leaves",
-		func(s *scene, _ *stage) { s.c.Close() },
+		func(s *scene, st *stage) {
+			before := s.p.figures.inflight.Load()
+			s.c.Close()
+			if st.taken && !st.begun { // its end is booked with the call still out
+				until(s.t, "it is booked", func() bool { return s.p.figures.inflight.Load() < before })
+			}
+		},
 		func(*stage, string) []int { return []int{0, -1} }},
 	{"time is over", nil, // see below: the deadline is told with the request
 		func(st *stage, _ string) []int {
@@ -608,3 +614,20 @@
 		t.Error(err)
 	}
 }
+
+// A consumer that leaves while its call waits for a connection ends the wait, not
+// only the call: its seat and descriptor are free long before the dial's own end.
+func TestCancelEndsTheDial(t *testing.T) {
+	s := newScene(t, "read", func(cfg *config.Config) { cfg.Pools[0].Settings.Balancer.Limits.ConnectTimeout = patience })
+	defer s.stop()
+	s.deafen()
+	s.write(s.text("serve", ""))
+	until(t, "a call out", func() bool { return s.inFlight() == 1 })
+	began := time.Now()
+	s.c.Close()
+	until(t, "its end", func() bool { return s.inFlight() == 0 })
+	if took := time.Since(began); took > patience/2 {
+		t.Errorf("the dial ended after %v", took)
+	}
+	s.quiet(s.core(), 1)
+}
