Leave no descriptor at all in the test of the reserve

The limit now stands at the lowest free number; without the reserve the test hangs, with it /ready is answered.

--- a/cmd/ryerill/exhaustion_test.go
+++ b/cmd/ryerill/exhaustion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -113,7 +114,10 @@
 		}
 	}
 	for round := range 3 {
-		limit(uint64(before + 6)) // of which consumers take all, idle ones or such as have a request open
+		// consumers take all, idle ones or such as have a request open
+		if round < 2 {
+			limit(uint64(before + 6))
+		}
 		var idle []net.Conn
 		var busy []*bufio.Reader
 		for len(idle) < 12 && round < 2 {
@@ -134,6 +138,15 @@
 			<-held
 			busy = append(busy, r)
 		}
+		if round == 2 {
+			free := uint64(0) // the lowest number that is: a limit there leaves none
+			for ; ; free++ {
+				if _, err := os.Lstat(fmt.Sprintf("/proc/%d/fd/%d", cmd.Process.Pid, free)); err != nil {
+					break
+				}
+			}
+			limit(free)
+		}
 		began := time.Now()
 		if code := served(t, address, "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"); code != http.StatusOK {
 			t.Errorf("round %d: /ready without a descriptor: %d", round, code)
