--- a/balancer.go
+++ b/balancer.go
@@ -41,7 +41,7 @@
 	remember     = 2.0   // a server is remembered for this many WarmUps after it was last listed, or served
 	coldSafety   = 0.5   // part of the cold budget used: the estimate is rough and chance bunches calls
 	exactUpTo    = 128   // servers among which the best is picked; of more, so many of each list are looked at:
-	mostLooked   = 32    // of equals that is plenty, and one of them is a seat worse than the best at most
+	mostLooked   = 20    // of equals that is plenty, and one of them is a seat worse than the best at most
 )
 
 // Balancer decides for one node. It is not safe for concurrent use.
@@ -271,23 +271,28 @@
 
 // look weighs so many servers of a list.
 func (b *Balancer) look(c *choice, list []*server, most int) {
-	start := 0
 	if len(list) > most {
-		start = c.from * len(list) / c.size
+		start := c.from * (len(list) - most + 1) / c.size
+		list = list[start : start+most]
 	}
-	for i := range min(len(list), most) {
-		s := list[(start+i)%len(list)]
+	for _, s := range list {
 		b.weighed++
 		if !b.usable(s) || !c.r.mayUse(s, b.now) || !b.warmEnough(s) {
 			continue
 		}
-		held, slow := b.standing(s)
-		rank := s.behind + 2*int(float64(s.out)+held+math.Floor(slow/slowFrom))
+		rank := s.behind + 2*s.out
 		if b.coldShare(s) < 1 {
 			rank--
 		}
-		order := cmp.Or(cmp.Compare(rank, c.least), cmp.Compare(slow, c.quickest))
-		if order < 0 || order == 0 && c.turn(s) < c.turn(c.best) {
+		if rank > c.least || rank == c.least && min(s.slow, 1) > c.quickest {
+			continue // verdicts don't make it rank better, and slowness only nears its peers'
+		}
+		held, slow := b.standing(s)
+		rank += 2 * int(held+math.Floor(slow/slowFrom))
+		if rank > c.least || rank == c.least && slow > c.quickest {
+			continue
+		}
+		if rank < c.least || slow < c.quickest || c.turn(s) < c.turn(c.best) {
 			c.best, c.least, c.quickest = s, rank, slow
 		}
 	}
