--- a/proxy/stages_test.go
+++ b/proxy/stages_test.go
@@ -190,7 +190,15 @@
 		reach: func(s *scene) {
 			text := strings.Replace(s.text("serve", ""), "Content-Length: 5\r\n\r\nhello", fmt.Sprintf("Content-Length: %d\r\n\r\n", uploadSize), 1)
 			s.write(text + strings.Repeat("y", uploadSize/2))
-			until(s.t, "a call out", func() bool { return s.inFlight() == 1 })
+			until(s.t, "its beginning at the provider", func() bool {
+				c := s.core()
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				for _, e := range c.open {
+					return e.inv.Request.Rest != nil && e.inv.Request.Rest.Spent()
+				}
+				return false
+			})
 		},
 		rest: func(s *scene) { s.write(strings.Repeat("y", uploadSize/2)) }},
 	{name: "sent and waiting", classes: []string{"read", "pay", "burn"}, taken: true,
