Book an upload that breaks off once

Whoever is first ends it: the call, whose provider gets no more, or the front, whose consumer sends no more. Ruled out: the Balancer and the core, which book an end once. At fault: consumer/server.go, where the front books a rejected request by its class after Leave has booked it. The class is forgotten there now; TestBrokenUploadIsBookedOnce lets the front be first each time, and failed before.

--- a/consumer/server.go
+++ b/consumer/server.go
@@ -544,6 +544,7 @@
 			<-rest.over // until then the connection is the upload's to read
 			if err := rest.err; !errors.Is(err, io.EOF) {
 				if !errors.Is(err, errAbandoned) && way.Service.Leave(ticket) {
+					c.class = "" // its end is booked by now
 					c.server.release(id, c)
 					c.reject(err)
 					return
--- a/consumer/server_test.go
+++ b/consumer/server_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"ryerill"
 	"ryerill/drain"
 	"ryerill/internal/buffer"
 	"ryerill/internal/socket"
@@ -202,3 +203,54 @@
 		}
 	}
 }
+
+// torn takes a long request in, reads it to its end, and is owed an answer then.
+type torn struct {
+	prompt
+	turned chan string
+}
+
+func (s torn) Turned(class string, _ bool) { s.turned <- class }
+func (s torn) Find(req *http.Request, _ string) (Way, error) {
+	return Way{Service: s, Target: req.RequestURI}, nil
+}
+func (torn) Take(inv *invocation.Invocation) uint64 {
+	go io.Copy(io.Discard, inv.Request.Rest)
+	return 1
+}
+func (torn) Leave(uint64) bool { return true } // and books its end
+
+// An upload that breaks off is booked as an invocation's end where it was taken; the
+// front, which tells the consumer, must not book it too.
+func TestBrokenUploadIsBookedOnce(t *testing.T) {
+	s, err := Listen("127.0.0.1:0", 16, false, new(buffer.Pool))
+	if err != nil {
+		t.Fatal(err)
+	}
+	service := torn{prompt{Names{Classes: []string{"burn"}, Deadlines: []time.Duration{time.Second}, Effects: []ryerill.Effect{ryerill.Unsafe}}}, make(chan string, 4)}
+	ctx, stop := context.WithCancel(context.Background())
+	over := make(chan error)
+	go func() { over <- s.Serve(ctx, service) }()
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(c, "POST /burn HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n")
+	c.Write(make([]byte, 0x20000))
+	io.WriteString(c, "\r\nno chunk\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusBadRequest {
+		t.Errorf("answered %v, %v", resp, err)
+	}
+	c.Close()
+	stop()
+	if err := <-over; err != nil {
+		t.Error(err)
+	}
+	select {
+	case class := <-service.turned:
+		t.Errorf("booked by the front too, as of class %q", class)
+	default:
+	}
+}
