--- a/balancer.go
+++ b/balancer.go
@@ -40,8 +40,8 @@
 	quickShare   = 0.25  // an error within this part of the usual latency was not made deeper down
 	remember     = 2.0   // a server is remembered for this many WarmUps after it was last listed, or served
 	coldSafety   = 0.5   // part of the cold budget used: the estimate is rough and chance bunches calls
-	exactUpTo    = 128   // servers among which the best is picked; of more, so many of each list are looked at:
-	mostLooked   = 20    // of equals that is plenty, and one of them is a seat worse than the best at most
+	exactUpTo    = 128   // servers among which the best is picked; of more, so many of each shelf are looked at:
+	mostLooked   = 20    // enough that none picked ranks worse, as measured, though it may be slower
 )
 
 // Balancer decides for one node. It is not safe for concurrent use.
@@ -190,7 +190,8 @@
 	}
 	ages, room := b.ages[:0], max(maxSamples-b.seen, 0)
 	for i := range b.flights { // by class the least late come first: more than room are of no use
-		for r := b.flights[i].newestLate(); r != nil && len(ages) < (i+1)*room; r = r.prev {
+		most := len(ages) + room
+		for r := b.flights[i].newestLate(); r != nil && len(ages) < most; r = r.prev {
 			ages = append(ages, b.age(r))
 		}
 		slices.Sort(ages)
--- a/cmd/ryerill/exhaustion_test.go
+++ b/cmd/ryerill/exhaustion_test.go
@@ -53,15 +53,7 @@
 func TestLogReaderGone(t *testing.T) {
 	backend, _, _ := echo(t)
 	cmd := prepare(t, build(t), configuration("127.0.0.1:0", backend.Listener.Addr().String()), "serve")
-	log, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer cmd.Process.Kill()
-	address, _ := addressOf(t, log)
+	address, log, _ := serving(t, cmd)
 	log.Close()    // the pipe's only reader
 	for range 20 { // each is logged
 		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
@@ -83,15 +75,7 @@
 func TestDescriptorsRunOutAndComeBack(t *testing.T) {
 	backend, held, let := echo(t)
 	cmd := prepare(t, build(t), configuration("127.0.0.1:0", backend.Listener.Addr().String()), "serve")
-	log, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer cmd.Process.Kill()
-	address, _ := addressOf(t, log)
+	address, _, _ := serving(t, cmd)
 	if code := served(t, address, ask()); code != http.StatusOK {
 		t.Fatalf("at first: %d", code)
 	}
--- a/cmd/ryerill/main_test.go
+++ b/cmd/ryerill/main_test.go
@@ -42,6 +42,22 @@
 	return cmd
 }
 
+// serving starts the program and returns where it serves, its log, which is read
+// until then and beyond, and what the log says of reloads.
+func serving(t *testing.T, cmd *exec.Cmd) (address string, log io.ReadCloser, reloads <-chan string) {
+	t.Helper()
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	address, reloads = addressOf(t, log)
+	return address, log, reloads
+}
+
 func configuration(listen, backend string) string {
 	return fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":"127.0.0.1:1","seed":"1",
  "limits":{"cores":1,"memory_mb":192,"sockets":256},
@@ -97,17 +113,9 @@
 		<-release
 		io.WriteString(w, "fine")
 	}))
-	defer backend.Close()
+	t.Cleanup(backend.Close) // after the program
 	cmd := prepare(t, build(t), configuration("127.0.0.1:0", backend.Listener.Addr().String()), "serve")
-	log, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer cmd.Process.Kill()
-	address, _ := addressOf(t, log)
+	address, _, _ := serving(t, cmd)
 	ended := make(chan error, 1)
 	go func() { ended <- cmd.Wait() }()
 	idle, idleR, err := connect(t, address)
@@ -176,7 +184,7 @@
 // the watch to the directory that it names, and no invocation suffers.
 func TestReloadUnderLoad(t *testing.T) {
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "fine") }))
-	defer backend.Close()
+	t.Cleanup(backend.Close) // after the program
 	asked := make(chan string, 64)
 	directory := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if asked <- r.URL.RawQuery; r.URL.RawQuery == "" {
@@ -197,15 +205,7 @@
 			file = value
 		}
 	}
-	log, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer cmd.Process.Kill()
-	address, reloads := addressOf(t, log)
+	address, _, reloads := serving(t, cmd)
 	stop, over := make(chan struct{}), make(chan error, 2)
 	for range cap(over) {
 		go func() {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -39,6 +39,7 @@
 	dropped int // lines since the last that passed
 }
 
+// Write hands a line to the one that writes.
 func (q *queue) Write(line []byte) (int, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/wordfile/wordfile.go
+++ b/internal/wordfile/wordfile.go
@@ -149,9 +149,9 @@
 	}
 }
 
-// over returns a word with the changes on top that are not kept. The mutex is held.
-func (s *Store) over(w word.Word) word.Word {
-	for _, c := range s.pending {
+// over returns a word with changes on top. One that can't be made on it is passed over.
+func over(w word.Word, changes []*change) word.Word {
+	for _, c := range changes {
 		if next, err := c.do(w, c.at); err == nil {
 			w = next
 		}
@@ -183,7 +183,7 @@
 			c.done <- err
 			return true
 		})
-		s.set(s.over(s.kept))
+		s.set(over(s.kept, s.pending))
 		s.mu.Unlock()
 		if err != nil {
 			time.Sleep(retry) // there may be room again soon
@@ -208,12 +208,7 @@
 	case err == nil && held.Version > before.Version:
 		before = held
 	}
-	w := before
-	for _, c := range batch {
-		if next, err := c.do(w, c.at); err == nil {
-			w = next
-		}
-	}
+	w := over(before, batch)
 	if w.Version == before.Version {
 		return w, nil
 	}
@@ -318,6 +313,6 @@
 	defer s.mu.Unlock()
 	if err == nil && w.Version > s.kept.Version {
 		s.kept = w
-		s.set(s.over(w))
+		s.set(over(w, s.pending))
 	}
 }
--- a/provider/call.go
+++ b/provider/call.go
@@ -100,7 +100,7 @@
 // Do makes the call and returns how it ended, and the answer if it served. It
 // sends once at most.
 func (p *Pool) Do(c *Call) (ryerill.Outcome, *invocation.Response) {
-	conn, err := p.get(place{c.Provider, c.Address}, c)
+	conn, err := p.get(c)
 	switch {
 	case err != nil && c.release():
 		return ryerill.Moot, nil // nothing of it was sent
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -87,9 +87,10 @@
 	}
 }
 
-// get returns a connection to a place for a call: the one used last, if any is
+// get returns a connection for a call: the one to its place used last, if any is
 // usable, or a new one.
-func (p *Pool) get(at place, call *Call) (*conn, error) {
+func (p *Pool) get(call *Call) (*conn, error) {
+	at := place{call.Provider, call.Address}
 	p.mu.Lock()
 	for list := p.idle[at]; len(list) > 0; list = p.idle[at] {
 		c := list[len(list)-1]
--- a/proxy/stages_test.go
+++ b/proxy/stages_test.go
@@ -100,6 +100,17 @@
 	return s
 }
 
+// end ends the proxy and all that stands round it.
+func (s *scene) end() {
+	s.stop()
+	for _, b := range s.peers {
+		b.CloseAll()
+	}
+	if s.deaf != nil {
+		s.deaf.Close()
+	}
+}
+
 func (s *scene) core() *core {
 	s.p.mu.Lock()
 	defer s.p.mu.Unlock()
@@ -484,13 +495,7 @@
 			t.Error(err)
 		}
 	}
-	s.stop()
-	for _, b := range s.peers {
-		b.CloseAll()
-	}
-	if s.deaf != nil {
-		s.deaf.Close()
-	}
+	s.end()
 	if err := goleak.Find(leaks); err != nil {
 		t.Error(err)
 	}
@@ -548,10 +553,7 @@
 		}
 		s.quiet(pool, rounds+warm)
 		s.rules()
-		s.stop()
-		for _, b := range s.peers {
-			b.CloseAll()
-		}
+		s.end()
 	}
 	if err := goleak.Find(leaks); err != nil {
 		t.Error(err)
@@ -614,10 +616,7 @@
 	}
 	s.quiet(s.core(), ended)
 	s.rules()
-	s.stop()
-	for _, b := range s.peers {
-		b.CloseAll()
-	}
+	s.end()
 	if err := goleak.Find(leaks); err != nil {
 		t.Error(err)
 	}
@@ -627,7 +626,7 @@
 // only the call: its seat and descriptor are free long before the dial's own end.
 func TestCancelEndsTheDial(t *testing.T) {
 	s := newScene(t, "read", func(cfg *config.Config) { cfg.Pools[0].Settings.Balancer.Limits.ConnectTimeout = patience })
-	defer s.stop()
+	defer s.end()
 	s.deafen()
 	s.write(s.text("serve", ""))
 	until(t, "a call out", func() bool { return s.inFlight() == 1 })
