Watch a pushed list on sockets, where the Balancer asks for nothing

Cause: config.SettingsFromJSON made of that word a Balancer that never asks for the list (Balancer.ask returns early), and only the Balancer's Subscribe made the proxy's client begin its watch. On sockets a pushed list lies with an agent on the proxy's own machine and has to be fetched there all the same.

Change: settings tell the host that lists are pushed; directory.NewAgentClient keeps its watch by itself, in calls of 1 s, and asks again within 200 ms after whatever failed, since the agent costs nothing and what it has counts as told at once. The Balancer still asks for nothing there, so both hosts decide alike. A list that nobody pushes is asked for also where nothing is stated; another word is refused by its key.

Shown by: TestAgentIsWatchedOn, TestPushedListIsWatched and TestHowListsCome, the first two of which hang or fail without the change.

--- a/config/config.go
+++ b/config/config.go
@@ -213,6 +213,8 @@
 		problems = append(problems, err)
 	} else {
 		pool.Settings.complete(bad)
+		// On sockets a list that nobody pushes has to be asked for, also where nothing is stated.
+		pool.Settings.Balancer.Subscribe = !pool.Settings.Pushed
 	}
 	for _, c := range pool.Settings.Balancer.Classes {
 		pool.Drain = max(pool.Drain, c.Deadline+time.Second)
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -42,6 +42,7 @@
 		{"tier", `"Tier":1`, `"Tier":2`, `setting Tier: unexpected value "2"`},
 		{"zone", `"Zone":1`, `"Zone":9`, `setting Zone: unexpected value "9"`},
 		{"place in the group", `"Me":0`, `"Me":2`, `setting Me: unexpected value "2"`},
+		{"how lists come", `"subscribe"`, `"sometimes"`, `setting Discovery: unexpected value "sometimes"`},
 		{"negative time", `"IdleClose":5000000`, `"IdleClose":-1`, "setting Limits.IdleClose: "},
 	} {
 		_, err := Parse([]byte(strings.Replace(whole, tc.old, tc.new, 1)), none)
@@ -132,3 +133,17 @@
 		}
 	}
 }
+
+// A list that is pushed comes from an agent on this machine and is watched by the
+// host; any other has to be asked for, also where nothing is stated.
+func TestHowListsCome(t *testing.T) {
+	for _, tc := range []struct {
+		stated        string
+		pushed, asked bool
+	}{{`"subscribe"`, false, true}, {`"automatic"`, true, false}, {`""`, false, true}} {
+		cfg, err := Parse([]byte(strings.Replace(whole, `"subscribe"`, tc.stated, 1)), none)
+		if s := cfg.Pools[0].Settings; err != nil || s.Pushed != tc.pushed || s.Balancer.Subscribe != tc.asked {
+			t.Errorf("%s: pushed %v, asked for %v, %v", tc.stated, s.Pushed, s.Balancer.Subscribe, err)
+		}
+	}
+}
--- a/config/settings.go
+++ b/config/settings.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -22,6 +23,7 @@
 	Kinds     []string
 	IdleClose time.Duration // a provider's machine closes idle connections after this
 	AnyPath   bool          // a class need not be the first part of the path
+	Pushed    bool          // an agent on this machine holds the list: watching it costs nobody anything
 }
 
 // SettingsFromPairs reads settings in the form of the simulator's wire, a
@@ -92,7 +94,7 @@
 		Zone:           v.int("Zone"),
 		Self:           v.int("Me"),
 		GroupSize:      v.int("GroupSize"),
-		Subscribe:      v.is("Discovery", "subscribe"),
+		Subscribe:      v.word("Discovery", "subscribe", "automatic") == "subscribe",
 		ValueByWork:    v.is("ValueBy", "work"),
 		OverShareWorth: v.float("OverShareWorth"),
 		LoadNames:      v.many["LoadInfo.Names"],
@@ -124,6 +126,7 @@
 			TopNines:    v.float("Goal.TopNines"),
 		},
 	}
+	s.Pushed = v.one["Discovery"] == "automatic"
 	for i := range v.count("Classes") {
 		at := "Classes." + strconv.Itoa(i) + "."
 		s.Balancer.Classes = append(s.Balancer.Classes, ryerill.Class{
@@ -208,6 +211,15 @@
 	return false
 }
 
+// word is one of some words, or missing.
+func (v *values) word(path string, words ...string) string {
+	if text := v.one[path]; text == "" || slices.Contains(words, text) {
+		return text
+	}
+	v.bad(path)
+	return ""
+}
+
 func (v *values) is(path, want string) bool { return v.one[path] == want }
 
 // effect and group read an unknown word as the strictest kind: it can only
--- a/directory/client.go
+++ b/directory/client.go
@@ -21,6 +21,13 @@
 	answerIn   = 1200 * time.Millisecond // an answer is overdue after this, beyond what the call may wait
 	maxList    = 8 << 20                 // bytes of an answer: some 40,000 providers
 	emptyPause = 50 * time.Millisecond   // before the next call when an answer without news came early
+
+	// An agent on this machine answers at once and at no cost, and what it has counts as told: it is watched
+	// in short calls, and asked again well within the time in which word of a drain must be heeded.
+	agentFor   = time.Second
+	agentIn    = 300 * time.Millisecond
+	agentPause = 25 * time.Millisecond // before the next call after one that failed, doubled with each
+	agentMost  = 200 * time.Millisecond
 )
 
 // Sink is told what the directory answers. Its methods are called in turn and
@@ -39,6 +46,7 @@
 	buffers *buffer.Pool
 	reserve *socket.Reserve
 	dial    net.Dialer
+	agent   bool            // on this machine: the watch goes on by itself
 	ctx     context.Context // ends with the proxy; calls are made in the background
 
 	telling sync.Mutex // held while the sink is told, so that nothing of an old directory follows Move
@@ -62,6 +70,16 @@
 	return c
 }
 
+// NewAgentClient returns a client of an agent on the proxy's own machine, to
+// which lists are pushed. Its watch goes on by itself, whatever fails: only the
+// first of several failures in a row is told.
+func NewAgentClient(ctx context.Context, address string, known List, buffers *buffer.Pool, sink Sink) *Client {
+	c := NewClient(ctx, address, known, buffers, sink)
+	c.agent = true
+	c.Subscribe(true)
+	return c
+}
+
 // Subscribe starts the watch, or ends it. It returns at once.
 func (c *Client) Subscribe(on bool) {
 	c.mu.Lock()
@@ -128,17 +146,29 @@
 // keepWatch calls again as soon as an answer is in: a watch is over 200 ms
 // after its last answer, and what changes in between counts as told.
 func (c *Client) keepWatch(ctx context.Context, number int, l *line) {
+	most, pause := c.patience(), agentPause
 	for {
 		c.mu.Lock()
 		held, since := c.held, c.index
 		c.mu.Unlock()
 		target, wait := path, time.Duration(0)
 		if held {
-			target = fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, since, watchFor.Milliseconds())
-			wait = watchFor
+			target = fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, since, most.Milliseconds())
+			wait = most
 		}
 		began := time.Now()
 		list, err := c.get(ctx, l, target, wait)
+		if err != nil && c.agent {
+			if pause == agentPause {
+				c.tell(ctx, l, list, err)
+			}
+			if !sleep(ctx, pause) {
+				return
+			}
+			pause = min(2*pause, agentMost)
+			continue
+		}
+		pause = agentPause
 		if err != nil {
 			c.mu.Lock()
 			if c.watch == number {
@@ -149,16 +179,38 @@
 		if !c.tell(ctx, l, list, err) {
 			return
 		}
-		if len(list.Endpoints) == 0 && time.Since(began) < wait/2 { // no reason to spin
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(emptyPause):
-			}
+		if len(list.Endpoints) == 0 && time.Since(began) < wait/2 && !sleep(ctx, emptyPause) { // no reason to spin
+			return
 		}
 	}
 }
 
+// patience is how long one call of the watch waits for something newer.
+func (c *Client) patience() time.Duration {
+	if c.agent {
+		return agentFor
+	}
+	return watchFor
+}
+
+// overdue is how long an answer may take beyond what its call may wait.
+func (c *Client) overdue() time.Duration {
+	if c.agent {
+		return agentIn
+	}
+	return answerIn
+}
+
+// sleep waits, and tells whether ctx still goes on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // tell passes on how a call ended, unless nobody waits for it any more. It
 // reports whether it has passed on a list.
 func (c *Client) tell(ctx context.Context, l *line, list List, err error) bool {
@@ -204,7 +256,7 @@
 
 // get makes one call and books the index of its answer.
 func (c *Client) get(ctx context.Context, l *line, target string, wait time.Duration) (List, error) {
-	until := time.Now().Add(wait + answerIn)
+	until := time.Now().Add(wait + c.overdue())
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	if l.conn == nil {
--- a/directory/client_test.go
+++ b/directory/client_test.go
@@ -201,3 +201,61 @@
 		t.Fatalf("of %d bytes: %d providers, %v", len(text), len(got.Endpoints), err)
 	}
 }
+
+// A watch of an agent goes on by itself: after a refusal, a break and silence it
+// asks again in less than the time in which a drain must be heeded, over any
+// number of failures, of which the first in a row is told.
+func TestAgentIsWatchedOn(t *testing.T) {
+	asked, answers := make(chan time.Time), make(chan string)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case asked <- time.Now():
+		case <-r.Context().Done():
+			return
+		}
+		switch text := <-answers; text {
+		case "fails":
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case "breaks":
+			panic(http.ErrAbortHandler)
+		case "silent":
+			<-r.Context().Done()
+		default:
+			io.WriteString(w, text)
+		}
+	}))
+	defer server.Close()
+	news := make(told, 8)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	c := NewAgentClient(ctx, server.Listener.Addr().String(), List{}, new(buffer.Pool), news)
+	c.Subscribe(true) // of no effect
+	within := (agentFor + agentIn + agentMost).Milliseconds()
+	for i, step := range []struct{ answer, told string }{
+		{`{"index":5,"snapshot":true,"endpoints":[]}`, "list 5"},
+		{"fails", "failed"}, {"breaks", ""}, {"silent", ""}, {"fails", ""}, {"fails", ""},
+		{`{"index":6,"snapshot":false,"endpoints":[]}`, "list 6"},
+		{"breaks", "failed"},
+		{`{"index":2,"snapshot":true,"endpoints":[]}`, "list 2"},
+	} {
+		began := time.Now()
+		select {
+		case at := <-asked:
+			if took := at.Sub(began).Milliseconds(); took > 2*within {
+				t.Errorf("step %d: asked after %d ms", i, took)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatalf("step %d: not asked", i)
+		}
+		answers <- step.answer
+		if step.told == "" {
+			continue
+		}
+		if text := <-news; text != step.told {
+			t.Errorf("step %d: told %q, want %q", i, text, step.told)
+		}
+	}
+	if len(news) > 0 {
+		t.Errorf("told %q besides", <-news)
+	}
+}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -52,13 +52,11 @@
 	c.names.AnyPath = settings.AnyPath
 	shed := c.pool.Shed
 	r.shed.Store(&shed)
-	kind := ryerill.ListFull // the file's own list is all there is
+	kind, known := ryerill.ListFull, cfg.Known // the file's own list is all there is
 	if cfg.Directory == "" {
 		close(c.heard)
 	} else {
-		known := cfg.Known
 		known.Snapshot = known.Snapshot && !second // else the first call waits until there is something newer
-		c.directory = directory.NewClient(life, cfg.Directory, known, buffers, c)
 		kind = ryerill.ListCached
 	}
 	if cfg.PaysDirectory {
@@ -66,6 +64,13 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	switch {
+	case cfg.Directory == "":
+	case settings.Pushed:
+		c.directory = directory.NewAgentClient(life, cfg.Directory, known, buffers, c)
+	default:
+		c.directory = directory.NewClient(life, cfg.Directory, known, buffers, c)
+	}
 	c.list(kind, cfg.Known)
 	return c
 }
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -437,6 +438,66 @@
 	}
 }
 
+// A list that an agent on this machine pushes is watched there although the Balancer asks for nothing:
+// whatever the proxy knew at its start, what comes counts from then on, also over an agent that was down
+// at the start and one that a reload moves to.
+func TestPushedListIsWatched(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, says(okay))
+	ready, draining := b.endpoint("s1", 1), b.endpoint("s1", 1)
+	draining.Status = directory.Terminating
+	for _, tc := range []struct {
+		name   string
+		known  []directory.Endpoint
+		before string // what the agent says first, "" if it fails then
+		moved  bool   // the rest is said by another agent
+	}{
+		{name: "known", known: []directory.Endpoint{ready}, before: encode(t, 1, false)},
+		{name: "nothing known", before: encode(t, 1, true, ready)},
+		{name: "known long ago", known: []directory.Endpoint{{Name: "s0", Address: "127.0.0.1:1", Status: directory.Ready}}, before: encode(t, 1, true, ready)},
+		{name: "down at the start", known: []directory.Endpoint{ready}},
+		{name: "moved", known: []directory.Endpoint{ready}, before: encode(t, 1, false), moved: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := newRegistry(t)
+			pushed := func(at *registry) func(*config.Config) {
+				return func(cfg *config.Config) {
+					p := &cfg.Pools[0]
+					p.Directory, p.Settings.Pushed, p.Settings.Balancer.Subscribe = at.Listener.Addr().String(), true, false
+				}
+			}
+			p := run(t, pushed(g), tc.known...)
+			c := dial(t, p.Address())
+			if g.await(t, ""); tc.before == "" {
+				g.CloseClientConnections()
+				g.await(t, "since=1&")
+			} else {
+				g.tell(t, tc.before)
+				g.await(t, "since=1&")
+			}
+			if status, _ := c.ask(request("read", 10_000)); status != 200 {
+				t.Fatalf("before: %d", status)
+			}
+			if tc.moved {
+				g = newRegistry(t)
+				cfg := p.cfg
+				cfg.Pools = slices.Clone(cfg.Pools)
+				pushed(g)(&cfg)
+				if err := p.Reload(cfg); err != nil {
+					t.Fatal(err)
+				}
+				g.await(t, "")
+			}
+			g.tell(t, encode(t, 2, tc.moved, draining))
+			g.await(t, "since=2&")
+			before := b.requests.Load()
+			if status, _ := c.ask(request("read", 10_000)); status != 503 || b.requests.Load() != before {
+				t.Errorf("told to drain: %d, sent %d", status, b.requests.Load()-before)
+			}
+		})
+	}
+}
+
 // New providers come under new ids all day, and only changes tell of it: those
 // that are gone are forgotten, or the proxy grows until it is killed.
 func TestProvidersThatAreGoneAreForgotten(t *testing.T) {
