Refuse settings that nothing can mean, by their key

Change: the platform's JSON is read strictly; the simulator's adapter goes on reading what it is given, as a fault there ends a run. Ruled out: a missing effect as an error, since it is read as unsafe, the strictest.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -43,6 +43,9 @@
 		{"zone", `"Zone":1`, `"Zone":9`, `setting Zone: unexpected value "9"`},
 		{"place in the group", `"Me":0`, `"Me":2`, `setting Me: unexpected value "2"`},
 		{"how lists come", `"subscribe"`, `"sometimes"`, `setting Discovery: unexpected value "sometimes"`},
+		{"worth below 0", `"Worth":3.5`, `"Worth":-1`, `setting Classes.0.Worth: unexpected value "-1"`},
+		{"effect", `"Effect":"pure"`, `"Effect":"harmless"`, `setting Classes.0.Effect: unexpected value "harmless"`},
+		{"part above 1", `"AnswerSlack":20000`, `"ColdFrom":1.5`, `setting Contract.ColdFrom: unexpected value "1.5"`},
 		{"negative time", `"IdleClose":5000000`, `"IdleClose":-1`, "setting Limits.IdleClose: "},
 	} {
 		_, err := Parse([]byte(strings.Replace(whole, tc.old, tc.new, 1)), none)
--- a/config/settings.go
+++ b/config/settings.go
@@ -44,7 +44,7 @@
 
 // SettingsFromJSON reads the same settings as nested JSON.
 func SettingsFromJSON(text []byte) (Settings, error) {
-	v := values{one: make(map[string]string), many: make(map[string][]string)}
+	v := values{one: make(map[string]string), many: make(map[string][]string), strict: true}
 	d := json.NewDecoder(strings.NewReader(string(text)))
 	d.UseNumber()
 	var tree map[string]any
@@ -60,6 +60,10 @@
 	one  map[string]string
 	many map[string][]string // lists of plain values
 	err  error
+
+	// strict refuses what no setting can mean: figures below 0, parts above 1, unknown words. A simulation
+	// goes on with them, read as what makes the Balancer most careful.
+	strict bool
 }
 
 func (v *values) flatten(path string, node any) {
@@ -96,7 +100,7 @@
 		GroupSize:      v.int("GroupSize"),
 		Subscribe:      v.word("Discovery", "subscribe", "automatic") == "subscribe",
 		ValueByWork:    v.is("ValueBy", "work"),
-		OverShareWorth: v.float("OverShareWorth"),
+		OverShareWorth: v.part("OverShareWorth"),
 		LoadNames:      v.many["LoadInfo.Names"],
 		Limits: ryerill.Limits{
 			Attempts:       v.int("Limits.TryLimit"),
@@ -113,7 +117,7 @@
 			AnswerSlack:  v.micros("Contract.AnswerSlack"),
 			DrainGrace:   v.micros("Contract.StopSendingWithin"),
 			AskWithin:    v.micros("Contract.AskWithin"),
-			ColdFrom:     v.float("Contract.ColdFrom"),
+			ColdFrom:     v.part("Contract.ColdFrom"),
 			WarmUp:       v.micros("Contract.WarmUp"),
 			FallMultiple: v.float("Contract.FallMultiple"),
 			OverloadFor:  v.micros("Contract.OverloadFor"),
@@ -135,7 +139,7 @@
 			AimStretch: v.float(at + "AimStretch"),
 			Deadline:   v.micros(at + "Deadline"),
 			Worth:      v.float(at + "Worth"),
-			LateWorth:  v.float(at + "LateWorth"),
+			LateWorth:  v.part(at + "LateWorth"),
 			Effect:     v.effect(at + "Effect"),
 			Group:      v.group(at + "Group"),
 			Memory:     v.micros(at + "MemorySpan"),
@@ -166,13 +170,22 @@
 		return 0
 	}
 	n, err := strconv.ParseFloat(text, 64)
-	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) {
+	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) || v.strict && n < 0 {
 		v.bad(path)
 		return 0
 	}
 	return n
 }
 
+// part is a share of something.
+func (v *values) part(path string) float64 {
+	n := v.float(path)
+	if v.strict && n > 1 {
+		v.bad(path)
+	}
+	return n
+}
+
 func (v *values) int(path string) int {
 	n := v.float(path)
 	if math.Abs(n) > math.MaxInt32 {
@@ -211,6 +224,14 @@
 	return false
 }
 
+// known is a word that may be another where that is not refused.
+func (v *values) known(path string, words ...string) string {
+	if !v.strict {
+		return v.one[path]
+	}
+	return v.word(path, words...)
+}
+
 // word is one of some words, or missing.
 func (v *values) word(path string, words ...string) string {
 	if text := v.one[path]; text == "" || slices.Contains(words, text) {
@@ -222,10 +243,10 @@
 
 func (v *values) is(path, want string) bool { return v.one[path] == want }
 
-// effect and group read an unknown word as the strictest kind: it can only
-// make the balancer more careful.
+// effect and group read a missing word as the strictest kind, and an unknown one
+// where it is not refused: it can only make the balancer more careful.
 func (v *values) effect(path string) ryerill.Effect {
-	switch v.one[path] {
+	switch v.known(path, "pure", "token", "side_effect") {
 	case "pure":
 		return ryerill.Safe
 	case "token":
@@ -235,7 +256,7 @@
 }
 
 func (v *values) group(path string) ryerill.Group {
-	switch v.one[path] {
+	switch v.known(path, "all", "zone", "cell") {
 	case "all":
 		return ryerill.GroupAll
 	case "zone":
