Host the fleet: frames, view, sockets, a block in the YAML file, the door

Need: what membership decides has to be carried out, switched on by the operator alone, and seen.

Change: fleet/frame writes messages as CBOR with a version, the fleet's short name, a number used once and an HMAC, two keys valid at once; fleet/view makes places of what is known: budgets are divided among all that may be there, ring and limit follow those that are there, damped; a copy beyond the number written by hand has no part until all others count it. fleet holds the sockets, with bounds for datagrams, exchanges, descriptors and memory. The fleet block of the YAML file switches it on; limits.peers false beside it, or a fleet in the platform's JSON, ends the start with 2 and names both keys. GET /ops/fleet and ryerill fleet members, status, watch, forget, key.

Ruled out: the known library for membership, since it owns its sockets, clocks and goroutines, so that nothing of it can be played in virtual time or explored.

--- a/balancer.go
+++ b/balancer.go
@@ -53,7 +53,7 @@
 	aim        time.Duration // the shortest aim of a class
 
 	ifr, beside            int // calls in flight, and those of others at this place: one limit is for all,
-	sharers                int // and so are its quotas and cold budgets
+	sharers, parts         int // and so are its quotas and cold budgets, of which each copy has one of so many
 	maxIFR, floor, ceiling float64
 	spare                  float64 // seats unused of late, or overdrawn
 	spareAt, windowEnd     time.Duration
@@ -91,7 +91,7 @@
 func New(cfg Config, seed uint64) *Balancer {
 	cfg.complete()
 	b := &Balancer{rng: seed, began: -1, byID: map[ServerID]*server{}, requests: map[RequestID]*request{},
-		sharers: 1, turns: map[uint64]*turn{}, timers: map[uint32]uint64{}}
+		sharers: 1, parts: cfg.GroupSize, turns: map[uint64]*turn{}, timers: map[uint32]uint64{}}
 	b.lmax = lmaxShare * float64(cfg.Tiers-cfg.Tier) / float64(cfg.Tiers)
 	for i := range cfg.Classes {
 		c := &cfg.Classes[i]
@@ -221,7 +221,7 @@
 	if b.cfg.Tier > 0 || tenant < 0 || tenant >= len(b.quota) || !(b.cfg.Tenants[tenant].Quota > 0) {
 		return false
 	}
-	rate := b.cfg.Tenants[tenant].Quota / float64(b.cfg.GroupSize*b.sharers)
+	rate := b.cfg.Tenants[tenant].Quota / float64(b.parts*b.sharers)
 	saved := &b.quota[tenant]
 	if saved.fill(b.now, rate, max(quotaBurst*rate, 1)) < 1 {
 		return true
@@ -406,7 +406,7 @@
 	if share >= 1 || !s.near {
 		return share >= 1
 	}
-	least := float64(b.ready) / float64(b.cfg.GroupSize) / c.OverloadFor.Seconds() // a call a span, by all
+	least := float64(b.ready) / float64(b.parts) / c.OverloadFor.Seconds() // a call a span, by all
 	rate := max(b.served(0), least) / float64(b.near*b.sharers) * share
 	saved := rate * c.OverloadFor.Seconds() / 4
 	if n := s.budget.fill(b.now, rate, math.Inf(1)); n > 1+saved {
--- a/config/config.go
+++ b/config/config.go
@@ -49,6 +49,8 @@
 	Listeners []Listener
 	Routes    []Route
 	Pools     []Pool
+	Fleet     *Fleet // nil is none: the proxy speaks to no other
+	Text      []byte // as it was read, where it is a file of [File]'s form
 }
 
 // Listener is an address for consumers.
@@ -158,6 +160,7 @@
 		} `json:"limits"`
 		Known    json.RawMessage `json:"known"`
 		Settings json.RawMessage `json:"settings"`
+		Fleet    json.RawMessage `json:"fleet"`
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
 		var wrong *json.UnmarshalTypeError
@@ -187,6 +190,10 @@
 	if cfg.Mgmt != "" {
 		address("mgmt", cfg.Mgmt)
 	}
+	if len(file.Fleet) > 0 && string(file.Fleet) != "null" {
+		problems = append(problems, errors.New("fleet, setting Limits.Peers: the platform's form has no fleet: its proxies don't speak to each other; "+
+			"take fleet out, or write the configuration in YAML (ryerill config convert) where limits.peers does not forbid it"))
+	}
 	var err error
 	if cfg.Seed, err = parseSeed(file.Seed); err != nil {
 		bad("seed", file.Seed, "at most 16 hexadecimal digits")
@@ -199,7 +206,7 @@
 		bad("limits.memory_mb", memory, fmt.Sprintf("%d or more", leastMemoryMB))
 	}
 	cfg.Limits = Limits{Cores: cores, Memory: int64(memory * (1 << 20)), Sockets: valueOr(file.Limits.Sockets, defaultSockets)}
-	if least := leastSocketsWith(cfg.Mgmt); cfg.Limits.Sockets < least {
+	if least := leastSocketsWith(cfg.Mgmt, false); cfg.Limits.Sockets < least {
 		bad("limits.sockets", cfg.Limits.Sockets, fmt.Sprintf("%d or more", least))
 	}
 	if len(file.Known) > 0 && string(file.Known) != "null" {
@@ -224,15 +231,15 @@
 }
 
 // leastSocketsWith is the least number of descriptors that leaves room to serve.
-func leastSocketsWith(mgmt string) int {
-	return leastSockets - sparedAlways + spareSockets(mgmt)
+func leastSocketsWith(mgmt string, fleet bool) int {
+	return leastSockets - sparedAlways + spareSockets(mgmt, fleet)
 }
 
 // Bound lowers the descriptors to what the process may hold. It returns how many
 // it needs at least if these are too few, else 0.
 func (c *Config) Bound(descriptors int) (least int) {
 	c.Limits.Sockets = min(c.Limits.Sockets, descriptors)
-	if least = leastSocketsWith(c.Mgmt); c.Limits.Sockets < least {
+	if least = leastSocketsWith(c.Mgmt, c.Fleet != nil); c.Limits.Sockets < least {
 		return least
 	}
 	return 0
--- a/config/file.go
+++ b/config/file.go
@@ -29,6 +29,7 @@
 	Tenants   []TenantFile   `yaml:"tenants,omitempty" json:"tenants,omitempty" jsonschema_description:"of the pools that state none"`
 	Routes    []RouteFile    `yaml:"routes" json:"routes" jsonschema:"minItems=1"`
 	Pools     []PoolFile     `yaml:"pools" json:"pools" jsonschema:"minItems=1"`
+	Fleet     *FleetFile     `yaml:"fleet,omitempty" json:"fleet,omitempty" jsonschema_description:"the proxies that send to the same providers and speak to each other; without it this one speaks to none"`
 }
 
 // MachineFile is what the machine allows.
@@ -107,6 +108,7 @@
 	RetryAfter     *bool         `yaml:"retry_after,omitempty" json:"retry_after,omitempty" jsonschema_description:"whether refusals say when to come back; default true"`
 	MaxRetryAfter  time.Duration `yaml:"max_retry_after,omitempty" json:"max_retry_after,omitempty" jsonschema_description:"default 2s"`
 	SecondCopies   *bool         `yaml:"second_copies,omitempty" json:"second_copies,omitempty" jsonschema_description:"default true"`
+	Peers          *bool         `yaml:"peers,omitempty" json:"peers,omitempty" jsonschema_description:"false forbids that proxies speak to each other; default: as fleet says"`
 	Cancel         *bool         `yaml:"cancel,omitempty" json:"cancel,omitempty" jsonschema_description:"whether calls that nobody waits for are called off; default true"`
 	ConnectTimeout time.Duration `yaml:"connect_timeout,omitempty" json:"connect_timeout,omitempty" jsonschema_description:"default 100ms"`
 	IdleClose      time.Duration `yaml:"idle_close,omitempty" json:"idle_close,omitempty" jsonschema_description:"providers close idle connections after this; default 5s"`
@@ -172,6 +174,7 @@
 	override(f, getenv)
 	f.Complete()
 	cfg, problems := f.build()
+	cfg.Text = text
 	cfg.Scratch = getenv(EnvScratch)
 	var faults []error
 	told := map[string]bool{} // what pools share is checked with each
@@ -235,7 +238,7 @@
 	for i := range f.Routes {
 		set(&f.Routes[i].Name, fmt.Sprintf("route-%d", i))
 	}
-	share := Shared(f.Machine.Sockets-spareSockets(f.Mgmt), int64(f.Machine.MemoryMB*(1<<20)))
+	share := Shared(f.Machine.Sockets-spareSockets(f.Mgmt, f.Fleet != nil), int64(f.Machine.MemoryMB*(1<<20)))
 	for i := range f.Pools {
 		p := &f.Pools[i]
 		if len(p.Classes) == 0 {
@@ -353,7 +356,7 @@
 	c.number("machine.cores", f.Machine.Cores, 0.01, 1024)
 	c.number("machine.memory_mb", f.Machine.MemoryMB, leastMemoryMB, 1<<30)
 	c.number("machine.work_per_s", float64(f.Machine.WorkPerS), 0, 1e7)
-	c.number("machine.sockets", float64(f.Machine.Sockets), float64(leastSocketsWith(f.Mgmt)), 1<<20)
+	c.number("machine.sockets", float64(f.Machine.Sockets), float64(leastSocketsWith(f.Mgmt, f.Fleet != nil)), 1<<20)
 	if n := len(f.Listeners); n == 0 || n > maxListeners {
 		c.bad("listeners", n, fmt.Sprintf("1 to %d listeners", maxListeners))
 	}
@@ -379,6 +382,7 @@
 	}
 	f.fits(cfg, c)
 	f.routes(&cfg, pools, c)
+	f.fleet(&cfg, c)
 	return cfg, c.problems
 }
 
@@ -593,16 +597,23 @@
 // runtime's own descriptors.
 const sparedAlways = 16
 
-// spareSockets are kept back, for the operators' door too if there is one.
-func spareSockets(mgmt string) int {
-	if mgmt == "" {
-		return sparedAlways
+// spareSockets are kept back, for the operators' door and the fleet too if there
+// is one.
+func spareSockets(mgmt string, fleet bool) int {
+	n := sparedAlways
+	if mgmt != "" {
+		n += ops.Descriptors
 	}
-	return sparedAlways + ops.Descriptors
+	if fleet {
+		n += fleetDescriptors
+	}
+	return n
 }
 
 // Connections is how many descriptors consumers and providers may hold together.
-func (c *Config) Connections() int { return max(c.Limits.Sockets-spareSockets(c.Mgmt), 2) }
+func (c *Config) Connections() int {
+	return max(c.Limits.Sockets-spareSockets(c.Mgmt, c.Fleet != nil), 2)
+}
 
 // memoryOfOpen is what an open invocation takes beyond its body, at most: its
 // goroutines' stacks, timers and heads.
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,422 @@
+// Package fleet is the host of a proxy's place among its copies: it holds the
+// sockets, clocks and files, and hands what comes to the pure packages below it.
+// Package member decides who is there, package view what follows from it, and
+// package frame how it is written.
+//
+// A proxy that is not told to be in a fleet makes none of this: no socket, no
+// goroutine, no timer.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"ryerill/fleet/frame"
+	"ryerill/fleet/member"
+	"ryerill/fleet/view"
+)
+
+// Descriptors is how many a fleet's host may hold; they are set aside for it.
+const Descriptors = 3 + mostExchanges + 2
+
+const (
+	mostExchanges = 8                      // that others began, at once; more are closed at once and try again
+	exchangeTime  = 4 * time.Second        // for all of an exchange
+	dialTime      = time.Second            // for its connection
+	departFor     = 700 * time.Millisecond // news of a departure goes out for so long
+	rememberEvery = 30 * time.Second
+	mostSeeds     = 256  // addresses that are remembered
+	mostRate      = 2000 // datagrams a second that are looked at; a flood beyond it is dropped unread
+	mostBurst     = 4000
+	sayEvery      = 10 * time.Second // a fault of frames is logged so often at most
+)
+
+// Config is what a fleet's host is told.
+type Config struct {
+	Name      string            // of this copy; it stands once in the fleet
+	Fleet     string            // name of the fleet
+	Listen    string            // IP and port, for datagrams and exchanges
+	Advertise string            // where others reach it; empty is Listen
+	Seeds     []string          // addresses where somebody may be
+	Via       map[string]string // addresses by which this copy reaches others, by name, where they differ from what those say
+	Keys      [][]byte          // the first signs, all are taken
+	Remember  string            // file that keeps the members' addresses over a restart; empty is none
+	Copies    map[string]int    // by pool, that a person says there are: the floor of safety
+	Zone      string
+	Tier      int
+	Pools     []string
+	Program   string
+	Settings  string
+	Seed      uint64
+	Period    time.Duration // 0 is the default
+	Budget    int           // bytes a second; 0 is the default
+}
+
+// Places tells what follows for the proxy. It is called with every change and must
+// not block.
+type Places func(places map[string]view.Place)
+
+// Fleet is a copy's host. Its methods are safe for concurrent use.
+type Fleet struct {
+	cfg    Config
+	log    *slog.Logger
+	udp    *net.UDPConn
+	tcp    *net.TCPListener
+	start  time.Time
+	places Places
+	slots  chan struct{} // of exchanges that others began
+	all    sync.WaitGroup
+
+	mu        sync.Mutex
+	codec     *frame.Codec
+	member    *member.Member
+	view      *view.View
+	tags      member.Tags
+	actions   []member.Action
+	timer     *time.Timer
+	viewed    time.Time
+	ended     bool
+	phases    bool // departed
+	abandoned bool // to another process of this name
+	figures   Figures
+	said      map[string]time.Time // when a kind of fault was logged last
+	credit    float64              // datagrams that may be read
+	creditAt  time.Time
+	twinAt    time.Time
+}
+
+// Figures count what passed since the start.
+type Figures struct {
+	FramesIn, FramesOut, BytesIn, BytesOut uint64
+	Exchanges, ExchangesRefused            uint64 // that others began
+	ExchangeBytes                          uint64
+	Bad                                    map[string]uint64 // frames by what was wrong with them
+	Unsent                                 uint64
+}
+
+// New opens the sockets of a fleet's host. Nobody is spoken to before Run.
+func New(cfg Config, log *slog.Logger, places Places) (*Fleet, error) {
+	codec, err := frame.New(cfg.Fleet, cfg.Keys)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: key: %w", err)
+	}
+	address, err := netip.ParseAddrPort(cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: listen: %w", err)
+	}
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	at := netip.AddrPortFrom(address.Addr(), uint16(udp.LocalAddr().(*net.UDPAddr).Port))
+	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
+	if err != nil {
+		udp.Close()
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	if cfg.Advertise == "" {
+		cfg.Advertise = at.String()
+	}
+	now := time.Now()
+	f := &Fleet{cfg: cfg, log: log, udp: udp, tcp: tcp, start: now, places: places, codec: codec, slots: make(chan struct{}, mostExchanges),
+		said: map[string]time.Time{}, credit: mostBurst, creditAt: now, view: view.New(cfg.Copies)}
+	f.figures.Bad = map[string]uint64{}
+	f.tags = member.Tags{Address: cfg.Advertise, Zone: cfg.Zone, Tier: cfg.Tier, Pools: cfg.Pools, Program: cfg.Program, Settings: cfg.Settings, Phase: member.Starting}
+	seeds, epoch := f.remembered()
+	f.member = member.New(member.Config{Name: cfg.Name, Epoch: max(uint64(now.UnixMilli()), epoch+1), Seed: cfg.Seed ^ uint64(now.UnixNano()), Tags: f.tags,
+		Seeds: seeds, Period: cfg.Period, Budget: cfg.Budget})
+	return f, nil
+}
+
+// Address is where the host listens.
+func (f *Fleet) Address() string { return f.udp.LocalAddr().String() }
+
+// Close ends a host that never ran.
+func (f *Fleet) Close() {
+	f.udp.Close()
+	f.tcp.Close()
+}
+
+func (f *Fleet) now() time.Duration { return time.Since(f.start) }
+
+// Run keeps the copy's place until ctx ends. Then it says that it leaves, and
+// returns once that is out.
+func (f *Fleet) Run(ctx context.Context) {
+	f.mu.Lock()
+	f.timer = time.AfterFunc(time.Hour, f.tick)
+	f.handle(member.Event{Kind: member.Begin})
+	f.mu.Unlock()
+	f.log.Info("fleet", "fleet", f.cfg.Fleet, "copy", f.cfg.Name, "at", f.Address(), "known as", f.cfg.Advertise, "copies written", f.cfg.Copies)
+	f.all.Add(2)
+	go f.read()
+	go f.accept()
+	keep := time.NewTicker(rememberEvery)
+	defer keep.Stop()
+	for going := true; going; {
+		select {
+		case <-ctx.Done():
+			going = false
+		case <-keep.C:
+		}
+		f.remember()
+	}
+	f.mu.Lock()
+	abandoned := f.abandoned
+	f.phases = true
+	if !abandoned {
+		f.handle(member.Event{Kind: member.Depart})
+	}
+	f.mu.Unlock()
+	if !abandoned {
+		time.Sleep(departFor)
+	}
+	f.mu.Lock()
+	f.ended = true
+	f.timer.Stop()
+	f.mu.Unlock()
+	f.Close()
+	f.all.Wait()
+}
+
+// Say changes what this copy says of itself: its phase, and the hash of its settings.
+func (f *Fleet) Say(phase member.Phase, settings string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if settings == "" {
+		settings = f.tags.Settings
+	}
+	if f.tags.Phase == phase && f.tags.Settings == settings {
+		return
+	}
+	if f.tags.Phase, f.tags.Settings = phase, settings; f.timer != nil && !f.phases {
+		f.handle(member.Event{Kind: member.Retag, Tags: f.tags})
+	}
+}
+
+// Abandon has Run end without a word: another process goes on under this name.
+func (f *Fleet) Abandon() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.abandoned = true
+}
+
+// Follow changes pools, and how many copies a person says there are of each, after
+// a reload.
+func (f *Fleet) Follow(pools []string, copies map[string]int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.Floors(copies)
+	if slices.Equal(f.tags.Pools, pools) {
+		return
+	}
+	f.tags.Pools = pools
+	if f.timer != nil && !f.phases {
+		f.handle(member.Event{Kind: member.Retag, Tags: f.tags})
+	}
+}
+
+// Keys puts other keys in the place of those that hold, while the fleet runs.
+func (f *Fleet) Keys(keys [][]byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.codec.Keys(keys)
+}
+
+// ErrNotDead says that a member can't be forgotten.
+var ErrNotDead = errors.New("no member of this name is held for dead")
+
+// Forget takes a person's word that a dead member is gone for good.
+func (f *Fleet) Forget(name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r, known := f.member.Find(name); !known || r.Status != member.Dead {
+		return fmt.Errorf("%q: %w", name, ErrNotDead)
+	}
+	f.handle(member.Event{Kind: member.Forget, Name: name})
+	return nil
+}
+
+func (f *Fleet) tick() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.handle(member.Event{Kind: member.Tick})
+}
+
+// handle hands an event over and carries out what follows. The mutex is held.
+func (f *Fleet) handle(ev member.Event) (replies []*member.Message) {
+	if f.ended {
+		return nil
+	}
+	f.actions = f.member.Handle(f.now(), ev, f.actions[:0])
+	for i := range f.actions {
+		a := &f.actions[i]
+		switch a.Kind {
+		case member.Send:
+			f.send(a.Name, a.Address, a.Message)
+		case member.Dial:
+			f.all.Add(1)
+			go f.exchange(f.reach(a.Name, a.Address), a.Message, a.Exchange)
+		case member.Reply:
+			replies = append(replies, a.Message)
+		default:
+			f.tell(a)
+		}
+	}
+	f.look()
+	if due := f.member.Due(); due < 1<<62 {
+		f.timer.Reset(max(due-f.now(), 0))
+	}
+	return replies
+}
+
+// look has the view follow, and tells the proxy if its places change.
+func (f *Fleet) look() {
+	now := time.Now()
+	changed := len(f.actions) > 0 && f.anyChange()
+	if !changed && now.Sub(f.viewed) < f.view.Due() {
+		return
+	}
+	f.viewed = now
+	moved := f.view.Update(f.now(), f.snapshot())
+	f.member.Counted(f.view.Counted())
+	if !moved || f.places == nil {
+		return
+	}
+	places := map[string]view.Place{}
+	for _, name := range f.view.Pools() {
+		places[name] = f.view.Pool(name)
+		p := places[name]
+		f.log.Info("fleet: place", "pool", name, "number", p.Self, "of", p.Of, "budgets among", p.Among, "own part", p.Part(), "out of reach", p.Lost)
+	}
+	f.places(places)
+}
+
+func (f *Fleet) anyChange() bool {
+	for i := range f.actions {
+		if k := f.actions[i].Kind; k == member.Changed || k == member.Displaced {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Fleet) snapshot() view.Snapshot {
+	return view.Snapshot{Members: f.member.Members(), Joined: f.member.Joined(), Displaced: f.member.Displaced(), Health: f.member.Health()}
+}
+
+// reach is the address by which this copy reaches another.
+func (f *Fleet) reach(name, address string) string {
+	if via := f.cfg.Via[name]; via != "" {
+		return via
+	}
+	return address
+}
+
+// send sends a datagram. One that can't be sent is like one that is lost.
+func (f *Fleet) send(name, address string, m *member.Message) {
+	text, err := f.codec.Encode(m)
+	to, parsed := netip.ParseAddrPort(f.reach(name, address))
+	if err == nil && parsed == nil && len(text) <= frame.MaxDatagram {
+		if _, err = f.udp.WriteToUDPAddrPort(text, to); err == nil {
+			f.figures.FramesOut++
+			f.figures.BytesOut += uint64(len(text))
+			return
+		}
+	}
+	f.figures.Unsent++
+	f.complain("a datagram can't be sent", "to", name, "at", f.reach(name, address), "bytes", len(text), "error", errors.Join(err, parsed))
+}
+
+// complain logs a kind of fault, but not for each frame.
+func (f *Fleet) complain(what string, args ...any) {
+	if now := time.Now(); now.Sub(f.said[what]) >= sayEvery {
+		f.said[what] = now
+		f.log.Warn("fleet: "+what, args...)
+	}
+}
+
+// tell logs what a person should know: one line for each change of a member.
+func (f *Fleet) tell(a *member.Action) {
+	r := &a.Record
+	switch a.Kind {
+	case member.Changed:
+		address := ""
+		if r.Tags != nil {
+			address = r.Tags.Address
+		}
+		was := a.Was.String()
+		if a.Was == 0 {
+			was = "unknown"
+		}
+		f.log.Info("fleet: member", "name", r.Name, "is", r.Status.String(), "was", was, "why", a.Why, "epoch", r.Epoch, "count", r.Inc, "at", address)
+	case member.Displaced:
+		f.log.Error("fleet: another process of this name started later: this copy is no part of the fleet any more. "+
+			"At an upgrade that is as it should be; if both are to serve, give one of them another name",
+			"name", r.Name, "its start", r.Epoch)
+	case member.Twin:
+		if now := time.Now(); now.Sub(f.twinAt) >= sayEvery {
+			f.twinAt = now
+			f.log.Error("fleet: two processes have one name, the earlier one still speaks: give one of them another name", "name", r.Name)
+		}
+	case member.Full:
+		f.complain("no room for another member", "name", r.Name)
+	case member.Stalled:
+		f.log.Warn("fleet: this copy stood still and accuses nobody for it", "for", a.Wait)
+	}
+}
+
+// read takes in datagrams.
+func (f *Fleet) read() {
+	defer f.all.Done()
+	buf := make([]byte, frame.MaxDatagram+1)
+	for {
+		n, from, err := f.udp.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an answer of the network to something sent: the next read goes on
+		}
+		f.take(buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+	}
+}
+
+func (f *Fleet) take(text []byte, from netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	f.credit = min(f.credit+mostRate*now.Sub(f.creditAt).Seconds(), mostBurst)
+	f.creditAt = now
+	f.figures.FramesIn++
+	f.figures.BytesIn += uint64(len(text))
+	if f.credit < 1 {
+		f.figures.Bad["flood"]++
+		f.complain("more datagrams than are looked at", "a second", mostRate)
+		return
+	}
+	f.credit--
+	m, err := f.codec.Decode(text, frame.MaxDatagram)
+	if err != nil {
+		f.bad(err, from.String())
+		return
+	}
+	f.handle(member.Event{Kind: member.Heard, Message: m, From: from.String()})
+}
+
+// bad counts a frame that is dropped. It is never answered.
+func (f *Fleet) bad(err error, from string) {
+	for _, fault := range frame.Faults {
+		if errors.Is(err, fault) {
+			f.figures.Bad[fault.Error()]++
+			f.complain("a frame "+fault.Error()+" is dropped", "from", from, "error", err)
+			return
+		}
+	}
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -6,11 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -46,6 +48,7 @@
 		&cobra.Command{Use: "check", Short: "Read the configuration and name what is at fault", Args: cobra.NoArgs,
 			RunE: func(*cobra.Command, []string) error { return check("", getenv, stdout) }},
 		configCommand(getenv, stdout),
+		fleetCommand(getenv, stdout),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(*cobra.Command, []string) { fmt.Fprintln(stdout, "ryerill", version()) }},
 	)
@@ -85,6 +88,8 @@
 	return "(unknown)"
 }
 
+func sortedNames[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
 // descriptors is how many this process may hold.
 func descriptors() int {
 	var limit unix.Rlimit
@@ -120,7 +125,7 @@
 	if cfg.Limits.Sockets < stated {
 		log.Warn("fewer descriptors than limits.sockets states", "stated", stated, "allowed", may)
 	}
-	p, err := proxy.New(cfg, proxy.WithLogger(log), proxy.WithShare(func(part float64) {
+	p, err := proxy.New(cfg, proxy.WithLogger(log), proxy.WithProgram(version()), proxy.WithShare(func(part float64) {
 		debug.SetMemoryLimit(int64(part * memoryPart * float64(cfg.Limits.Memory)))
 	}))
 	var address *config.AddressError
--- a/observe.go
+++ b/observe.go
@@ -30,6 +30,23 @@
 	b.sharers, b.beside = 1+max(others, 0), max(inFlight, 0)
 }
 
+// noPart is the divisor of a copy that has no part of what all copies share.
+const noPart = 1 << 30
+
+// Copies tells anew which of how many copies this one is, and among how many that
+// may be there quotas and cold budgets are divided; 0 is that it has no part of
+// them yet. What it has learnt stays.
+func (b *Balancer) Copies(self, of, among int) {
+	if of = max(of, 1); among <= 0 {
+		among = noPart
+	}
+	b.parts = among
+	if self = min(max(self, 0), of-1); self != b.cfg.Self || of != b.cfg.GroupSize {
+		b.cfg.Self, b.cfg.GroupSize = self, of
+		b.settle()
+	}
+}
+
 // Learnt is what a Balancer has found out of its tier that the next one at its
 // place need not find out again. Slices are by class.
 type Learnt struct {
--- a/ops/ops.go
+++ b/ops/ops.go
@@ -49,6 +49,8 @@
 	Up(id string) error
 	StartDrain() error
 	StopDrain() error
+	Fleet() (status any, in bool) // status is nil while there is none; in is false where the proxy is in no fleet
+	Forget(name string) error     // of a dead copy; any error is a 404
 }
 
 // Stats are the figures of one process since its start.
@@ -277,24 +279,35 @@
 	return k, nil
 }
 
+func inJSON(v any) answer {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return no(http.StatusInternalServerError, "%v", err)
+	}
+	return answer{status: http.StatusOK, text: string(text), json: true}
+}
+
 // carryOut does what a call says.
 func (d *Door) carryOut(k call) answer {
 	method, there := map[string]string{"/ops/readiness": http.MethodGet, "/ops/stats": http.MethodGet,
 		"/ops/backends/down": http.MethodPost, "/ops/backends/up": http.MethodPost,
-		"/ops/drain/start": http.MethodPost, "/ops/drain/stop": http.MethodPost}[k.path]
+		"/ops/drain/start": http.MethodPost, "/ops/drain/stop": http.MethodPost,
+		"/ops/fleet": http.MethodGet, "/ops/fleet/forget": http.MethodPost}[k.path]
 	switch {
 	case !there:
 		return no(http.StatusNotFound, "nothing is at this path: call GET /ops/readiness, GET /ops/stats, POST /ops/backends/down, "+
-			"POST /ops/backends/up, POST /ops/drain/start or POST /ops/drain/stop")
+			"POST /ops/backends/up, POST /ops/drain/start, POST /ops/drain/stop, GET /ops/fleet or POST /ops/fleet/forget")
 	case method != k.method:
 		a := no(http.StatusMethodNotAllowed, "this path takes %s", method)
 		a.allow = method
 		return a
 	}
 	id := strings.TrimRight(k.body, "\r\n")
-	if strings.HasPrefix(k.path, "/ops/backends/") {
+	if named := map[string]string{"/ops/backends/down": "the id of a backend: send its name alone, as the directory lists it",
+		"/ops/backends/up":  "the id of a backend: send its name alone, as the directory lists it",
+		"/ops/fleet/forget": "the name of a copy: send it alone, as GET /ops/fleet tells it"}[k.path]; named != "" {
 		if id == "" || len(id) > maxID || strings.ContainsFunc(id, func(r rune) bool { return r <= ' ' || r == 0x7f || r == 0xfffd }) {
-			return no(http.StatusBadRequest, "the body is not the id of a backend: send its name alone, as the directory lists it")
+			return no(http.StatusBadRequest, "the body is not %s", named)
 		}
 	} else if id != "" {
 		return no(http.StatusBadRequest, "a body where none belongs: send none")
@@ -306,11 +319,20 @@
 			return answer{status: http.StatusOK, text: "ready"}
 		}
 	case "/ops/stats":
-		text, err := json.Marshal(d.staff.Stats())
-		if err != nil {
-			return no(http.StatusInternalServerError, "%v", err)
+		return inJSON(d.staff.Stats())
+	case "/ops/fleet":
+		status, in := d.staff.Fleet()
+		switch {
+		case !in:
+			return no(http.StatusNotFound, "this proxy is in no fleet: its configuration has no fleet block")
+		case status == nil:
+			return no(http.StatusServiceUnavailable, "the fleet's address is still held by the process before this one: ask again")
+		}
+		return inJSON(status)
+	case "/ops/fleet/forget":
+		if err := d.staff.Forget(id); err != nil {
+			return no(http.StatusNotFound, "%v", err)
 		}
-		return answer{status: http.StatusOK, text: string(text), json: true}
 	case "/ops/backends/down":
 		err = d.staff.Down(id)
 	case "/ops/backends/up":
--- a/ops/ops_test.go
+++ b/ops/ops_test.go
@@ -40,6 +40,14 @@
 func (s *staff) Up(id string) error { s.changes.Add(1); return nil }
 func (s *staff) StartDrain() error  { s.changes.Add(1); return nil }
 func (s *staff) StopDrain() error   { s.changes.Add(1); return nil }
+func (s *staff) Fleet() (any, bool) { return map[string]string{"name": "n1"}, true }
+
+func (s *staff) Forget(name string) error {
+	if name != "n2" {
+		return ErrUnknown
+	}
+	return nil
+}
 
 func open(t *testing.T) (*Door, *staff) {
 	t.Helper()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -70,6 +70,8 @@
 	teach    sync.Once
 	taught   chan struct{} // closed once another process has told what it has learnt
 	onShare  func(part float64)
+	side     *side  // in the fleet; nil is none
+	program  string // its version
 }
 
 // listener is a front at its address.
@@ -90,6 +92,9 @@
 // less than 1 while another process of the same proxy lives. share must not block.
 func WithShare(share func(part float64)) Option { return func(p *Proxy) { p.onShare = share } }
 
+// WithProgram tells the version of the program, which the fleet is told.
+func WithProgram(version string) Option { return func(p *Proxy) { p.program = version } }
+
 // New returns a proxy that listens already; consumers wait until Run. One that
 // finds another process of the same proxy listens in Run, when it is ready to serve.
 func New(cfg config.Config, options ...Option) (*Proxy, error) {
@@ -127,6 +132,10 @@
 			return nil, err
 		}
 	}
+	if err := p.joinFleet(); err != nil {
+		p.Close()
+		return nil, fmt.Errorf("proxy %s: %w", cfg.Name, err)
+	}
 	p.divide(others)
 	return p, nil
 }
@@ -160,6 +169,9 @@
 // Close ends a proxy that never ran.
 func (p *Proxy) Close() {
 	p.siblings.Leave()
+	if host := p.fleetHost(); host != nil {
+		host.Close()
+	}
 	if p.door != nil {
 		p.door.Close()
 	}
@@ -239,6 +251,8 @@
 		go p.siblings.Follow(side, p.divide)
 		defer p.siblings.Leave()
 	}
+	p.runFleet()
+	defer p.leaveFleet()
 	if p.second {
 		p.await(ctx)
 	}
@@ -257,6 +271,7 @@
 	p.ready = true
 	p.mu.Unlock()
 	p.say(wordfile.Serving)
+	p.sayPhase()
 	if len(cfg.Pools) > 1 || cfg.Pools[0].Settings.AnyPath {
 		go p.machine.run(side)
 	}
@@ -270,6 +285,9 @@
 	p.mu.Lock()
 	p.ending = true
 	p.mu.Unlock()
+	if p.sayPhase(); p.succeeded() {
+		p.leaveFleet() // the other takes its address over
+	}
 	p.leaving.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/proxy/reload.go
+++ b/proxy/reload.go
@@ -146,6 +146,12 @@
 			}
 		}()
 	}
+	if p.refleet(old, cfg) {
+		later = true
+	}
+	if p.side != nil {
+		go func() { p.sayPhase(); p.place() }()
+	}
 	p.log.Info("configuration reloaded", "listeners", len(fronts), "routes", len(cfg.Routes), "pools kept", kept, "pools new", made,
 		"pools gone", len(gone), "restart needed for the rest", later)
 	return nil
--- a/proxy/staff.go
+++ b/proxy/staff.go
@@ -95,6 +95,9 @@
 	}
 	if w.Drain != before.Drain {
 		p.log.Info("operators' word", "drains", w.Drain != 0)
+		if p.side != nil {
+			go p.sayPhase()
+		}
 		for _, l := range p.fronts {
 			l.front.Drain(p.drainsSince())
 		}
