Play the fleet with real processes behind the bad network, and draw epochs

Need: membership has to hold between processes of the real program, under load, with faults between them. Seen: two processes of a copied configuration that started in one millisecond had one epoch, took each other's frames for seen before, and neither was told; 16 bits of an epoch are now drawn.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -130,11 +131,19 @@
 	f.figures.Bad = map[string]uint64{}
 	f.tags = member.Tags{Address: cfg.Advertise, Zone: cfg.Zone, Tier: cfg.Tier, Pools: cfg.Pools, Program: cfg.Program, Settings: cfg.Settings, Phase: member.Starting}
 	seeds, epoch := f.remembered()
-	f.member = member.New(member.Config{Name: cfg.Name, Epoch: max(uint64(now.UnixMilli()), epoch+1), Seed: cfg.Seed ^ uint64(now.UnixNano()), Tags: f.tags,
+	f.member = member.New(member.Config{Name: cfg.Name, Epoch: max(drawEpoch(now), epoch+1), Seed: cfg.Seed ^ uint64(now.UnixNano()), Tags: f.tags,
 		Seeds: seeds, Period: cfg.Period, Budget: cfg.Budget})
 	return f, nil
 }
 
+// epochBits of an epoch are drawn: two processes of a copied configuration may
+// start in one millisecond and must be told apart all the same.
+const epochBits = 16
+
+func drawEpoch(now time.Time) uint64 {
+	return uint64(now.UnixMilli())<<epochBits | rand.Uint64()>>(64-epochBits)
+}
+
 // Address is where the host listens.
 func (f *Fleet) Address() string { return f.udp.LocalAddr().String() }
 
--- /dev/null
+++ b/lab/copies/copies.go
@@ -0,0 +1,367 @@
+// Package copies starts a fleet of real proxies, processes of the real program,
+// with the laboratory's bad network between them, stand-ins for providers behind
+// them, and consumers before them. The stand-ins keep the ledger: what ran, how
+// often, and what was answered.
+package copies
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"ryerill/config"
+	"ryerill/fleet"
+	badnet "ryerill/lab/net"
+	"ryerill/lab/net/relay"
+)
+
+const (
+	readyWithin = 20 * time.Second
+	doorWithin  = 2 * time.Second
+	mostLog     = 256 << 10 // bytes of a log that are kept, its last ones
+)
+
+// Options say what a fleet is.
+type Options struct {
+	Program   string // the real program
+	Dir       string // for configurations and keys
+	Copies    int
+	Providers int
+	Written   int // copies that the configuration states; 0 is as many as there are
+	Off       bool
+	Change    func(i int, f *config.File) // changes a configuration before it is written
+}
+
+// Copy is one process of the program.
+type Copy struct {
+	Name    string
+	Address string // for consumers
+	Door    string
+	File    string
+	fleet   netip.AddrPort
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	log     []byte
+	ended   chan struct{}
+	stopped bool
+	ending  bool // it was told to
+	err     error
+}
+
+// Fleet is all of it.
+type Fleet struct {
+	Opt       Options
+	Copies    []*Copy
+	Relays    *relay.Relays
+	Ledger    *Ledger
+	providers []*http.Server
+	addresses []string
+	keys      string
+}
+
+// Start starts a fleet and waits until all of it is ready.
+func Start(ctx context.Context, opt Options) (f *Fleet, err error) {
+	if opt.Written == 0 {
+		opt.Written = opt.Copies
+	}
+	f = &Fleet{Opt: opt, Relays: relay.New(badnet.New(badnet.Link{}, 1)), Ledger: newLedger(), keys: filepath.Join(opt.Dir, "keys")}
+	defer func() {
+		if err != nil {
+			f.Close()
+		}
+	}()
+	if err := os.WriteFile(f.keys, []byte("first-key-of-this-fleet\n"), 0o600); err != nil {
+		return nil, err
+	}
+	for i := range opt.Providers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		s := &http.Server{Handler: f.Ledger.provider(i)}
+		f.providers = append(f.providers, s)
+		f.addresses = append(f.addresses, l.Addr().String())
+		go s.Serve(l)
+	}
+	for i := range opt.Copies {
+		c := &Copy{Name: fmt.Sprintf("c%02d", i), File: filepath.Join(opt.Dir, fmt.Sprintf("c%02d.yaml", i))}
+		ports, err := freePorts(3)
+		if err != nil {
+			return nil, err
+		}
+		c.Address, c.Door, c.fleet = ports[0].String(), ports[1].String(), ports[2]
+		f.Relays.Add(c.Name, c.fleet)
+		f.Copies = append(f.Copies, c)
+	}
+	for i := range f.Copies {
+		if err := f.Write(i, opt.Change); err != nil {
+			return nil, err
+		}
+	}
+	var all sync.WaitGroup
+	errs := make([]error, opt.Copies)
+	for i := range f.Copies {
+		all.Add(1)
+		go func() { defer all.Done(); errs[i] = f.Launch(ctx, i) }()
+	}
+	all.Wait()
+	return f, errors.Join(errs...)
+}
+
+// Ports are looked for below those that the system gives out by itself, so that
+// they are still free when a process is restarted.
+const (
+	leastPort = 20_000
+	mostPort  = 32_000
+)
+
+// freePorts finds ports that are free for both kinds.
+func freePorts(n int) (out []netip.AddrPort, err error) {
+	for tries := 0; len(out) < n; tries++ {
+		at := fmt.Sprintf("127.0.0.1:%d", leastPort+rand.IntN(mostPort-leastPort))
+		l, err := net.Listen("tcp", at)
+		if err == nil {
+			var u net.PacketConn
+			if u, err = net.ListenPacket("udp", at); err == nil {
+				out = append(out, netip.MustParseAddrPort(at))
+				defer u.Close()
+			}
+			defer l.Close()
+		}
+		if err != nil && tries > 1000 {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+// Write writes a copy's configuration.
+func (f *Fleet) Write(i int, change func(i int, file *config.File)) error {
+	c := f.Copies[i]
+	file := config.File{Name: c.Name, Mgmt: c.Door, Machine: config.MachineFile{Sockets: 1024, MemoryMB: 64},
+		Listeners: []config.ListenerFile{{Name: "main", Address: c.Address}},
+		Routes:    []config.RouteFile{{Name: "all", Pool: "main"}}}
+	pool := config.PoolFile{Name: "main", Zone: "a", Copy: i % f.Opt.Written, Copies: f.Opt.Written, Limits: config.LimitsFile{ConnectTimeout: time.Second},
+		Classes: []config.ClassFile{{Name: "read", Effect: "safe", Deadline: 4 * time.Second}, {Name: "pay", Effect: "keyed", Group: "all", Memory: 10 * time.Second, Deadline: 4 * time.Second},
+			{Name: "burn", Effect: "unsafe", Deadline: 4 * time.Second}}}
+	for j, at := range f.addresses {
+		pool.Providers = append(pool.Providers, config.ProviderFile{Name: fmt.Sprintf("p%02d", j), Address: at, Zone: "a"})
+	}
+	file.Pools = []config.PoolFile{pool}
+	if !f.Opt.Off {
+		b := &config.FleetFile{Name: "lab", Listen: c.fleet.String(), KeyFile: f.keys, Via: map[string]string{}, Zone: fmt.Sprint("z", i%3),
+			Remember: filepath.Join(f.Opt.Dir, c.Name+".members")}
+		for j, other := range f.Copies {
+			if other == c {
+				continue
+			}
+			way, err := f.Relays.Way(c.Name, other.Name)
+			if err != nil {
+				return err
+			}
+			if b.Via[other.Name] = way; j < 2 {
+				b.Seeds = append(b.Seeds, way)
+			}
+		}
+		file.Fleet = b
+	}
+	if change != nil {
+		change(i, &file)
+	}
+	text, err := yaml.Marshal(&file)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(c.File, text, 0o600)
+}
+
+// WriteKeys puts other keys into the fleet's key file.
+func (f *Fleet) WriteKeys(keys ...string) error {
+	return os.WriteFile(f.keys, []byte(strings.Join(keys, "\n")+"\n"), 0o600)
+}
+
+// Launch starts a copy's process and waits until it is ready.
+func (f *Fleet) Launch(ctx context.Context, i int) error {
+	c := f.Copies[i]
+	cmd := exec.Command(f.Opt.Program, "serve")
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+c.File, "ROUTER_NAME=", "ROUTER_LISTEN=", "ROUTER_DISCOVERY=", "ROUTER_MGMT=", "TMPDIR="+f.Opt.Dir)
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		return err
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	c.mu.Lock()
+	c.cmd, c.ended, c.stopped, c.ending = cmd, ended, false, false
+	c.mu.Unlock()
+	go func() {
+		lines := bufio.NewReader(log)
+		for {
+			line, err := lines.ReadBytes('\n')
+			c.mu.Lock()
+			if c.log = append(c.log, line...); len(c.log) > mostLog {
+				c.log = append(c.log[:0], c.log[len(c.log)-mostLog/2:]...)
+			}
+			c.mu.Unlock()
+			if err != nil {
+				break
+			}
+		}
+		err := cmd.Wait()
+		c.mu.Lock()
+		c.err = err
+		c.mu.Unlock()
+		close(ended)
+	}()
+	for end := time.Now().Add(readyWithin); ; time.Sleep(20 * time.Millisecond) {
+		if _, err := c.ask("GET", "/ops/readiness", ""); err == nil {
+			return nil
+		}
+		select {
+		case <-ended:
+			return fmt.Errorf("%s ended at its start: %v\n%s", c.Name, c.err, c.Log())
+		case <-ctx.Done():
+			return ctx.Err()
+		default:
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%s is not ready after %v\n%s", c.Name, readyWithin, c.Log())
+		}
+	}
+}
+
+// Log is the end of a copy's log.
+func (c *Copy) Log() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return string(c.log)
+}
+
+// Signal sends a signal to a copy's process.
+func (c *Copy) Signal(s syscall.Signal) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cmd == nil {
+		return os.ErrProcessDone
+	}
+	switch s {
+	case syscall.SIGSTOP:
+		c.stopped = true
+	case syscall.SIGKILL, syscall.SIGTERM:
+		c.ending = true
+	case syscall.SIGCONT:
+		c.stopped = false
+	}
+	return c.cmd.Process.Signal(s)
+}
+
+// Kill ends a copy's process at once and waits until it is gone.
+func (c *Copy) Kill() {
+	c.Signal(syscall.SIGKILL)
+	c.Await()
+}
+
+// Await waits until a copy's process has ended.
+func (c *Copy) Await() error {
+	c.mu.Lock()
+	ended := c.ended
+	c.mu.Unlock()
+	if ended == nil {
+		return nil
+	}
+	<-ended
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
+
+// Up tells whether a copy's process runs and is not stopped.
+func (c *Copy) Up() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended == nil || c.stopped || c.ending {
+		return false
+	}
+	select {
+	case <-c.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// Pid is that of a copy's process.
+func (c *Copy) Pid() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cmd.Process.Pid
+}
+
+// ask makes one call at a copy's door.
+func (c *Copy) ask(method, path, body string) ([]byte, error) {
+	conn, err := net.DialTimeout("tcp", c.Door, doorWithin)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(doorWithin))
+	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", method, path, len(body), body)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s %s: %s: %s", method, path, resp.Status, text)
+	}
+	return text, err
+}
+
+// Ask makes one call at a copy's door.
+func (c *Copy) Ask(method, path, body string) (string, error) {
+	text, err := c.ask(method, path, body)
+	return string(text), err
+}
+
+// Status is how a copy sees the fleet.
+func (c *Copy) Status() (s fleet.Status, err error) {
+	text, err := c.ask("GET", "/ops/fleet", "")
+	if err == nil {
+		err = json.Unmarshal(text, &s)
+	}
+	return s, err
+}
+
+// Close ends all processes and what stands round them.
+func (f *Fleet) Close() {
+	for _, c := range f.Copies {
+		c.Signal(syscall.SIGKILL)
+	}
+	for _, c := range f.Copies {
+		c.Await()
+	}
+	f.Relays.Close()
+	for _, s := range f.providers {
+		s.Close()
+	}
+}
--- /dev/null
+++ b/lab/copies/copies_test.go
@@ -0,0 +1,368 @@
+package copies
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"ryerill/config"
+	"ryerill/fleet"
+	badnet "ryerill/lab/net"
+)
+
+var program = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "ryerill-copies")
+	if err != nil {
+		return "", err
+	}
+	at := filepath.Join(dir, "ryerill")
+	out, err := exec.Command("go", "build", "-o", at, "ryerill/cmd/ryerill").CombinedOutput()
+	if err != nil {
+		err = fmt.Errorf("%w: %s", err, out)
+	}
+	return at, err
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if at, err := program(); err == nil {
+		os.RemoveAll(filepath.Dir(at))
+	}
+	os.Exit(code)
+}
+
+// rig starts a fleet under load. Its end checks what must always hold.
+func rig(t *testing.T, opt Options) *Fleet {
+	t.Helper()
+	at, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	opt.Program, opt.Dir, opt.Providers = at, t.TempDir(), 6
+	f, err := Start(t.Context(), opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	var load sync.WaitGroup
+	for i := range f.Copies {
+		load.Add(1)
+		go func() { defer load.Done(); f.Drive(ctx, i, 20) }()
+	}
+	until(t, 10*time.Second, "requests to be served", func() bool { return f.Ledger.Sum().Served > 10 })
+	t.Cleanup(func() {
+		stop()
+		load.Wait()
+		for _, c := range f.Copies {
+			if log := c.Log(); strings.Contains(log, "panic") || strings.Contains(log, "DATA RACE") {
+				t.Errorf("%s:\n%s", c.Name, log)
+			}
+		}
+		f.Close()
+		if s := f.Ledger.Sum(); s.Lost+s.Late+s.Repeated+s.Failed > 0 || s.Served == 0 {
+			t.Errorf("the ledger does not balance: %+v", s)
+		} else {
+			t.Logf("ledger: %+v", s)
+		}
+		if t.Failed() {
+			for _, c := range f.Copies {
+				t.Logf("%s:\n%s", c.Name, c.Log())
+			}
+		}
+	})
+	return f
+}
+
+// until waits until something is so, and tells how long it took.
+func until(t *testing.T, most time.Duration, what string, so func() bool) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for !so() {
+		if time.Since(began) > most {
+			t.Fatalf("after %v still waiting for %s", most, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// holds tells what a copy holds another for.
+func (c *Copy) holds(name string) string {
+	s, err := c.Status()
+	if err != nil {
+		return err.Error()
+	}
+	i := slices.IndexFunc(s.Members, func(m fleet.Member) bool { return m.Name == name })
+	if i < 0 {
+		return "unknown"
+	}
+	return s.Members[i].Status
+}
+
+// agree tells whether all copies that are up hold all others that are up for alive,
+// and have the same view.
+func (f *Fleet) agree() bool {
+	up := 0
+	for _, c := range f.Copies {
+		if c.Up() {
+			up++
+		}
+	}
+	digest := ""
+	for _, c := range f.Copies {
+		if !c.Up() {
+			continue
+		}
+		s, err := c.Status()
+		alive := 0
+		for _, m := range s.Members {
+			if m.Status == "alive" {
+				alive++
+			}
+		}
+		if err != nil || alive != up || digest != "" && s.Digest != digest {
+			return false
+		}
+		digest = s.Digest
+	}
+	return true
+}
+
+func (f *Fleet) allHold(i int, status string) func() bool {
+	return func() bool {
+		for j, c := range f.Copies {
+			if j != i && c.Up() && c.holds(f.Copies[i].Name) != status {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// parts adds up the parts of the pool's budgets that copies hold.
+func (f *Fleet) parts(t *testing.T) (sum float64) {
+	t.Helper()
+	for _, c := range f.Copies {
+		if s, err := c.Status(); c.Up() && err == nil {
+			sum += s.Pools["main"].Part
+		}
+	}
+	if sum > 1.0001 {
+		t.Errorf("the parts of a budget come to %v", sum)
+	}
+	return sum
+}
+
+func names(copies []*Copy) (out []string) {
+	for _, c := range copies {
+		out = append(out, c.Name)
+	}
+	return out
+}
+
+// A fleet of 12 real processes under load: kills, stops, cuts and restarts cost no
+// request but those that were open where the kill struck, views agree after each,
+// and the parts of a budget never come to more than the whole.
+func TestFleetOfProcesses(t *testing.T) {
+	f := rig(t, Options{Copies: 12})
+	t.Log("known to each other after", until(t, 20*time.Second, "all to know all", f.agree))
+	until(t, 10*time.Second, "places", func() bool { return f.parts(t) > 0.99 })
+
+	t.Run("killed and restarted", func(t *testing.T) {
+		f.Copies[3].Kill()
+		t.Log("missed after", until(t, 10*time.Second, "it to be missed", f.allHold(3, "dead")))
+		f.parts(t)
+		if err := f.Launch(t.Context(), 3); err != nil {
+			t.Fatal(err)
+		}
+		t.Log("back after", until(t, 10*time.Second, "it to be back", f.agree))
+	})
+	t.Run("stopped for long", func(t *testing.T) {
+		c := f.Copies[5]
+		before := len(c.Log())
+		c.Signal(syscall.SIGSTOP)
+		until(t, 10*time.Second, "it to be missed", f.allHold(5, "dead"))
+		time.Sleep(3 * time.Second)
+		c.Signal(syscall.SIGCONT)
+		t.Log("back after", until(t, 10*time.Second, "it to be back", f.agree))
+		if log := c.Log()[before:]; !strings.Contains(log, "stood still") || strings.Contains(log, "is=dead") {
+			t.Errorf("it accuses others, or did not notice:\n%s", log)
+		}
+	})
+	t.Run("one way cut", func(t *testing.T) {
+		f.Relays.Do(func(n *badnet.Net) { n.Set("c01", "c02", badnet.Link{Cut: true}) })
+		time.Sleep(4 * time.Second)
+		if !f.agree() {
+			t.Error("somebody is held for dead")
+		}
+		f.Relays.Do(func(n *badnet.Net) { n.Heal() })
+	})
+	t.Run("split and healed", func(t *testing.T) {
+		f.Relays.Do(func(n *badnet.Net) { n.Split(names(f.Copies[:5]), names(f.Copies[5:])) })
+		until(t, 15*time.Second, "each half to miss the other", func() bool {
+			a, _ := f.Copies[0].Status()
+			b, _ := f.Copies[9].Status()
+			return a.Pools["main"].Lost == 7 && b.Pools["main"].Lost == 5
+		})
+		f.parts(t)
+		if s, _ := f.Copies[0].Status(); !s.CutOff || s.Pools["main"].Of != 12 || s.Pools["main"].Among != 12 {
+			t.Errorf("the smaller half holds itself for sound: %v, %+v", s.CutOff, s.Pools["main"])
+		}
+		time.Sleep(2 * time.Second)
+		f.Relays.Do(func(n *badnet.Net) { n.Heal() })
+		took := until(t, 15*time.Second, "it to heal", f.agree)
+		if t.Log("healed after", took); took > 5*time.Second {
+			t.Errorf("healed after %v", took)
+		}
+	})
+	t.Run("a fifth lost, late, torn and doubled", func(t *testing.T) {
+		f.Relays.Do(func(n *badnet.Net) {
+			n.Usual(badnet.Link{Drop: 0.2, Corrupt: 0.05, Duplicate: 0.1, Reorder: 0.1, Delay: 5 * time.Millisecond, Jitter: 10 * time.Millisecond})
+		})
+		time.Sleep(5 * time.Second)
+		f.Relays.Do(func(n *badnet.Net) { n.Usual(badnet.Link{}) })
+		until(t, 15*time.Second, "peace", f.agree)
+		s, _ := f.Copies[0].Status()
+		if s.Frames.Bad["its code does not fit"] == 0 || s.Frames.Bad["seen before"] == 0 {
+			t.Errorf("frames that were bad: %v", s.Frames.Bad)
+		}
+	})
+	t.Run("half killed in a moment", func(t *testing.T) {
+		for _, c := range f.Copies[6:] {
+			c.Signal(syscall.SIGKILL)
+		}
+		for _, c := range f.Copies[6:] {
+			c.Await()
+		}
+		t.Log("missed after", until(t, 20*time.Second, "the rest to agree", f.agree))
+		f.parts(t)
+		for i := range f.Copies[6:] {
+			if err := f.Launch(t.Context(), 6+i); err != nil {
+				t.Fatal(err)
+			}
+		}
+		t.Log("back after", until(t, 15*time.Second, "all to be back", f.agree))
+	})
+	t.Run("asked to end", func(t *testing.T) {
+		f.Copies[11].Signal(syscall.SIGTERM)
+		if err := f.Copies[11].Await(); err != nil {
+			t.Error(err)
+		}
+		until(t, 10*time.Second, "all to know that it left", f.allHold(11, "left"))
+		f.parts(t)
+	})
+	t.Run("another key, in steps", func(t *testing.T) {
+		for _, keys := range [][]string{{"first-key-of-this-fleet", "second-key-of-this-fleet"}, {"second-key-of-this-fleet", "first-key-of-this-fleet"},
+			{"second-key-of-this-fleet"}} {
+			if err := f.WriteKeys(keys...); err != nil {
+				t.Fatal(err)
+			}
+			for _, c := range f.Copies[:11] {
+				before := strings.Count(c.Log(), "configuration reloaded")
+				c.Signal(syscall.SIGHUP)
+				until(t, 10*time.Second, "the reload", func() bool { return strings.Count(c.Log(), "configuration reloaded") > before })
+			}
+		}
+		until(t, 10*time.Second, "peace", f.agree)
+		for _, c := range f.Copies[:11] {
+			if s, _ := c.Status(); s.Frames.Bad["by a key that is not known"] > 0 {
+				t.Errorf("%s dropped frames by an unknown key: %v", c.Name, s.Frames.Bad)
+			}
+		}
+	})
+	t.Run("strangers", func(t *testing.T) {
+		conn, err := net.Dial("udp", f.Copies[0].fleet.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		before, _ := f.Copies[0].Status()
+		frame, _ := hex.DecodeString("01000000000100000000000000018000")
+		for i := range 3000 {
+			conn.Write(append(frame, make([]byte, i%1400)...))
+		}
+		conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+		if n, err := conn.Read(make([]byte, 100)); err == nil {
+			t.Errorf("a stranger is answered with %d bytes", n)
+		}
+		after, _ := f.Copies[0].Status()
+		if sum(after.Frames.Bad) == sum(before.Frames.Bad) {
+			t.Error("nothing is counted")
+		}
+		until(t, 10*time.Second, "peace", f.agree)
+	})
+	for _, c := range f.Copies[:11] {
+		s, err := c.Status()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if rate := float64(s.Frames.BytesOut) / (float64(s.UptimeMS) / 1000); rate > 4000 {
+			t.Errorf("%s sent %.0f bytes a second", c.Name, rate)
+		}
+		if n := descriptors(c.Pid()); n > 120 {
+			t.Errorf("%s holds %d descriptors", c.Name, n)
+		}
+	}
+}
+
+func sum(m map[string]uint64) (n uint64) {
+	for _, v := range m {
+		n += v
+	}
+	return n
+}
+
+func descriptors(pid int) int {
+	entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	return len(entries)
+}
+
+// Two processes under one name: a copied configuration is said loudly by the one
+// that came first, and it gives its part up.
+func TestCopiedConfiguration(t *testing.T) {
+	f := rig(t, Options{Copies: 3, Change: func(i int, file *config.File) {
+		if i == 2 {
+			file.Name = "c01"
+		}
+	}})
+	until(t, 15*time.Second, "it to be said", func() bool {
+		for _, c := range f.Copies[1:] {
+			if s, err := c.Status(); err == nil && s.Displaced && s.Pools["main"].Part == 0 && strings.Contains(c.Log(), "give one of them another name") {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// Off there is nothing: no socket, no goroutine, and the door says so.
+func TestOffThereIsNothing(t *testing.T) {
+	f := rig(t, Options{Copies: 1, Off: true})
+	if text, err := f.Copies[0].Ask("GET", "/ops/fleet", ""); err == nil || !strings.Contains(err.Error(), "in no fleet") {
+		t.Errorf("%s, %v", text, err)
+	}
+	udp, err := os.ReadFile(fmt.Sprintf("/proc/%d/net/udp", f.Copies[0].Pid()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if strings.Contains(string(udp), fmt.Sprintf(":%04X ", f.Copies[0].fleet.Port())) {
+		t.Error("its address for datagrams is open")
+	}
+	f.Copies[0].Signal(syscall.SIGQUIT) // the runtime prints all goroutines
+	f.Copies[0].Await()
+	if log := f.Copies[0].Log(); strings.Contains(log, "ryerill/fleet") {
+		t.Errorf("goroutines of the fleet:\n%s", log)
+	}
+	runtime.KeepAlive(f)
+}
--- /dev/null
+++ b/lab/copies/ledger.go
@@ -0,0 +1,183 @@
+package copies
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Ledger is what the stand-ins have seen: the proxies have no part in it.
+type Ledger struct {
+	work atomic.Int64 // nanoseconds that a provider takes
+
+	mu       sync.Mutex
+	requests map[string]*Entry
+	byWhom   map[string]int // runs by provider
+}
+
+// Entry is one request.
+type Entry struct {
+	Class    string
+	Copy     int
+	Asked    time.Time
+	Answered time.Time
+	Status   int // 0 is none
+	Broken   bool
+	Excused  bool // its copy was killed, stopped or ended while it was open
+	Runs     int
+	Again    int // runs of a key within its memory that a provider dropped
+}
+
+func newLedger() *Ledger {
+	l := &Ledger{requests: map[string]*Entry{}, byWhom: map[string]int{}}
+	l.work.Store(int64(2 * time.Millisecond))
+	return l
+}
+
+// Work changes how long a provider takes for a request.
+func (l *Ledger) Work(d time.Duration) { l.work.Store(int64(d)) }
+
+func (l *Ledger) provider(i int) http.Handler {
+	name := fmt.Sprintf("p%02d", i)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("Req-Id")
+		io.Copy(io.Discard, r.Body)
+		l.mu.Lock()
+		if e := l.requests[id]; e != nil {
+			e.Runs++
+		}
+		l.byWhom[name]++
+		l.mu.Unlock()
+		time.Sleep(time.Duration(l.work.Load()))
+		io.WriteString(w, id)
+	})
+}
+
+// Drive sends so many requests a second to a copy until ctx ends, each class in
+// turn, over connections that it keeps. What a copy that is not up can't answer
+// is excused: a fleet that is switched off would lose it too.
+func (f *Fleet) Drive(ctx context.Context, i, perSecond int) {
+	c, l := f.Copies[i], f.Ledger
+	lanes := max(perSecond/20, 2)
+	var all sync.WaitGroup
+	for lane := range lanes {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			tick := time.NewTicker(time.Duration(lanes) * time.Second / time.Duration(perSecond))
+			defer tick.Stop()
+			var conn net.Conn
+			var r *bufio.Reader
+			defer func() {
+				if conn != nil {
+					conn.Close()
+				}
+			}()
+			for n := lane; ; n++ {
+				select {
+				case <-ctx.Done():
+					return
+				case <-tick.C:
+				}
+				if !c.Up() {
+					if conn != nil {
+						conn.Close()
+						conn = nil
+					}
+					continue
+				}
+				if conn == nil {
+					var err error
+					if conn, err = net.DialTimeout("tcp", c.Address, time.Second); err != nil {
+						conn = nil
+						continue
+					}
+					r = bufio.NewReader(conn)
+				}
+				class := []string{"read", "pay", "burn"}[n%3]
+				id := fmt.Sprintf("%016x", rand.Uint64())
+				e := &Entry{Class: class, Copy: i, Asked: time.Now()}
+				l.mu.Lock()
+				l.requests[id] = e
+				l.mu.Unlock()
+				text := fmt.Sprintf("GET /read/1 HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Kind: read\r\nReq-Deadline-Ms: 4000\r\n\r\n", id)
+				if class != "read" {
+					key := ""
+					if class == "pay" {
+						key = "Idempotency-Key: " + id + "\r\n"
+					}
+					text = fmt.Sprintf("POST /%s/1 HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Deadline-Ms: 4000\r\n%sContent-Length: 2\r\n\r\nhi", class, id, class, key)
+				}
+				conn.SetDeadline(time.Now().Add(6 * time.Second))
+				_, err := io.WriteString(conn, text)
+				var resp *http.Response
+				if err == nil {
+					resp, err = http.ReadResponse(r, nil)
+				}
+				var body []byte
+				if err == nil {
+					body, err = io.ReadAll(resp.Body)
+				}
+				l.mu.Lock()
+				e.Answered = time.Now()
+				if err != nil {
+					e.Broken, e.Excused = true, !c.Up()
+				} else if e.Status = resp.StatusCode; e.Status == 200 && string(body) != id {
+					e.Broken = true
+				}
+				l.mu.Unlock()
+				if err != nil || resp.Close {
+					conn.Close()
+					conn = nil
+				}
+			}
+		}()
+	}
+	all.Wait()
+}
+
+// Sum is what a ledger comes to.
+type Sum struct {
+	Requests, Served, Refused, Failed, Lost, Late, Repeated, Excused int
+	Copies                                                           map[int]int // served, by copy
+}
+
+// Sum adds the ledger up. Lost got no answer from a copy that was up, or a wrong
+// one; Repeated are unsafe requests that ran more than once.
+func (l *Ledger) Sum() Sum {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := Sum{Copies: map[int]int{}}
+	for _, e := range l.requests {
+		s.Requests++
+		if e.Class == "burn" && e.Runs > 1 {
+			s.Repeated++
+		}
+		switch {
+		case e.Answered.IsZero():
+			s.Excused++ // the run ended
+		case e.Excused:
+			s.Excused++
+		case e.Broken:
+			s.Lost++
+		case e.Status == 200:
+			s.Served++
+			s.Copies[e.Copy]++
+		case e.Status == 429 || e.Status == 503:
+			s.Refused++
+		default:
+			s.Failed++
+		}
+		if !e.Answered.IsZero() && !e.Excused && e.Answered.Sub(e.Asked) > 4*time.Second+200*time.Millisecond {
+			s.Late++
+		}
+	}
+	return s
+}
