--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -33,7 +33,6 @@
 	dialTime      = time.Second            // for its connection
 	departFor     = 700 * time.Millisecond // news of a departure goes out for so long
 	rememberEvery = 30 * time.Second
-	mostSeeds     = 256  // addresses that are remembered
 	mostRate      = 2000 // datagrams a second that are looked at; a flood beyond it is dropped unread
 	mostBurst     = 4000
 	sayEvery      = 10 * time.Second // a fault of frames is logged so often at most
@@ -75,6 +74,8 @@
 	slots  chan struct{} // of exchanges that others began
 	all    sync.WaitGroup
 
+	writing sync.Mutex // of the file
+
 	mu        sync.Mutex
 	codec     *frame.Codec
 	member    *member.Member
@@ -91,6 +92,13 @@
 	credit    float64              // datagrams that may be read
 	creditAt  time.Time
 	twinAt    time.Time
+
+	// What lies in the file: a copy counts others for all to hear only once it would remember them after
+	// a restart.
+	knew     bool // whom it may meet, from the start on
+	kept     uint64
+	keptSure bool
+	keeping  bool
 }
 
 // Figures count what passed since the start.
@@ -130,9 +138,13 @@
 		said: map[string]time.Time{}, credit: mostBurst, creditAt: now, view: view.New(cfg.Copies)}
 	f.figures.Bad = map[string]uint64{}
 	f.tags = member.Tags{Address: cfg.Advertise, Zone: cfg.Zone, Tier: cfg.Tier, Pools: cfg.Pools, Program: cfg.Program, Settings: cfg.Settings, Phase: member.Starting}
-	seeds, epoch := f.remembered()
-	f.member = member.New(member.Config{Name: cfg.Name, Epoch: max(drawEpoch(now), epoch+1), Seed: cfg.Seed ^ uint64(now.UnixNano()), Tags: f.tags,
-		Seeds: seeds, Period: cfg.Period, Budget: cfg.Budget})
+	known := f.remembered()
+	f.member = member.New(member.Config{Name: cfg.Name, Epoch: max(drawEpoch(now), known.Epoch+1), Seed: cfg.Seed ^ uint64(now.UnixNano()), Tags: f.tags,
+		Seeds: cfg.Seeds, Period: cfg.Period, Budget: cfg.Budget})
+	f.knew = len(cfg.Seeds) == 0 || len(known.Members) > 0 && !known.Left
+	if f.member.Handle(0, member.Event{Kind: member.Recall, Records: known.Members}, nil); known.Sure {
+		f.view.Trust()
+	}
 	return f, nil
 }
 
@@ -174,7 +186,7 @@
 			going = false
 		case <-keep.C:
 		}
-		f.remember()
+		f.remember(f.what(going))
 	}
 	f.mu.Lock()
 	abandoned := f.abandoned
@@ -294,7 +306,9 @@
 	}
 	f.viewed = now
 	moved := f.view.Update(f.now(), f.snapshot())
-	f.member.Counted(f.view.Counted())
+	if f.view.Counted() != f.kept || f.view.Sure() != f.keptSure {
+		f.keep()
+	}
 	if !moved || f.places == nil {
 		return
 	}
@@ -317,7 +331,7 @@
 }
 
 func (f *Fleet) snapshot() view.Snapshot {
-	return view.Snapshot{Members: f.member.Members(), Joined: f.member.Joined(), Displaced: f.member.Displaced(), Health: f.member.Health()}
+	return view.Snapshot{Members: f.member.Members(), Joined: f.member.Joined() || f.knew, Displaced: f.member.Displaced(), Health: f.member.Health()}
 }
 
 // reach is the address by which this copy reaches another.
--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -46,16 +47,17 @@
 
 // The kinds of event.
 const (
-	Begin    EventKind = iota + 1
-	Tick               // Due has come
-	Heard              // Message: a datagram
-	Asked              // Message, Exchange: somebody began an exchange
-	Answered           // Message, Exchange: the answer in one that was begun here
-	Finished           // Message: the end of one that somebody began
-	Broken             // Exchange: one that was begun here failed
-	Retag              // Tags: what this member says of itself has changed
-	Depart             // this member goes for good
-	Forget             // Name: a person says that it is gone for good
+	Recall EventKind = iota + 1 // Records: who was there before this member's restart; it comes before Begin
+	Begin
+	Tick     // Due has come
+	Heard    // Message: a datagram
+	Asked    // Message, Exchange: somebody began an exchange
+	Answered // Message, Exchange: the answer in one that was begun here
+	Finished // Message: the end of one that somebody began
+	Broken   // Exchange: one that was begun here failed
+	Retag    // Tags: what this member says of itself has changed
+	Depart   // this member goes for good
+	Forget   // Name: a person says that it is gone for good
 )
 
 // Event is something that happened.
@@ -66,6 +68,7 @@
 	Exchange uint64
 	Tags     Tags
 	Name     string
+	Records  []Record
 }
 
 // ActionKind tells which fields of an Action are set.
@@ -238,6 +241,8 @@
 	}
 	m.now = now
 	switch ev.Kind {
+	case Recall:
+		m.recall(ev.Records)
 	case Begin:
 		m.begin()
 	case Heard:
@@ -315,6 +320,18 @@
 	m.say(m.self)
 }
 
+// recall takes in who was there before a restart. They count until they are found
+// to be gone, and are probed like others; nobody is told what all may know.
+func (m *Member) recall(records []Record) {
+	for i := range records {
+		r := records[i]
+		if r.Status != Left {
+			r.Status, r.By = Alive, ""
+			m.learn(&r, "remembered")
+		}
+	}
+}
+
 // stalled: this copy stood still. What it waited for meanwhile says nothing of the
 // others; they go on having the time that they had.
 func (m *Member) stalled(now, late time.Duration) {
@@ -350,7 +367,8 @@
 	} else if m.now >= m.nextProbe {
 		m.nextProbe = m.probe.end
 	}
-	for seq, r := range m.asked {
+	for _, seq := range slices.Sorted(maps.Keys(m.asked)) { // in one order, so that chance draws alike
+		r := m.asked[seq]
 		if !r.nacked && m.now >= r.nackAt {
 			r.nacked = true
 			m.asked[seq] = r
@@ -583,6 +601,7 @@
 		}
 		return
 	}
+	m.joined = true // as after an exchange
 	if m.swapWith == p.Name {
 		m.swapWith = ""
 	}
@@ -644,6 +663,9 @@
 
 // say puts a record into the queue of news, in the place of older ones of its member.
 func (m *Member) say(r Record) {
+	if !m.begun { // remembered: nobody is told what all may know
+		return
+	}
 	m.queue = slices.DeleteFunc(m.queue, func(n news) bool { return n.Name == r.Name })
 	if len(m.queue) >= mostNews {
 		m.queue = m.queue[:mostNews-1]
--- a/fleet/remember.go
+++ b/fleet/remember.go
@@ -4,34 +4,34 @@
 	"encoding/json"
 	"errors"
 	"io/fs"
-	"net/netip"
 	"os"
-	"slices"
 
 	"github.com/google/renameio/v2"
 
 	"ryerill/fleet/member"
 )
 
-// memory is what a copy keeps over a restart: where others were, and which start
-// of its own was the last, whatever the clock says at the next.
+// memory is what a copy keeps over a restart: who may be there, which start of its
+// own was the last, whatever the clock says at the next, and whether all others
+// count it, so that it has its part at once.
 type memory struct {
-	Fleet   string   `json:"fleet"`
-	Name    string   `json:"name"`
-	Epoch   uint64   `json:"epoch"`
-	Members []string `json:"members"` // addresses
+	Fleet   string          `json:"fleet"`
+	Name    string          `json:"name"`
+	Epoch   uint64          `json:"epoch"`
+	Sure    bool            `json:"sure"`
+	Left    bool            `json:"left"` // it said so: since then others may have come whom it does not know
+	Members []member.Record `json:"members"`
+
+	counted uint64
 }
 
-const mostMemory = 64 << 10 // bytes of the file
+const mostMemory = 4 << 20 // bytes of the file
 
-// remembered reads what was kept. The seeds of the configuration come first; what
-// can't be used is logged and passed over.
-func (f *Fleet) remembered() (seeds []string, epoch uint64) {
-	seeds = slices.Clone(f.cfg.Seeds)
+// remembered reads what was kept. What can't be used is logged and passed over.
+func (f *Fleet) remembered() (m memory) {
 	if f.cfg.Remember == "" {
-		return seeds, 0
+		return m
 	}
-	var m memory
 	info, err := os.Stat(f.cfg.Remember)
 	if err == nil && info.Size() > mostMemory {
 		err = errors.New("too large")
@@ -44,35 +44,64 @@
 	}
 	switch {
 	case errors.Is(err, fs.ErrNotExist):
-		return seeds, 0
 	case err != nil:
 		f.log.Warn("fleet: what was remembered can't be used", "file", f.cfg.Remember, "error", err)
-		return seeds, 0
 	case m.Fleet != f.cfg.Fleet || m.Name != f.cfg.Name:
 		f.log.Warn("fleet: what was remembered is of another copy", "file", f.cfg.Remember, "fleet", m.Fleet, "name", m.Name)
-		return seeds, 0
+	default:
+		return m
 	}
-	for _, a := range m.Members {
-		if _, err := netip.ParseAddrPort(a); err == nil && len(seeds) < mostSeeds && !slices.Contains(seeds, a) {
-			seeds = append(seeds, a)
+	return memory{}
+}
+
+// what is to be kept now. A copy that leaves is not counted any more. The mutex is
+// not held.
+func (f *Fleet) what(stays bool) memory {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	left := !stays && !f.abandoned
+	m := memory{Fleet: f.cfg.Fleet, Name: f.cfg.Name, Epoch: f.member.Self().Epoch, Sure: f.view.Sure() && !left, Left: left, counted: f.view.Counted()}
+	for _, s := range f.member.Members() {
+		if !s.Self && s.Status != member.Left {
+			m.Members = append(m.Members, s.Record)
 		}
 	}
-	return seeds, m.Epoch
+	return m
 }
 
-// remember keeps where others are. A disk that can't is no reason to stop.
-func (f *Fleet) remember() {
+// keep writes what has changed to the disk, however long that takes, and only then
+// has others hear whom this copy counts. The mutex is held.
+func (f *Fleet) keep() {
 	if f.cfg.Remember == "" {
+		f.kept, f.keptSure = f.view.Counted(), f.view.Sure()
+		f.member.Counted(f.kept)
 		return
 	}
-	f.mu.Lock()
-	m := memory{Fleet: f.cfg.Fleet, Name: f.cfg.Name, Epoch: f.member.Self().Epoch}
-	for _, s := range f.member.Members() {
-		if !s.Self && (s.Status == member.Alive || s.Status == member.Suspect) && len(m.Members) < mostSeeds {
-			m.Members = append(m.Members, f.reach(s.Name, s.Tags.Address))
+	if f.keeping || f.phases {
+		return
+	}
+	f.keeping = true
+	f.all.Add(1)
+	go func() {
+		defer f.all.Done()
+		m := f.what(true)
+		err := f.remember(m)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.keeping = false; err == nil {
+			f.kept, f.keptSure = m.counted, m.Sure
+			f.member.Counted(m.counted)
 		}
+	}()
+}
+
+// remember writes the file. A disk that can't is no reason to stop.
+func (f *Fleet) remember(m memory) error {
+	if f.cfg.Remember == "" {
+		return nil
 	}
-	f.mu.Unlock()
+	f.writing.Lock()
+	defer f.writing.Unlock()
 	text, err := json.Marshal(m)
 	if err == nil {
 		err = renameio.WriteFile(f.cfg.Remember, text, 0o600)
@@ -82,4 +111,5 @@
 		f.complain("the members can't be remembered", "file", f.cfg.Remember, "error", err)
 		f.mu.Unlock()
 	}
+	return err
 }
--- a/fleet/view/view.go
+++ b/fleet/view/view.go
@@ -31,7 +31,7 @@
 // Snapshot is what a member knows.
 type Snapshot struct {
 	Members   []member.Standing // in the order of their names, this copy among them
-	Joined    bool
+	Joined    bool              // a whole view was exchanged, or is remembered, or there is nobody to ask
 	Displaced bool
 	Health    int
 }
@@ -86,6 +86,13 @@
 	return &View{floors: floors, was: map[string]member.Status{}, pools: map[string]*pool{}}
 }
 
+// Sure tells whether all that may be there count this copy. Once they do they go on
+// doing so, over a restart too, until it says that it leaves.
+func (v *View) Sure() bool { return v.sure }
+
+// Trust says that this copy was sure before its restart.
+func (v *View) Trust() { v.sure = true }
+
 // Floors changes what a person has written.
 func (v *View) Floors(floors map[string]int) { v.floors = floors }
 
@@ -250,9 +257,10 @@
 	if !found {
 		at, of = 0, max(of, 1)
 	}
-	// While all that may be there fit the floor each may spend its part, whatever the others know.
+	// While all that may be there fit the floor each may spend its part, whatever the others know. A copy
+	// that has met nobody yet does not know who may be there.
 	floor := v.floor(name)
-	p.place = Place{Self: at, Of: of, Among: max(among, floor), There: certain, Lost: lost, Sure: !s.Displaced && (v.sure || among <= floor)}
+	p.place = Place{Self: at, Of: of, Among: max(among, floor), There: certain, Lost: lost, Sure: !s.Displaced && (v.sure || s.Joined && among <= floor)}
 	if p.place.Of = max(p.place.Of, p.place.Self+1); v.last > 0 && len(s.Members) > 1 {
 		if quiet := v.now - v.last; quiet > cutSpan {
 			p.place.Stale = quiet
--- a/lab/copies/copies.go
+++ b/lab/copies/copies.go
@@ -39,8 +39,8 @@
 
 // Options say what a fleet is.
 type Options struct {
-	Program   string // the real program
-	Dir       string // for configurations and keys
+	Command   []string // starts the real program
+	Dir       string   // for configurations and keys
 	Copies    int
 	Providers int
 	Written   int // copies that the configuration states; 0 is as many as there are
@@ -200,7 +200,7 @@
 // Launch starts a copy's process and waits until it is ready.
 func (f *Fleet) Launch(ctx context.Context, i int) error {
 	c := f.Copies[i]
-	cmd := exec.Command(f.Opt.Program, "serve")
+	cmd := exec.Command(f.Opt.Command[0], f.Opt.Command[1:]...)
 	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+c.File, "ROUTER_NAME=", "ROUTER_LISTEN=", "ROUTER_DISCOVERY=", "ROUTER_MGMT=", "TMPDIR="+f.Opt.Dir)
 	log, err := cmd.StderrPipe()
 	if err != nil {
--- a/lab/copies/copies_test.go
+++ b/lab/copies/copies_test.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	opt.Program, opt.Dir, opt.Providers = at, t.TempDir(), 6
+	opt.Command, opt.Dir, opt.Providers = []string{at, "serve"}, t.TempDir(), 6
 	f, err := Start(t.Context(), opt)
 	if err != nil {
 		t.Fatal(err)
--- a/lab/members/members.go
+++ b/lab/members/members.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"ryerill/fleet/member"
+	"ryerill/fleet/view"
 	badnet "ryerill/lab/net"
 )
 
@@ -29,6 +30,11 @@
 	Name     string
 	Address  string
 	Member   *member.Member
+	View     *view.View      // made by Look
+	memory   []member.Record // what it would remember after a restart, and whether it was sure
+	sure     bool
+	left     bool
+	knew     bool
 	Up       bool
 	Stopped  bool
 	life     int
@@ -81,8 +87,11 @@
 	}
 	c.Address = cfg.Tags.Address
 	s.byName[c.Address] = c
-	c.Member, c.Up, c.Stopped, c.backlog = member.New(cfg), true, false, nil
+	c.Member, c.View, c.Up, c.Stopped, c.backlog = member.New(cfg), nil, true, false, nil
 	c.wakes = -1
+	if c.knew = len(seeds) == 0 || len(c.memory) > 0 && !c.left; len(c.memory) > 0 {
+		s.tell(c, member.Event{Kind: member.Recall, Records: c.memory})
+	}
 	s.tell(c, member.Event{Kind: member.Begin})
 }
 
@@ -265,6 +274,31 @@
 	})
 }
 
+// Look has every copy that is up and not stopped make its view, as the host does, of
+// a fleet of which a person has written a number of copies.
+func (s *Sim) Look(floor int) {
+	for _, c := range s.Copies {
+		if !c.Up || c.Stopped {
+			continue
+		}
+		if c.View == nil {
+			if c.View = view.New(map[string]int{"main": floor}); c.sure {
+				c.View.Trust()
+			}
+		}
+		m := c.Member
+		c.View.Update(s.Now, view.Snapshot{Members: m.Members(), Joined: m.Joined() || c.knew, Displaced: m.Displaced(), Health: m.Health()})
+		c.left = m.Self().Status == member.Left
+		c.sure, c.memory = c.View.Sure() && !c.left, c.memory[:0]
+		for _, other := range m.Members() {
+			if !other.Self && other.Status != member.Left {
+				c.memory = append(c.memory, other.Record)
+			}
+		}
+		m.Counted(c.View.Counted())
+	}
+}
+
 // Views counts how many of the copies that are up hold a copy for each status.
 func (s *Sim) Views(of int) map[member.Status]int {
 	out := map[member.Status]int{}
--- /dev/null
+++ b/lab/members/property_test.go
@@ -0,0 +1,139 @@
+package members
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"ryerill/fleet/member"
+	badnet "ryerill/lab/net"
+)
+
+// Along any schedule of cuts, losses, stops, kills, restarts and departures: the
+// parts of a budget that copies hold never come to more than the whole, counts never
+// go back, and once all is quiet all know all and the parts come to the whole. A
+// person has written a number of copies; more may be started once all that were
+// there have met, while nothing is cut.
+func TestPartsNeverExceedTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		floor := rapid.IntRange(2, 5).Draw(t, "written")
+		n := floor + rapid.IntRange(0, 3).Draw(t, "beyond")
+		s := New(n, badnet.New(lan, 1), rapid.Uint64().Draw(t, "seed"))
+		type key struct{ who, of string }
+		newest := map[key]member.Head{}
+		s.Seen = func(c Change) {
+			k := key{c.Who, c.Record.Name}
+			if newest[k].Newer(c.Record.Head) {
+				t.Fatalf("%s: %s went back from %v to %v", c.Who, c.Record.Name, newest[k], c.Record.Head)
+			}
+			newest[k] = c.Record.Head
+		}
+		cut := false
+		started := floor
+		for i := range floor {
+			s.Start(i, Name(0), Name(1))
+		}
+		look := func(span time.Duration) float64 {
+			sum := 0.0
+			for end := s.Now + span; s.Now < end; {
+				s.Run(s.Now + 100*time.Millisecond)
+				s.Look(floor)
+				sum = 0
+				for _, c := range s.Copies {
+					if c.Up && c.View != nil { // one that stands still may wake and spend at once
+						sum += c.View.Pool("main").Part()
+					}
+				}
+				if sum > 1.0001 {
+					for _, c := range s.Copies {
+						if c.Up && c.View != nil {
+							t.Logf("%s: %+v", c.Name, c.View.Pool("main"))
+						}
+					}
+					t.Fatalf("at %v the parts come to %v", s.Now, sum)
+				}
+			}
+			return sum
+		}
+		look(2 * time.Second)
+		for range rapid.IntRange(1, 8).Draw(t, "steps") {
+			i := rapid.IntRange(0, n-1).Draw(t, "whom")
+			switch rapid.SampledFrom([]string{"cut", "one way", "split", "loss", "heal", "stop", "continue", "kill", "restart", "depart", "another"}).Draw(t, "what") {
+			case "cut":
+				s.Net.CutOff(Name(i), false)
+				cut = true
+			case "one way":
+				s.Net.CutOff(Name(i), true)
+				cut = true
+			case "split":
+				var half []string
+				for j := range i {
+					half = append(half, Name(j))
+				}
+				s.Net.Split(half)
+				cut = true
+			case "loss":
+				s.Net.Usual(badnet.Link{Drop: 0.3, Delay: 20 * time.Millisecond, Jitter: 50 * time.Millisecond, Duplicate: 0.1, Reorder: 0.2})
+			case "heal":
+				s.Net.Heal()
+				s.Net.Usual(lan)
+				cut = false
+			case "stop":
+				s.Stop(i)
+			case "continue":
+				s.Continue(i)
+			case "kill":
+				s.Kill(i)
+			case "restart":
+				if i < started && !s.Copies[i].Up && s.Copies[i].Member != nil {
+					for k := range newest {
+						if k.who == Name(i) {
+							delete(newest, k)
+						}
+					}
+					s.Start(i, Name(0), Name(1))
+				}
+			case "depart":
+				if s.Copies[i].Up && !s.Copies[i].Stopped && i > 1 {
+					s.Copies[i].sure, s.Copies[i].left = false, true
+					s.Tell(i, member.Event{Kind: member.Depart})
+					s.Run(s.Now + 700*time.Millisecond)
+					s.Kill(i)
+				}
+			case "another":
+				met := s.Copies[0].Up && !s.Copies[0].Stopped
+				for _, c := range s.Copies[:started] {
+					met = met && len(c.Member.Members()) == started
+				}
+				if !cut && started < n && met {
+					s.Start(started, Name(0), Name(1))
+					started++
+				}
+			}
+			look(time.Duration(rapid.IntRange(1, 60).Draw(t, "tenths")) * 100 * time.Millisecond)
+		}
+		s.Net.Heal()
+		s.Net.Usual(lan)
+		for i := range started {
+			s.Continue(i)
+			if !s.Copies[i].Up {
+				for k := range newest {
+					if k.who == Name(i) {
+						delete(newest, k)
+					}
+				}
+				s.Start(i, Name(0), Name(1))
+			}
+		}
+		sum := look(20 * time.Second)
+		for i := range started {
+			if alive, suspect, dead := s.Copies[i].Member.Count(); alive != started-1 || suspect+dead > 0 {
+				t.Fatalf("%s knows %d alive, %d suspect, %d dead of %d others", Name(i), alive, suspect, dead, started-1)
+			}
+		}
+		if sum < float64(started)/float64(max(started, floor))-0.0001 {
+			t.Fatalf("in the end the parts come to %v", sum)
+		}
+	})
+}
--- a/lab/report/charts.go
+++ b/lab/report/charts.go
@@ -283,26 +283,35 @@
 		if m.p == nil {
 			continue
 		}
-		c := Chart{Name: m.name, Title: m.p.Title.Text}
-		svg := vgsvg.New(width, height)
-		paint(draw.New(svg), m.p)
-		var b bytes.Buffer
-		if _, err := svg.WriteTo(&b); err != nil {
-			return nil, fmt.Errorf("chart %s: %w", m.name, err)
-		}
-		c.SVG = b.String()
-		img := vgimg.NewWith(vgimg.UseWH(width, height), vgimg.UseDPI(dpi))
-		paint(draw.New(img), m.p)
-		var png bytes.Buffer
-		if _, err := (vgimg.PngCanvas{Canvas: img}).WriteTo(&png); err != nil {
-			return nil, fmt.Errorf("chart %s: %w", m.name, err)
+		c, err := render(m.name, m.p)
+		if err != nil {
+			return nil, err
 		}
-		c.png = png.Bytes()
 		charts = append(charts, c)
 	}
 	return charts, nil
 }
 
+// render draws a plot in both forms.
+func render(name string, p *plot.Plot) (Chart, error) {
+	c := Chart{Name: name, Title: p.Title.Text}
+	svg := vgsvg.New(width, height)
+	paint(draw.New(svg), p)
+	var b bytes.Buffer
+	if _, err := svg.WriteTo(&b); err != nil {
+		return c, fmt.Errorf("chart %s: %w", name, err)
+	}
+	c.SVG = b.String()
+	img := vgimg.NewWith(vgimg.UseWH(width, height), vgimg.UseDPI(dpi))
+	paint(draw.New(img), p)
+	var png bytes.Buffer
+	if _, err := (vgimg.PngCanvas{Canvas: img}).WriteTo(&png); err != nil {
+		return c, fmt.Errorf("chart %s: %w", name, err)
+	}
+	c.png = png.Bytes()
+	return c, nil
+}
+
 // paint draws a plot with its legend beside it, where it hides nothing.
 func paint(c draw.Canvas, p *plot.Plot) {
 	legend := p.Legend
