Lend budgets, count and judge among copies: pure parts, spread, and the host's wiring

Need: quotas are divided by a fixed number, counts over all copies are not known, and a server that fails is found out anew by each copy.

Change: fleet/allot lends guaranteed parts under leases that need no common clock (the credit counts from the ask, the debit from the decision), renews and returns loans, and moves sums for good. fleet/tally merges counts by start and version, with age and bounds; other zones are sums. fleet/verdict spreads evidence and lets each reader judge: two copies at least, two zones or one's own, never more than a part of a pool, nothing that all share, probes divided among copies. fleet/share spreads them within a budget of bytes. The host asks the proxy five times a second; the Balancer is told by Quota and Hearsay, whose effect ends by itself. fleet.share in the YAML; /ops/fleet/shared; ryerill fleet budgets, counts, verdicts. Nothing of it without the block.

--- a/balancer.go
+++ b/balancer.go
@@ -221,7 +221,7 @@
 	if b.cfg.Tier > 0 || tenant < 0 || tenant >= len(b.quota) || !(b.cfg.Tenants[tenant].Quota > 0) {
 		return false
 	}
-	rate := b.cfg.Tenants[tenant].Quota / float64(b.parts*b.sharers)
+	rate := b.quotaRate(tenant)
 	saved := &b.quota[tenant]
 	if saved.fill(b.now, rate, max(quotaBurst*rate, 1)) < 1 {
 		return true
@@ -470,7 +470,7 @@
 		}
 		s.drained = e.State == Draining || s.drained && e.Started == s.Started
 		if e.Started != s.Started || s.budget.at == 0 { // new or restarted: nothing known of it holds
-			s.held, s.slow, s.budget = 0, 1, credit{math.Mod(float64(b.cfg.Self)*math.Phi, 1), b.now}
+			s.held, s.slow, s.budget = 0, 1, credit{n: math.Mod(float64(b.cfg.Self)*math.Phi, 1), at: b.now}
 		}
 		s.Server = e
 	}
--- a/config/fleet.go
+++ b/config/fleet.go
@@ -25,9 +25,18 @@
 	Remember  string            `yaml:"remember,omitempty" json:"remember,omitempty" jsonschema_description:"file that keeps the others' addresses over a restart; default none"`
 	Zone      string            `yaml:"zone,omitempty" json:"zone,omitempty" jsonschema_description:"of this proxy; default that of its first pool"`
 	Period    time.Duration     `yaml:"period,omitempty" json:"period,omitempty" jsonschema_description:"between probes, 50ms to 10s; default 200ms"`
+	Share     *ShareFile        `yaml:"share,omitempty" json:"share,omitempty" jsonschema_description:"what the copies share beyond who is there; default nothing"`
 	Budget    int               `yaml:"bytes_per_s,omitempty" json:"bytes_per_s,omitempty" jsonschema_description:"of news beside probes; default 1200"`
 }
 
+// ShareFile says what copies share.
+type ShareFile struct {
+	Quotas   bool `yaml:"quotas,omitempty" json:"quotas,omitempty" jsonschema_description:"what one copy does not need of a tenant's quota another may use"`
+	Counts   bool `yaml:"counts,omitempty" json:"counts,omitempty" jsonschema_description:"arrivals, calls in flight and how requests ended are counted over all copies"`
+	Verdicts bool `yaml:"verdicts,omitempty" json:"verdicts,omitempty" jsonschema_description:"copies tell each other which providers fail, hang or are slow"`
+	Budget   int  `yaml:"bytes_per_s,omitempty" json:"bytes_per_s,omitempty" jsonschema_description:"that a copy sends of it; default 1500"`
+}
+
 // Fleet is what the fleet's host is told.
 type Fleet struct {
 	fleet.Config
@@ -125,6 +134,15 @@
 	if len(f.Pools) > 0 {
 		tier = f.Pools[0].Tier
 	}
+	var share *fleet.Share
+	if sh := b.Share; sh != nil {
+		if share = (*fleet.Share)(sh); !sh.Quotas && !sh.Counts && !sh.Verdicts {
+			c.bad("fleet.share", "nothing", "quotas, counts or verdicts to be true, or no share block")
+		}
+		if sh.Budget != 0 {
+			c.number("fleet.share.bytes_per_s", float64(sh.Budget), 200, 1e7)
+		}
+	}
 	cfg.Fleet = &Fleet{KeyFile: b.KeyFile, Config: fleet.Config{Name: f.Name, Fleet: b.Name, Listen: b.Listen, Advertise: b.Advertise, Seeds: b.Seeds, Via: b.Via,
-		Keys: keys, Remember: b.Remember, Copies: copies, Zone: zone, Tier: tier, Pools: pools, Seed: cfg.Seed, Period: b.Period, Budget: b.Budget}}
+		Keys: keys, Remember: b.Remember, Copies: copies, Zone: zone, Tier: tier, Pools: pools, Seed: cfg.Seed, Period: b.Period, Budget: b.Budget, Share: share}}
 }
--- a/config/fleet_test.go
+++ b/config/fleet_test.go
@@ -35,6 +35,8 @@
 		{"address", text(strings.Replace(block, "127.0.0.1:7946", "nowhere", 1), ""), "fleet.listen"},
 		{"seed", text(strings.Replace(block, "127.0.0.1:7947", "nowhere", 1), ""), "fleet.seeds[0]"},
 		{"unknown key", text(strings.Replace(block, "seeds", "sedes", 1), ""), "sedes"},
+		{"sharing nothing", text(strings.Replace(block, "{name", "{share: {bytes_per_s: 500}, name", 1), ""), "fleet.share"},
+		{"sharing what there is not", text(strings.Replace(block, "{name", "{share: {quota: true}, name", 1), ""), "quota"},
 		{"period", text(strings.Replace(block, "{name", "{period: 1ms, name", 1), ""), "fleet.period"},
 	} {
 		if _, _, err := ParseFile("f", []byte(tc.text), none); err == nil || !strings.Contains(err.Error(), tc.want) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -21,6 +21,7 @@
 
 	"ryerill/fleet/frame"
 	"ryerill/fleet/member"
+	"ryerill/fleet/share"
 	"ryerill/fleet/view"
 )
 
@@ -57,6 +58,7 @@
 	Seed      uint64
 	Period    time.Duration // 0 is the default
 	Budget    int           // bytes a second; 0 is the default
+	Share     *Share        // what copies share; nil is nothing
 }
 
 // Places tells what follows for the proxy. It is called with every change and must
@@ -77,6 +79,10 @@
 	writing sync.Mutex // of the file
 
 	mu        sync.Mutex
+	feed      Feed
+	share     *share.Share
+	budgets   map[string]float64
+	zones     int
 	codec     *frame.Codec
 	member    *member.Member
 	view      *view.View
@@ -145,7 +151,7 @@
 	if f.member.Handle(0, member.Event{Kind: member.Recall, Records: known.Members}, nil); known.Sure {
 		f.view.Trust()
 	}
-	return f, nil
+	return f, f.startShare(known)
 }
 
 // epochBits of an epoch are drawn: two processes of a copied configuration may
@@ -175,6 +181,10 @@
 	f.handle(member.Event{Kind: member.Begin})
 	f.mu.Unlock()
 	f.log.Info("fleet", "fleet", f.cfg.Fleet, "copy", f.cfg.Name, "at", f.Address(), "known as", f.cfg.Advertise, "copies written", f.cfg.Copies)
+	if f.share != nil {
+		f.all.Add(1)
+		go f.sharing(ctx)
+	}
 	f.all.Add(2)
 	go f.read()
 	go f.accept()
@@ -306,7 +316,9 @@
 	}
 	f.viewed = now
 	moved := f.view.Update(f.now(), f.snapshot())
-	if f.view.Counted() != f.kept || f.view.Sure() != f.keptSure {
+	f.among()
+	// What is lent must come back before others may count on this copy's part being smaller.
+	if f.fits() && (f.view.Counted() != f.kept || f.view.Sure() != f.keptSure) {
 		f.keep()
 	}
 	if !moved || f.places == nil {
@@ -378,6 +390,13 @@
 		if a.Was == 0 {
 			was = "unknown"
 		}
+		if f.share != nil && (r.Status == member.Left || a.Was != 0 && a.Why == "started anew") {
+			epoch := r.Epoch
+			if r.Status != member.Left {
+				epoch--
+			}
+			f.share.Over(r.Name, epoch)
+		}
 		f.log.Info("fleet: member", "name", r.Name, "is", r.Status.String(), "was", was, "why", a.Why, "epoch", r.Epoch, "count", r.Inc, "at", address)
 	case member.Displaced:
 		f.log.Error("fleet: another process of this name started later: this copy is no part of the fleet any more. "+
@@ -431,6 +450,9 @@
 		return
 	}
 	f.handle(member.Event{Kind: member.Heard, Message: m, From: from.String()})
+	if m.Kind == member.Shared {
+		f.hearShared(m)
+	}
 }
 
 // bad counts a frame that is dropped. It is never answered.
--- a/fleet/frame/frame.go
+++ b/fleet/frame/frame.go
@@ -131,6 +131,7 @@
 		Counted uint64
 		News    []wireRecord
 		Want    []string
+		Share   []byte
 	}
 )
 
@@ -152,7 +153,7 @@
 
 // Encode makes a frame of a message.
 func (c *Codec) Encode(m *member.Message) ([]byte, error) {
-	w := wireMessage{Kind: uint8(m.Kind), Seq: m.Seq, From: toWire(&member.Record{Head: m.From}), Target: m.Target, Digest: m.Digest, Counted: m.Counted, Want: m.Want}
+	w := wireMessage{Kind: uint8(m.Kind), Seq: m.Seq, From: toWire(&member.Record{Head: m.From}), Target: m.Target, Digest: m.Digest, Counted: m.Counted, Want: m.Want, Share: m.Share}
 	for i := range m.News {
 		w.News = append(w.News, toWire(&m.News[i]))
 	}
@@ -200,7 +201,7 @@
 	if err := c.dec.Unmarshal(text[header:end], &w); err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrTorn, err)
 	}
-	m := &member.Message{Kind: member.MessageKind(w.Kind), Seq: w.Seq, From: fromWire(&w.From).Head, Target: w.Target, Digest: w.Digest, Counted: w.Counted, Want: w.Want}
+	m := &member.Message{Kind: member.MessageKind(w.Kind), Seq: w.Seq, From: fromWire(&w.From).Head, Target: w.Target, Digest: w.Digest, Counted: w.Counted, Want: w.Want, Share: w.Share}
 	for i := range w.News {
 		m.News = append(m.News, fromWire(&w.News[i]))
 	}
--- a/fleet/member/record.go
+++ b/fleet/member/record.go
@@ -184,6 +184,7 @@
 	Heads               // the whole view of who asks, without tags
 	Delta               // what the other side knows better, and whose records it wants
 	Rest                // those records
+	Shared              // a datagram of what copies share: not for this package, but it says that its sender speaks
 )
 
 // Message is what members say to each other.
@@ -196,6 +197,7 @@
 	Counted uint64 // digest of those among whom the sender divides: see package view
 	News    []Record
 	Want    []string
+	Share   []byte // with Shared: see package share
 }
 
 // Config is what a member is told at its start.
--- /dev/null
+++ b/fleet/share/share.go
@@ -0,0 +1,352 @@
+// Package share spreads what copies share, budgets, counts and evidence, within a
+// budget of bytes: what is new and most needed goes first, differences rather than
+// whole tables. It is pure.
+package share
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"ryerill/fleet/allot"
+	"ryerill/fleet/tally"
+	"ryerill/fleet/verdict"
+)
+
+// How news is spread.
+const (
+	Every         = 200 * time.Millisecond // between ticks
+	payload       = 900                    // bytes of a datagram that are its own
+	fanout        = 2
+	retransmit    = 4
+	mostItems     = 2048 // in the queue; of more, those sent most go
+	tallyEvery    = time.Second
+	zoneEvery     = 2 * time.Second
+	evidenceGap   = 400 * time.Millisecond
+	DefaultBudget = 1500 // bytes a second
+	sparePart     = 0.5  // of the budget is for counts, which would take all of it in a large fleet
+)
+
+// Config says what is shared.
+type Config struct {
+	Name, Zone               string
+	Epoch, Seed              uint64
+	Fresh                    bool // this copy restarted and does not know what it had lent
+	Quotas, Counts, Verdicts bool
+	Budget                   int
+}
+
+// Peer is another copy that is there.
+type Peer struct{ Name, Zone string }
+
+// aged is an item with how old it was when it was sent.
+type aged[T any] struct {
+	_     struct{} `cbor:",toarray"`
+	AgeMS int64
+	Item  T
+}
+
+type wireCounts struct {
+	_                                 struct{} `cbor:",toarray"`
+	Pool, Class, Tenant               string
+	Arrivals, Served, Refused, Failed uint64
+	InFlight                          int64
+}
+
+type wireTally struct {
+	_              struct{} `cbor:",toarray"`
+	Name           string
+	Epoch, Version uint64
+	Zone           string
+	Members        int
+	Counts         []wireCounts
+}
+
+// Packet is what one copy sends another.
+type Packet struct {
+	Budgets  []allot.Message          `cbor:"1,keyasint,omitempty"`
+	Tallies  []aged[wireTally]        `cbor:"2,keyasint,omitempty"`
+	Evidence []aged[verdict.Evidence] `cbor:"3,keyasint,omitempty"`
+}
+
+// Out is a packet for somebody.
+type Out struct {
+	To   string
+	Text []byte
+}
+
+type item struct {
+	key    string
+	since  time.Duration // when it was true
+	times  int
+	urgent bool
+	tally  *wireTally
+	seen   *verdict.Evidence
+	size   int
+}
+
+// Share is one copy's side. It is not safe for concurrent use.
+type Share struct {
+	cfg                         Config
+	rng                         uint64
+	dec                         cbor.DecMode
+	now                         time.Duration
+	Allot                       *allot.Allot
+	Tally                       *tally.Tally
+	Verdict                     *verdict.Verdict
+	queue                       []item
+	credit                      float64
+	creditAt                    time.Duration
+	peers                       []Peer
+	nextOwn, nextZone, nextSeen time.Duration
+	Figures                     Figures
+}
+
+// Figures count what passed.
+type Figures struct{ PacketsIn, PacketsOut, BytesIn, BytesOut, Bad, Unsent uint64 }
+
+// New returns a copy's side.
+func New(cfg Config, now time.Duration) (*Share, error) {
+	if cfg.Budget <= 0 {
+		cfg.Budget = DefaultBudget
+	}
+	dec, err := cbor.DecOptions{MaxArrayElements: 4096, MaxMapPairs: 64, MaxNestedLevels: 8}.DecMode() // bounds of a packet
+	if err != nil {
+		return nil, err
+	}
+	return &Share{dec: dec, cfg: cfg, rng: cfg.Seed, now: now, creditAt: now, Allot: allot.New(cfg.Name, cfg.Epoch, cfg.Seed, cfg.Fresh, now),
+		Tally: tally.New(cfg.Name, cfg.Zone, cfg.Epoch), Verdict: verdict.New(cfg.Name, cfg.Zone, cfg.Epoch)}, nil
+}
+
+// Tick sends what is due to copies that are there.
+func (s *Share) Tick(now time.Duration, peers []Peer) (out []Out) {
+	s.now, s.peers = max(s.now, now), peers
+	s.credit = min(s.credit+float64(s.cfg.Budget)*(s.now-s.creditAt).Seconds(), 4*float64(s.cfg.Budget))
+	s.creditAt = s.now
+	direct := map[string]*Packet{}
+	if s.cfg.Quotas {
+		for _, a := range s.Allot.Tick(s.now, nil) {
+			p := direct[a.To]
+			if p == nil {
+				p = &Packet{}
+				direct[a.To] = p
+			}
+			p.Budgets = append(p.Budgets, a.Message)
+		}
+	}
+	if s.cfg.Counts {
+		s.count()
+	}
+	if s.cfg.Verdicts && s.now >= s.nextSeen {
+		s.nextSeen = s.now + evidenceGap
+		for _, e := range s.Verdict.Evidence(s.now) {
+			s.put(item{key: fmt.Sprintf("e%x/%s", e.Server, e.Reporter), since: s.now, urgent: true, seen: &e, size: 48 + len(e.Reporter) + len(e.Zone)})
+		}
+	}
+	for _, to := range sortedKeys(direct) {
+		out = s.send(out, to, direct[to])
+	}
+	for range min(fanout, len(peers)) {
+		if len(s.queue) == 0 || s.credit <= 0 {
+			break
+		}
+		to := peers[s.random()%uint64(len(peers))]
+		if p := s.pack(to); p != nil {
+			out = s.send(out, to.Name, p)
+		}
+	}
+	return out
+}
+
+func sortedKeys(m map[string]*Packet) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// count makes this copy's counts news, and its zone's if it speaks for it. The larger
+// the zone, the more seldom: all of them share one budget.
+func (s *Share) count() {
+	var zone []string
+	speaks := true
+	for _, p := range s.peers {
+		if p.Zone == s.cfg.Zone {
+			zone = append(zone, p.Name)
+			speaks = speaks && s.cfg.Name < p.Name
+		}
+	}
+	if s.now >= s.nextOwn {
+		it := s.tallyItem(s.Tally.Own(s.now))
+		gap := time.Duration(float64(len(zone)*it.size) / (sparePart * float64(s.cfg.Budget)) * float64(time.Second))
+		s.nextOwn = s.now + max(gap, tallyEvery)
+		s.put(it)
+	}
+	if speaks && s.now >= s.nextZone && len(zone) < len(s.peers) {
+		s.nextZone = s.now + zoneEvery
+		s.put(s.tallyItem(s.Tally.OfZone(s.now, zone)))
+	}
+}
+
+func (s *Share) tallyItem(t tally.Item) item {
+	w := &wireTally{Name: t.Name, Epoch: t.Epoch, Version: t.Version, Zone: t.Zone, Members: t.Members}
+	size := 40 + len(t.Name) + len(t.Zone)
+	for k, c := range t.Counts {
+		w.Counts = append(w.Counts, wireCounts{Pool: k.Pool, Class: k.Class, Tenant: k.Tenant, Arrivals: c.Arrivals, Served: c.Served, Refused: c.Refused, Failed: c.Failed, InFlight: c.InFlight})
+		size += 26 + len(k.Pool) + len(k.Class) + len(k.Tenant)
+	}
+	slices.SortFunc(w.Counts, func(a, b wireCounts) int {
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Class, b.Class), cmp.Compare(a.Tenant, b.Tenant))
+	})
+	for size > payload && len(w.Counts) > 0 { // a datagram's worth: the last keys wait for none
+		last := w.Counts[len(w.Counts)-1]
+		w.Counts = w.Counts[:len(w.Counts)-1]
+		size -= 26 + len(last.Pool) + len(last.Class) + len(last.Tenant)
+	}
+	return item{key: "t" + t.Zone + "/" + t.Name, since: s.now - time.Duration(t.AgeMS)*time.Millisecond, tally: w, size: size}
+}
+
+// put makes an item news in the place of an older one of its key.
+func (s *Share) put(it item) {
+	s.queue = slices.DeleteFunc(s.queue, func(o item) bool { return o.key == it.key })
+	if len(s.queue) >= mostItems {
+		s.queue = s.queue[:mostItems-1]
+	}
+	at, _ := slices.BinarySearchFunc(s.queue, it, compare)
+	s.queue = slices.Insert(s.queue, at, it)
+}
+
+// compare has what is urgent come first, and of that what was sent least.
+func compare(a, b item) int {
+	if a.urgent != b.urgent {
+		if a.urgent {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.times, b.times)
+}
+
+// pack takes of the queue what fits and concerns the other.
+func (s *Share) pack(to Peer) *Packet {
+	p, room, taken := &Packet{}, payload, false
+	for i := range s.queue {
+		it := &s.queue[i]
+		// Of another zone its sums are enough.
+		if it.size > room || it.tally != nil && (it.tally.Zone == "" && to.Zone != s.cfg.Zone || it.tally.Zone != "" && it.tally.Zone == to.Zone) {
+			continue
+		}
+		room -= it.size
+		taken = true
+		it.times++
+		age := (s.now - it.since).Milliseconds()
+		switch {
+		case it.tally != nil:
+			p.Tallies = append(p.Tallies, aged[wireTally]{AgeMS: age, Item: *it.tally})
+		default:
+			p.Evidence = append(p.Evidence, aged[verdict.Evidence]{AgeMS: age, Item: *it.seen})
+		}
+		if room < 60 {
+			break
+		}
+	}
+	if !taken {
+		return nil
+	}
+	most := retransmit * digits(len(s.peers)+1)
+	s.queue = slices.DeleteFunc(s.queue, func(it item) bool { return it.times >= most })
+	slices.SortStableFunc(s.queue, compare)
+	return p
+}
+
+func digits(n int) (d int) {
+	for ; n > 0; n /= 10 {
+		d++
+	}
+	return d
+}
+
+func (s *Share) send(out []Out, to string, p *Packet) []Out {
+	text, err := cbor.Marshal(p)
+	if err != nil {
+		s.Figures.Unsent++
+		return out
+	}
+	s.credit -= float64(len(text))
+	s.Figures.PacketsOut++
+	s.Figures.BytesOut += uint64(len(text))
+	return append(out, Out{to, text})
+}
+
+// Hear takes a packet in.
+func (s *Share) Hear(now time.Duration, from string, text []byte) (out []Out) {
+	s.now = max(s.now, now)
+	s.Figures.PacketsIn++
+	s.Figures.BytesIn += uint64(len(text))
+	var p Packet
+	if err := s.dec.Unmarshal(text, &p); err != nil {
+		s.Figures.Bad++
+		return nil
+	}
+	if s.cfg.Quotas {
+		var answer Packet
+		for _, m := range p.Budgets {
+			for _, a := range s.Allot.Handle(s.now, from, m, nil) {
+				if a.To == from {
+					answer.Budgets = append(answer.Budgets, a.Message)
+				}
+			}
+		}
+		if len(answer.Budgets) > 0 {
+			out = s.send(out, from, &answer)
+		}
+	}
+	if s.cfg.Counts {
+		for i := range p.Tallies {
+			s.hearTally(&p.Tallies[i])
+		}
+	}
+	if s.cfg.Verdicts {
+		for i := range p.Evidence {
+			e := &p.Evidence[i]
+			age := time.Duration(min(max(e.AgeMS, -1), 1e9)) * time.Millisecond
+			if s.Verdict.Hear(s.now, e.Item, age) {
+				s.put(item{key: fmt.Sprintf("e%x/%s", e.Item.Server, e.Item.Reporter), since: s.now - age, times: 1, urgent: true, seen: &e.Item, size: 48 + len(e.Item.Reporter) + len(e.Item.Zone)})
+			}
+		}
+	}
+	return out
+}
+
+func (s *Share) hearTally(t *aged[wireTally]) {
+	w := &t.Item
+	in := tally.Item{Name: w.Name, Epoch: w.Epoch, Version: w.Version, Zone: w.Zone, Members: w.Members, AgeMS: t.AgeMS, Counts: make(map[tally.Key]tally.Counts, len(w.Counts))}
+	for _, c := range w.Counts {
+		in.Counts[tally.Key{Pool: c.Pool, Class: c.Class, Tenant: c.Tenant}] = tally.Counts{Arrivals: c.Arrivals, Served: c.Served, Refused: c.Refused, Failed: c.Failed, InFlight: c.InFlight}
+	}
+	if s.Tally.Merge(s.now, in) {
+		it := s.tallyItem(in)
+		it.times = 1
+		s.put(it)
+	}
+}
+
+// Over says that starts of a copy up to an epoch are over.
+func (s *Share) Over(name string, epoch uint64) {
+	s.Tally.Over(name, epoch)
+	s.Verdict.Forget(name)
+	s.queue = slices.DeleteFunc(s.queue, func(it item) bool { return it.tally != nil && it.tally.Name == name && it.tally.Epoch <= epoch })
+}
+
+func (s *Share) random() uint64 {
+	s.rng += 0x9e3779b97f4a7c15
+	z := s.rng
+	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
+	z = (z ^ z>>27) * 0x94d049bb133111eb
+	return z ^ z>>31
+}
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -62,6 +62,25 @@
 			return w.Flush()
 		}
 	}
+	shared := func(use, short string, table func(io.Writer, *fleet.SharedStatus)) *cobra.Command {
+		return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+			text, err := call(doorOf(door, getenv), "GET", "/ops/fleet/shared", "")
+			var s fleet.SharedStatus
+			if err == nil {
+				err = json.Unmarshal(text, &s)
+			}
+			if err != nil {
+				return runError{err}
+			}
+			if inJSON {
+				_, err := fmt.Fprintf(stdout, "%s\n", text)
+				return err
+			}
+			w := tabwriter.NewWriter(stdout, 0, 4, 2, ' ', 0)
+			table(w, &s)
+			return w.Flush()
+		}}
+	}
 	every := time.Second
 	watch := &cobra.Command{Use: "watch", Short: "Print each change of a member, until interrupted", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
@@ -74,6 +93,9 @@
 		&cobra.Command{Use: "members", Short: "Print who is in the fleet, as this proxy sees it", Args: cobra.NoArgs, RunE: print(membersTable)},
 		&cobra.Command{Use: "status", Short: "Print how sure this proxy is of its fleet, and its place in each pool", Args: cobra.NoArgs, RunE: print(statusTable)},
 		watch,
+		shared("budgets", "Print the parts of budgets that this proxy has, has lent and has borrowed", budgetsTable),
+		shared("counts", "Print what is counted over all copies, with its age and bounds", countsTable),
+		shared("verdicts", "Print the evidence against providers, and by whom", verdictsTable),
 		&cobra.Command{Use: "forget NAME", Short: "Say that a dead copy is gone for good, so that budgets are divided without it", Args: cobra.ExactArgs(1),
 			RunE: func(_ *cobra.Command, args []string) error {
 				if _, err := call(doorOf(door, getenv), "POST", "/ops/fleet/forget", args[0]); err != nil {
@@ -190,6 +212,46 @@
 	}
 }
 
+func budgetsTable(w io.Writer, s *fleet.SharedStatus) {
+	fmt.Fprintln(w, "BUDGET\tWHOLE\tGUARANTEED\tLENT\tBORROWED\tMAY SPEND\tWANTED\tLOANS (A SECOND)")
+	for _, b := range s.Budgets {
+		var loans []string
+		for _, l := range b.Loans {
+			way := "from"
+			if l.Given {
+				way = "to"
+			}
+			loans = append(loans, fmt.Sprintf("%.3g %s %s, ends in %s", l.Amount, way, l.With, ago(max(l.EndsMS, 0))))
+		}
+		fmt.Fprintf(w, "%s\t%.4g\t%.4g\t%.4g\t%.4g\t%.4g\t%.4g\t%s\n", b.Name, b.Whole, b.Guaranteed, b.Lent, b.Borrowed, b.Rate, b.Wanted, strings.Join(loans, "; "))
+	}
+}
+
+func countsTable(w io.Writer, s *fleet.SharedStatus) {
+	fmt.Fprintln(w, "WHAT\tKNOWN\tAT LEAST\tAT MOST\tAGE\tCOPIES\tNOTE")
+	for _, name := range sortedNames(s.Sums) {
+		v, note := s.Sums[name], ""
+		if v.Stale {
+			note = "stale: a part is too old to go by"
+		}
+		fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%.0f\t%s\t%d\t%s\n", name, v.N, v.Least, v.Most, ago(v.AgeMS), v.Parts, note)
+	}
+	for _, p := range s.Speakers {
+		zone := ""
+		if p.Zone != "" {
+			zone = ", for zone " + p.Zone
+		}
+		fmt.Fprintf(w, "by %s%s\t\t\t\t%s\t%d\t\n", p.Name, zone, ago(p.AgeMS), p.Members)
+	}
+}
+
+func verdictsTable(w io.Writer, s *fleet.SharedStatus) {
+	fmt.Fprintln(w, "PROVIDER\tBY\tZONE\tCALLS\tERRORS\tHANGS\tSLOWER THAN PEERS\tPEERS FAIL")
+	for _, e := range s.Evidence {
+		fmt.Fprintf(w, "%016x\t%s\t%s\t%.1f\t%.1f\t%.1f\t%.1f times\t%.2f\n", e.Server, e.Reporter, e.Zone, e.Calls, e.Errors, e.Hangs, e.Slow, e.Peers)
+	}
+}
+
 // watchFleet prints what changes from look to look.
 func watchFleet(ctx context.Context, every time.Duration, ask func() (fleet.Status, error), inJSON bool, stdout io.Writer) error {
 	before, first, down := map[string]fleet.Member{}, true, false
--- a/observe.go
+++ b/observe.go
@@ -1,6 +1,9 @@
 package ryerill
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Standing tells the limit on calls in flight and how many are: for those who
 // watch a Balancer. It changes nothing and decides nothing.
@@ -47,6 +50,47 @@
 	}
 }
 
+// Quota tells the part of a tenant's quota that this copy may use for a time, and the
+// part that it may use from then on if nothing else is told: what was borrowed ends
+// by itself.
+func (b *Balancer) Quota(tenant int, part, after float64, lasts time.Duration) {
+	if tenant >= 0 && tenant < len(b.quota) {
+		c := &b.quota[tenant]
+		c.part, c.after, c.until, c.shared = part, after, b.now+lasts, true
+	}
+}
+
+// quotaRate is how much of a tenant's quota this copy may use a second.
+func (b *Balancer) quotaRate(tenant int) float64 {
+	c, whole := &b.quota[tenant], b.cfg.Tenants[tenant].Quota/float64(b.sharers)
+	switch {
+	case !c.shared:
+		return whole / float64(b.parts)
+	case b.now < c.until:
+		return whole * c.part
+	}
+	return whole * c.after
+}
+
+// Hearsay says that several copies found a server bad: it comes after its peers for a
+// while, as if calls of this copy had failed. It never makes one that is not usable.
+func (b *Balancer) Hearsay(id ServerID) {
+	if s := b.byID[id]; s != nil && b.usable(s) {
+		_, slow := b.standing(s)
+		s.held, s.slow, s.touch = mostHeld, slow, b.now
+		b.place(s)
+	}
+}
+
+// Slowness is a server's latency against its peers', by this copy's own calls.
+func (b *Balancer) Slowness(id ServerID) float64 {
+	if s := b.byID[id]; s != nil {
+		_, slow := b.standing(s)
+		return slow
+	}
+	return 1
+}
+
 // Learnt is what a Balancer has found out of its tier that the next one at its
 // place need not find out again. Slices are by class.
 type Learnt struct {
--- a/ops/ops.go
+++ b/ops/ops.go
@@ -50,6 +50,7 @@
 	StartDrain() error
 	StopDrain() error
 	Fleet() (status any, in bool) // status is nil while there is none; in is false where the proxy is in no fleet
+	Shared() (status any, in bool) // in is false where copies share nothing
 	Forget(name string) error     // of a dead copy; any error is a 404
 }
 
@@ -292,11 +293,11 @@
 	method, there := map[string]string{"/ops/readiness": http.MethodGet, "/ops/stats": http.MethodGet,
 		"/ops/backends/down": http.MethodPost, "/ops/backends/up": http.MethodPost,
 		"/ops/drain/start": http.MethodPost, "/ops/drain/stop": http.MethodPost,
-		"/ops/fleet": http.MethodGet, "/ops/fleet/forget": http.MethodPost}[k.path]
+		"/ops/fleet": http.MethodGet, "/ops/fleet/shared": http.MethodGet, "/ops/fleet/forget": http.MethodPost}[k.path]
 	switch {
 	case !there:
 		return no(http.StatusNotFound, "nothing is at this path: call GET /ops/readiness, GET /ops/stats, POST /ops/backends/down, "+
-			"POST /ops/backends/up, POST /ops/drain/start, POST /ops/drain/stop, GET /ops/fleet or POST /ops/fleet/forget")
+			"POST /ops/backends/up, POST /ops/drain/start, POST /ops/drain/stop, GET /ops/fleet, GET /ops/fleet/shared or POST /ops/fleet/forget")
 	case method != k.method:
 		a := no(http.StatusMethodNotAllowed, "this path takes %s", method)
 		a.allow = method
@@ -329,6 +330,12 @@
 			return no(http.StatusServiceUnavailable, "the fleet's address is still held by the process before this one: ask again")
 		}
 		return inJSON(status)
+	case "/ops/fleet/shared":
+		status, in := d.staff.Shared()
+		if !in {
+			return no(http.StatusNotFound, "this proxy shares nothing with others: its configuration has no fleet.share block, or it is not in the fleet yet")
+		}
+		return inJSON(status)
 	case "/ops/fleet/forget":
 		if err := d.staff.Forget(id); err != nil {
 			return no(http.StatusNotFound, "%v", err)
--- a/ops/ops_test.go
+++ b/ops/ops_test.go
@@ -42,6 +42,8 @@
 func (s *staff) StopDrain() error   { s.changes.Add(1); return nil }
 func (s *staff) Fleet() (any, bool) { return map[string]string{"name": "n1"}, true }
 
+func (s *staff) Shared() (any, bool) { return nil, false }
+
 func (s *staff) Forget(name string) error {
 	if name != "n2" {
 		return ErrUnknown
@@ -108,6 +110,10 @@
 		{"POST /ops/drain/stop HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 200, "done", 1},
 		{down + "Content-Length: 6\r\n\r\nnobody", 404, "directory's list", 1},
 		{down + "Content-Length: 6\r\n\r\njammed", 503, "call again", 1},
+		{"GET /ops/fleet HTTP/1.1\r\nHost: x\r\n\r\n", 200, `{"name":"n1"}`, 0},
+		{"GET /ops/fleet/shared HTTP/1.1\r\nHost: x\r\n\r\n", 404, "fleet.share", 0},
+		{"POST /ops/fleet/forget HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nn2", 200, "done", 0},
+		{"POST /ops/fleet/forget HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nn3", 404, "no backend", 0},
 		{"GET /ops HTTP/1.1\r\nHost: x\r\n\r\n", 404, "GET /ops/readiness", 0},
 		{"GET /ops/stats?all HTTP/1.1\r\nHost: x\r\n\r\n", 404, "call", 0},
 		{"GET /ops/drain/start HTTP/1.1\r\nHost: x\r\n\r\n", 405, "POST", 0},
--- a/parts.go
+++ b/parts.go
@@ -95,6 +95,10 @@
 type credit struct {
 	n  float64
 	at time.Duration
+
+	part, after float64 // see Balancer.Quota
+	until       time.Duration
+	shared      bool
 }
 
 // fill adds what has come since the last time, at a rate a second, up to most.
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -17,6 +17,7 @@
 	if outcome != ryerill.OK || !c.relay(e, invocation.Answer{Verdict: invocation.Served, Response: response}) {
 		response.Free()
 	}
+	c.booked.ended(k.server, outcome)
 	c.happen(ryerill.Event{Kind: ryerill.AttemptEnded, Request: e.id, Attempt: k.attempt, Server: k.server,
 		Outcome: outcome, Closed: e.done, Spent: e.inv.Request.Rest != nil && e.inv.Request.Rest.Spent(), Elapsed: c.clock.now() - k.began})
 	c.release(e)
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -39,6 +39,7 @@
 	end       context.CancelFunc
 	figures   *figures
 	tallies   []*tally // by class
+	booked    *booked  // for the fleet; nil where nothing is shared
 
 	mu        sync.Mutex
 	cfg       config.Pool
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -54,6 +54,7 @@
 	if err != nil {
 		return nil, &config.AddressError{Key: "fleet.listen", Value: c.Listen, Err: err}
 	}
+	host.Feed(p)
 	return host, nil
 }
 
@@ -194,6 +195,16 @@
 	return nil, p.side != nil
 }
 
+// Shared tells what copies share; in is false where nothing is.
+func (p *Proxy) Shared() (s any, in bool) {
+	if host := p.fleetHost(); host != nil {
+		if shared := host.Shared(); shared != nil {
+			return shared, true
+		}
+	}
+	return nil, false
+}
+
 // Forget takes staff's word that a dead copy is gone for good.
 func (p *Proxy) Forget(name string) error {
 	if host := p.fleetHost(); host != nil {
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -17,7 +17,7 @@
 
 // newCore starts a pool: its Balancer, its connections, its directory. In a second
 // process of a proxy the whole list is asked for, whatever is known.
-func newCore(cfg config.Pool, seed uint64, r *rooms, buffers *buffer.Pool, log *slog.Logger, clock clock, figures *figures, w word.Word, second bool) *core {
+func newCore(cfg config.Pool, seed uint64, r *rooms, buffers *buffer.Pool, log *slog.Logger, clock clock, figures *figures, w word.Word, second, shares bool) *core {
 	settings := cfg.Settings
 	b := &settings.Balancer
 	life, end := context.WithCancel(context.Background()) // the list is watched until the last answer
@@ -40,6 +40,9 @@
 		word:      w,
 	}
 	c.pool.HoldIn(&r.bodies)
+	if shares {
+		c.booked = &booked{wants: make([]float64, len(b.Tenants)), came: make([]uint64, len(b.Classes))}
+	}
 	for _, k := range b.Classes {
 		c.tallies = append(c.tallies, figures.class(k.Name))
 		c.names.Classes = append(c.names.Classes, k.Name)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -233,7 +233,7 @@
 		return fmt.Errorf("proxy %s: the pools' guarantees exceed what the machine has", cfg.Name)
 	}
 	for i, pool := range cfg.Pools {
-		p.pools[pool.Name] = newCore(pool, cfg.Seed+uint64(i), p.machine.rooms(pool.Name), p.buffers, p.log, p.clock, &p.figures, p.word, p.second)
+		p.pools[pool.Name] = newCore(pool, cfg.Seed+uint64(i), p.machine.rooms(pool.Name), p.buffers, p.log, p.clock, &p.figures, p.word, p.second, p.shares())
 	}
 	now, problems := newServices(cfg.Routes, p.pools)
 	if now == nil {
--- a/proxy/reload.go
+++ b/proxy/reload.go
@@ -80,7 +80,7 @@
 			kept++
 			continue
 		}
-		pools[pool.Name] = newCore(pool, cfg.Seed+uint64(i), p.machine.rooms(pool.Name), p.buffers, p.log, p.clock, &p.figures, p.word, false)
+		pools[pool.Name] = newCore(pool, cfg.Seed+uint64(i), p.machine.rooms(pool.Name), p.buffers, p.log, p.clock, &p.figures, p.word, false, p.shares())
 		made++
 	}
 	now, problems := newServices(cfg.Routes, pools)
--- /dev/null
+++ b/proxy/sharing.go
@@ -0,0 +1,132 @@
+package proxy
+
+import (
+	"ryerill"
+	"ryerill/fleet"
+	counts "ryerill/fleet/tally"
+	"ryerill/fleet/verdict"
+)
+
+// mostBooked bounds the calls' ends that wait for the fleet's next look; of more, the
+// rest says nothing that these don't.
+const mostBooked = 4096
+
+// booked is what a pool notes for the fleet. It is nil where nothing is shared.
+type booked struct {
+	wants []float64 // by tenant, since the last look
+	came  []uint64  // by class, since the start
+	ends  []end
+}
+
+type end struct {
+	server  ryerill.ServerID
+	outcome ryerill.Outcome
+}
+
+// arrived books an arrival for the fleet. The mutex is held.
+func (b *booked) arrived(class, tenant int) {
+	if b == nil {
+		return
+	}
+	if tenant >= 0 && tenant < len(b.wants) {
+		b.wants[tenant]++
+	}
+	if class >= 0 && class < len(b.came) {
+		b.came[class]++
+	}
+}
+
+// ended books a call's end for the fleet. The mutex is held.
+func (b *booked) ended(server ryerill.ServerID, o ryerill.Outcome) {
+	if b != nil && len(b.ends) < mostBooked {
+		b.ends = append(b.ends, end{server, o})
+	}
+}
+
+// shares has pools note for the fleet.
+func (p *Proxy) shares() bool {
+	return p.cfg.Fleet != nil && p.cfg.Fleet.Share != nil
+}
+
+// feed is what a pool tells the fleet.
+func (c *core) feed(fed *fleet.Fed) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.booked == nil {
+		return
+	}
+	pool := c.cfg.Name
+	for i, t := range c.settings.Balancer.Tenants {
+		if name := pool + "/" + t.Name; t.Quota > 0 {
+			fed.Budgets[name] = t.Quota
+			fed.Wants[name] += c.booked.wants[i]
+		}
+		c.booked.wants[i] = 0
+	}
+	for i, t := range c.tallies {
+		k := counts.Key{Pool: pool, Class: c.names.Classes[i]}
+		n := fed.Counts[k]
+		n.Arrivals, n.Served, n.Refused, n.Failed = c.booked.came[i], uint64(t.success.Load()), uint64(t.busy.Load()), uint64(t.failure.Load())
+		fed.Counts[k] = n
+	}
+	open := fed.Counts[counts.Key{Pool: pool}]
+	_, inFlight := c.balancer.Standing()
+	open.InFlight = int64(inFlight)
+	fed.Counts[counts.Key{Pool: pool}] = open
+	for _, e := range c.booked.ends {
+		t := c.providers[e.server]
+		if t == nil {
+			continue
+		}
+		one := fleet.Seen{Server: verdict.Server{ID: uint64(e.server), Since: int64(t.told.Started)}, Slow: c.balancer.Slowness(e.server)}
+		switch e.outcome {
+		case ryerill.OK:
+		case ryerill.Timeout, ryerill.ConnectFailed, ryerill.Reset:
+			one.Outcome = verdict.Hung
+		case ryerill.Error, ryerill.Full:
+			one.Outcome = verdict.Failed
+		default:
+			continue // called off, or never sent: it says nothing
+		}
+		fed.Seen = append(fed.Seen, one)
+	}
+	c.booked.ends = c.booked.ends[:0]
+	for id, t := range c.providers {
+		if t.ready.Load() {
+			fed.Servers[pool] = append(fed.Servers[pool], verdict.Server{ID: uint64(id), Since: int64(t.told.Started)})
+		}
+	}
+}
+
+// tell has a pool go by what follows from what copies share.
+func (c *core) tell(told *fleet.Told) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pool := c.cfg.Name
+	for i, t := range c.settings.Balancer.Tenants {
+		if part, there := told.Parts[pool+"/"+t.Name]; there {
+			c.balancer.Quota(i, part.Now, part.After, part.Lasts)
+		}
+	}
+	for _, id := range told.Condemned[pool] {
+		if t := c.providers[ryerill.ServerID(id)]; t != nil && t.ready.Load() { // never one that the own list does not name
+			c.balancer.Hearsay(t.id)
+		}
+	}
+}
+
+// Feed tells the fleet what this proxy saw since the last look.
+func (p *Proxy) Feed() fleet.Fed {
+	fed := fleet.Fed{Budgets: map[string]float64{}, Wants: map[string]float64{}, Counts: map[counts.Key]counts.Counts{}, Servers: map[string][]verdict.Server{}}
+	for _, c := range p.cores() {
+		c.feed(&fed)
+	}
+	return fed
+}
+
+// Tell has the pools go by what copies share.
+func (p *Proxy) Tell(told fleet.Told) {
+	for _, c := range p.cores() {
+		c.tell(&told)
+	}
+}
