--- a/fleet/share/share.go
+++ b/fleet/share/share.go
@@ -20,12 +20,12 @@
 const (
 	Every         = 200 * time.Millisecond // between ticks
 	payload       = 900                    // bytes of a datagram that are its own
-	fanout        = 2
+	fanout        = 3
 	retransmit    = 4
 	mostItems     = 2048 // in the queue; of more, those sent most go
 	tallyEvery    = time.Second
 	zoneEvery     = 2 * time.Second
-	evidenceGap   = 400 * time.Millisecond
+	evidenceGap   = 200 * time.Millisecond
 	DefaultBudget = 1500 // bytes a second
 	sparePart     = 0.5  // of the budget is for counts, which would take all of it in a large fleet
 )
@@ -315,7 +315,7 @@
 		for i := range p.Evidence {
 			e := &p.Evidence[i]
 			age := time.Duration(min(max(e.AgeMS, -1), 1e9)) * time.Millisecond
-			if s.Verdict.Hear(s.now, e.Item, age) {
+			if s.Verdict.Hear(s.now, e.Item, age) && s.Verdict.Voices(e.Item.Server) <= verdict.Enough {
 				s.put(item{key: fmt.Sprintf("e%x/%s", e.Item.Server, e.Item.Reporter), since: s.now - age, times: 1, urgent: true, seen: &e.Item, size: 48 + len(e.Item.Reporter) + len(e.Item.Zone)})
 			}
 		}
--- a/fleet/verdict/verdict.go
+++ b/fleet/verdict/verdict.go
@@ -14,20 +14,26 @@
 // How judgements are drawn.
 const (
 	HalfLife    = 4 * time.Second // of evidence: a server heals
-	leastCalls  = 3.0             // of a copy, before what it saw is evidence
+	leastCalls  = 0.9             // of a copy, before what it saw is told
+	newest      = 0.7             // weight of the latest call in what part of them failed
+	mostWeight  = 2.0             // calls that one copy counts for at most: none decides alone
+	leastWeight = 4.0             // calls that all together must count for
 	badFrom     = 0.5             // part of the calls that failed or hung from which a server is bad for a copy,
 	overPeers   = 3.0             // if it is so many times that of its peers there,
 	slowFrom    = 3.0             // or so many times slower than its peers
 	leastVoices = 2               // independent copies that must find the same, besides the zones' rule
 	Most        = 0.3             // of a pool that hearsay may condemn
 	sharedFrom  = 0.34            // of a pool that is bad for the same copy: then it is not the servers
+	tellGap     = time.Second     // between what a copy tells of one server
+	Enough      = 16              // voices on a server, beyond which a copy hands no more on
 	probeSpan   = 2 * time.Second // in each such span one copy in all may try a condemned server
 	mostServers = 16384
 	mostVoices  = 64 // on one server: of more, the youngest are kept
 	oldest      = 6 * HalfLife
 )
 
-// Evidence is what one copy saw of one server, as counts that decay.
+// Evidence is what one copy saw of one server, as counts that decay: a part of
+// the latest calls, and how many they were.
 type Evidence struct {
 	Reporter string
 	Epoch    uint64
@@ -66,9 +72,15 @@
 }
 
 type own struct {
-	calls, errors, hangs, slow float64
-	since                      int64
-	at                         time.Duration
+	calls, slow  float64 // calls decay
+	failed, hung float64 // part of the latest calls
+	since        int64
+	at           time.Duration
+	fresh        int           // calls since it was told
+	told         time.Duration // when
+	said         bool          // that it looks bad
+	spoke        bool          // anything at all
+	last         time.Duration // its latest call
 }
 
 // Server is one of a pool's, as its own list has it.
@@ -95,13 +107,12 @@
 	now        time.Duration
 	own        map[uint64]*own
 	voices     map[uint64]map[string]*voice
-	told       map[uint64]bool
 	BadItems   uint64
 }
 
 // New returns a copy's verdicts.
 func New(name, zone string, epoch uint64) *Verdict {
-	return &Verdict{name: name, zone: zone, epoch: epoch, own: map[uint64]*own{}, voices: map[uint64]map[string]*voice{}, told: map[uint64]bool{}}
+	return &Verdict{name: name, zone: zone, epoch: epoch, own: map[uint64]*own{}, voices: map[uint64]map[string]*voice{}}
 }
 
 func fade(d time.Duration) float64 { return math.Exp2(-float64(max(d, 0)) / float64(HalfLife)) }
@@ -129,13 +140,22 @@
 		v.own[s.ID] = e
 	}
 	v.age(e)
-	e.calls++
+	// The latest calls weigh most: a copy that sends a call a second must not need many to notice.
+	failed, hung := 0.0, 0.0
 	switch o {
 	case Failed:
-		e.errors++
+		failed = 1
 	case Hung:
-		e.hangs++
+		hung = 1
+	}
+	if e.calls < 0.01 {
+		e.failed, e.hung = failed, hung
 	}
+	e.failed += newest * (failed - e.failed)
+	e.hung += newest * (hung - e.hung)
+	e.calls++
+	e.fresh++
+	e.last = v.now
 	if slow > 0 && slow < 1e6 {
 		e.slow += 0.2 * (slow - e.slow)
 	}
@@ -143,11 +163,12 @@
 
 func (v *Verdict) age(e *own) {
 	left := fade(v.now - e.at)
-	e.calls, e.errors, e.hangs, e.slow, e.at = e.calls*left, e.errors*left, e.hangs*left, 1+(e.slow-1)*left, v.now
+	e.calls, e.slow, e.at = e.calls*left, 1+(e.slow-1)*left, v.now
 }
 
-// Evidence is what this copy tells others: on servers that look bad to it, and on
-// those that did when it told last.
+// Evidence is what this copy tells others: on servers that look bad to it, or did
+// when it told last, and on those that others say look bad, since what it saw of them
+// may be good.
 func (v *Verdict) Evidence(now time.Duration) (out []Evidence) {
 	v.now = max(v.now, now)
 	calls, bad := 0.0, 0.0
@@ -156,27 +177,49 @@
 			delete(v.own, id)
 			continue
 		}
-		calls, bad = calls+e.calls, bad+e.errors+e.hangs
+		calls, bad = calls+e.calls, bad+e.calls*(e.failed+e.hung)
 	}
 	v.version++
 	for _, id := range sorted(v.own) {
 		e := v.own[id]
 		peers := 0.0
 		if rest := calls - e.calls; rest > 0 {
-			peers = min((bad-e.errors-e.hangs)/rest, 1)
+			peers = min((bad-e.calls*(e.failed+e.hung))/rest, 1)
 		}
-		one := Evidence{Reporter: v.name, Epoch: v.epoch, Version: v.version, Zone: v.zone, Server: id, Since: e.since, Calls: e.calls, Errors: e.errors, Hangs: e.hangs,
+		one := Evidence{Reporter: v.name, Epoch: v.epoch, Version: v.version, Zone: v.zone, Server: id, Since: e.since, Calls: e.calls, Errors: e.calls * e.failed, Hangs: e.calls * e.hung,
 			Slow: e.slow, Peers: max(peers, 0)}
-		if against := one.bad(one.Calls); against || v.told[id] {
-			if v.told[id] = against; !against {
-				delete(v.told, id)
-			}
-			out = append(out, one)
+		against := one.bad(one.Calls)
+		// What has changed, and that seldom: others need a few voices, not all that each has to say.
+		switch {
+		case against != e.said && (against || e.calls >= 2):
+		case e.fresh == 0, e.spoke && v.now-e.told < tellGap, !against && (!v.asked(id) || v.now-e.last > tellGap):
+			continue
 		}
+		e.said, e.spoke, e.fresh, e.told = against, true, 0, v.now
+		out = append(out, one)
 	}
 	return out
 }
 
+// asked tells whether others have said lately that a server looks bad.
+func (v *Verdict) asked(id uint64) bool {
+	for _, o := range v.voices[id] {
+		if v.now-o.at < HalfLife && o.bad(o.Calls) {
+			return true
+		}
+	}
+	return false
+}
+
+func names(m map[string]*voice) []string {
+	all := make([]string, 0, len(m))
+	for name := range m {
+		all = append(all, name)
+	}
+	slices.Sort(all)
+	return all
+}
+
 func sorted[V any](m map[uint64]V) []uint64 {
 	ids := make([]uint64, 0, len(m))
 	for id := range m {
@@ -270,30 +313,37 @@
 	var found []weighed
 	for _, s := range servers {
 		j := Judgement{Server: s.ID}
-		weight := 0.0
-		for name, o := range v.voices[s.ID] {
-			calls := o.Calls * fade(v.now-o.at)
-			if o.Since != s.Since || !o.bad(calls) || float64(against[name]) > many {
-				continue
+		var sum struct{ weight, bad, peers, slow float64 }
+		weigh := func(who, zone string, e *Evidence, calls float64) {
+			if calls <= 0 || e.Calls <= 0 {
+				return
 			}
-			j.By = append(j.By, name)
-			if !slices.Contains(j.Zones, o.Zone) {
-				j.Zones = append(j.Zones, o.Zone)
+			w := min(calls, mostWeight)
+			sum.weight, sum.bad = sum.weight+w, sum.bad+w*(e.Errors+e.Hangs)/e.Calls
+			sum.peers, sum.slow = sum.peers+w*e.Peers, sum.slow+w*e.Slow
+			if !e.bad(max(calls, leastCalls)) {
+				return
+			}
+			j.By = append(j.By, who)
+			if !slices.Contains(j.Zones, zone) {
+				j.Zones = append(j.Zones, zone)
 			}
-			weight += min(calls/leastCalls, 2) // no copy weighs more than two
 		}
-		if v.mine(s) && float64(mine) <= many {
-			j.By = append(j.By, v.name)
-			if !slices.Contains(j.Zones, v.zone) {
-				j.Zones = append(j.Zones, v.zone)
+		for _, name := range names(v.voices[s.ID]) {
+			if o := v.voices[s.ID][name]; o.Since == s.Since && float64(against[name]) <= many {
+				weigh(name, o.Zone, &o.Evidence, o.Calls*fade(v.now-o.at))
 			}
-			weight += 1
+		}
+		if e := v.own[s.ID]; e != nil && e.since == s.Since && float64(mine) <= many {
+			weigh(v.name, v.zone, &Evidence{Calls: e.calls, Errors: e.calls * e.failed, Hangs: e.calls * e.hung, Slow: e.slow}, e.calls*fade(v.now-e.at))
 		}
 		slices.Sort(j.By)
 		slices.Sort(j.Zones)
 		own := len(j.Zones) == 1 && j.Zones[0] == v.zone
-		if len(j.By) >= leastVoices && (zones < 2 || len(j.Zones) >= 2 || own) {
-			found = append(found, weighed{j, weight})
+		part, peers, slow := sum.bad/max(sum.weight, 1e-9), sum.peers/max(sum.weight, 1e-9), sum.slow/max(sum.weight, 1e-9)
+		if sum.weight >= leastWeight && len(j.By) >= leastVoices && (zones < 2 || len(j.Zones) >= 2 || own) &&
+			(part >= badFrom && part >= overPeers*peers || slow >= slowFrom) {
+			found = append(found, weighed{j, sum.weight})
 		}
 	}
 	// At most a part of the pool, and never the last two: the worst first.
@@ -317,7 +367,7 @@
 	if e == nil || e.since != s.Since {
 		return false
 	}
-	one := Evidence{Calls: e.calls, Errors: e.errors, Hangs: e.hangs, Slow: e.slow}
+	one := Evidence{Calls: e.calls, Errors: e.calls * e.failed, Hangs: e.calls * e.hung, Slow: e.slow}
 	return one.bad(e.calls * fade(v.now-e.at))
 }
 
@@ -344,6 +394,9 @@
 	return out
 }
 
+// Voices is how many are heard on a server.
+func (v *Verdict) Voices(server uint64) int { return len(v.voices[server]) }
+
 // All is every voice, by server and reporter.
 func (v *Verdict) All() (out []Evidence) {
 	for _, id := range sorted(v.voices) {
