--- a/lab/copies/copies.go
+++ b/lab/copies/copies.go
@@ -352,6 +352,15 @@
 	return s, err
 }
 
+// Shared is what a copy shares with others.
+func (c *Copy) Shared() (s fleet.SharedStatus, err error) {
+	text, err := c.ask("GET", "/ops/fleet/shared", "")
+	if err == nil {
+		err = json.Unmarshal(text, &s)
+	}
+	return s, err
+}
+
 // Close ends all processes and what stands round them.
 func (f *Fleet) Close() {
 	for _, c := range f.Copies {
--- a/lab/copies/ledger.go
+++ b/lab/copies/ledger.go
@@ -15,7 +15,9 @@
 
 // Ledger is what the stand-ins have seen: the proxies have no part in it.
 type Ledger struct {
-	work atomic.Int64 // nanoseconds that a provider takes
+	work  atomic.Int64 // nanoseconds that a provider takes
+	bad   atomic.Int64 // the number of the provider that errs, and one; 0 is none
+	spoil atomic.Int64 // errors that it answered
 
 	mu       sync.Mutex
 	requests map[string]*Entry
@@ -44,6 +46,12 @@
 // Work changes how long a provider takes for a request.
 func (l *Ledger) Work(d time.Duration) { l.work.Store(int64(d)) }
 
+// Spoil makes a provider answer with errors; a number below 0 makes none.
+func (l *Ledger) Spoil(i int) { l.bad.Store(int64(i + 1)) }
+
+// Spoilt is how many errors were answered.
+func (l *Ledger) Spoilt() int { return int(l.spoil.Load()) }
+
 func (l *Ledger) provider(i int) http.Handler {
 	name := fmt.Sprintf("p%02d", i)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -55,6 +63,11 @@
 		}
 		l.byWhom[name]++
 		l.mu.Unlock()
+		if l.bad.Load() == int64(i+1) {
+			l.spoil.Add(1)
+			http.Error(w, "no", http.StatusInternalServerError)
+			return
+		}
 		time.Sleep(time.Duration(l.work.Load()))
 		io.WriteString(w, id)
 	})
@@ -107,13 +120,13 @@
 				l.mu.Lock()
 				l.requests[id] = e
 				l.mu.Unlock()
-				text := fmt.Sprintf("GET /read/1 HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Kind: read\r\nReq-Deadline-Ms: 4000\r\n\r\n", id)
+				text := fmt.Sprintf("GET /read/1 HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Kind: read\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 4000\r\n\r\n", id)
 				if class != "read" {
 					key := ""
 					if class == "pay" {
 						key = "Idempotency-Key: " + id + "\r\n"
 					}
-					text = fmt.Sprintf("POST /%s/1 HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Deadline-Ms: 4000\r\n%sContent-Length: 2\r\n\r\nhi", class, id, class, key)
+					text = fmt.Sprintf("POST /%s/1 HTTP/1.1\r\nHost: x\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 4000\r\n%sContent-Length: 2\r\n\r\nhi", class, id, class, key)
 				}
 				conn.SetDeadline(time.Now().Add(6 * time.Second))
 				_, err := io.WriteString(conn, text)
