Carry a change through the fleet in stages, and stop it when a stage does worse

Need: settings and the program are changed by hand on each proxy, with nobody to see that the third of three hundred does worse.

Change: fleet/rollout, pure: one copy leads under a lease by votes of most copies and a number that only grows; each copy obeys who has its vote, and a new leader gives orders only once all votes for another are over. Stages by count, part or one a zone; a bound on those away; a sequential probability ratio test of changed against unchanged copies over the same span, zone and pool; crashes, refusals and readiness; going back. Plan, stage and history lie with every copy and on disk; one that was away takes what the plan came to. The host spreads numbers by datagrams and whole states over connections. Settings are laid over each copy's own file, checked as by config check, reloaded, and taken back by the copy itself if they don't hold. Another program is brought about by the operator's own means: ryerill rollout agent runs a command beside the proxy.

Found by the explorer and the hard cases: a cut-off minority raised numbers that kept the majority's leader from leading once healed (who sees too few does not try, and who asks with a low number is told); votes that came after the next question was put were lost, so at half a second of delay nobody led for long.

--- a/config/fleet.go
+++ b/config/fleet.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
 	"os"
 	"slices"
@@ -70,12 +68,6 @@
 	return keys, nil
 }
 
-// SettingsHash identifies a configuration's text.
-func SettingsHash(text []byte) string {
-	sum := sha256.Sum256(text)
-	return hex.EncodeToString(sum[:8])
-}
-
 // fleet checks the fleet's block and turns it into what its host is told.
 func (f *File) fleet(cfg *Config, c *checker) {
 	if f.Fleet == nil {
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"time"
 
 	"ryerill/fleet/frame"
@@ -44,10 +45,14 @@
 	defer func() { <-f.slots }()
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(exchangeTime))
-	heads, err := f.receive(conn, member.Heads)
+	heads, err := f.receive(conn, member.Heads, member.Fetch)
 	if err != nil {
 		return
 	}
+	if heads.Kind == member.Fetch {
+		f.answerFetch(conn)
+		return
+	}
 	f.mu.Lock()
 	f.figures.Exchanges++
 	replies := f.handle(member.Event{Kind: member.Asked, Message: heads})
@@ -113,8 +118,8 @@
 	return err
 }
 
-// receive reads one message of a kind.
-func (f *Fleet) receive(conn net.Conn, kind member.MessageKind) (*member.Message, error) {
+// receive reads one message of some kinds.
+func (f *Fleet) receive(conn net.Conn, kinds ...member.MessageKind) (*member.Message, error) {
 	var size [4]byte
 	if _, err := io.ReadFull(conn, size[:]); err != nil {
 		return nil, err
@@ -137,7 +142,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m, err := f.codec.Decode(text, frame.MaxPiece)
-	if err == nil && m.Kind != kind {
+	if err == nil && !slices.Contains(kinds, m.Kind) {
 		err = frame.ErrTorn
 	}
 	if err != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,6 +80,8 @@
 
 	mu        sync.Mutex
 	feed      Feed
+	roller    *roller
+	recalled  memory // of before the start
 	share     *share.Share
 	budgets   map[string]float64
 	zones     int
@@ -145,6 +147,7 @@
 	f.figures.Bad = map[string]uint64{}
 	f.tags = member.Tags{Address: cfg.Advertise, Zone: cfg.Zone, Tier: cfg.Tier, Pools: cfg.Pools, Program: cfg.Program, Settings: cfg.Settings, Phase: member.Starting}
 	known := f.remembered()
+	f.recalled = known
 	f.member = member.New(member.Config{Name: cfg.Name, Epoch: max(drawEpoch(now), known.Epoch+1), Seed: cfg.Seed ^ uint64(now.UnixNano()), Tags: f.tags,
 		Seeds: cfg.Seeds, Period: cfg.Period, Budget: cfg.Budget})
 	f.knew = len(cfg.Seeds) == 0 || len(known.Members) > 0 && !known.Left
@@ -185,6 +188,10 @@
 		f.all.Add(1)
 		go f.sharing(ctx)
 	}
+	if f.roller != nil {
+		f.all.Add(1)
+		go f.rolling(ctx)
+	}
 	f.all.Add(2)
 	go f.read()
 	go f.accept()
@@ -450,8 +457,11 @@
 		return
 	}
 	f.handle(member.Event{Kind: member.Heard, Message: m, From: from.String()})
-	if m.Kind == member.Shared {
+	switch m.Kind {
+	case member.Shared:
 		f.hearShared(m)
+	case member.Rolling:
+		f.hearRolling(m)
 	}
 }
 
--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -547,7 +547,7 @@
 	if msg.Counted != 0 && msg.From.Epoch == p.Epoch {
 		p.counted = msg.Counted
 	}
-	if msg.Kind != Gossip && msg.Kind != Shared {
+	if msg.Kind != Gossip && msg.Kind < Heads {
 		m.compare(p, msg.Digest)
 	}
 	switch msg.Kind {
--- a/fleet/member/record.go
+++ b/fleet/member/record.go
@@ -185,6 +185,9 @@
 	Delta               // what the other side knows better, and whose records it wants
 	Rest                // those records
 	Shared              // a datagram of what copies share: not for this package, but it says that its sender speaks
+	Rolling             // one of a rollout: likewise
+	Fetch               // over a connection: asks for a rollout's state
+	Fetched             // and answers
 )
 
 // Message is what members say to each other.
@@ -197,7 +200,7 @@
 	Counted uint64 // digest of those among whom the sender divides: see package view
 	News    []Record
 	Want    []string
-	Share   []byte // with Shared: see package share
+	Share   []byte // with Shared, Rolling and Fetched: see packages share and rollout
 }
 
 // Config is what a member is told at its start.
--- a/fleet/remember.go
+++ b/fleet/remember.go
@@ -9,6 +9,7 @@
 	"github.com/google/renameio/v2"
 
 	"ryerill/fleet/member"
+	"ryerill/fleet/rollout"
 )
 
 // memory is what a copy keeps over a restart: who may be there, which start of its
@@ -21,6 +22,7 @@
 	Sure    bool            `json:"sure"`
 	Left    bool            `json:"left"` // it said so: since then others may have come whom it does not know
 	Members []member.Record `json:"members"`
+	Rollout *rollout.State  `json:"rollout,omitempty"`
 
 	counted uint64
 }
@@ -61,6 +63,11 @@
 	defer f.mu.Unlock()
 	left := !stays && !f.abandoned
 	m := memory{Fleet: f.cfg.Fleet, Name: f.cfg.Name, Epoch: f.member.Self().Epoch, Sure: f.view.Sure() && !left, Left: left, counted: f.view.Counted()}
+	if f.roller != nil {
+		if s := f.roller.State(); s.Fence > 0 {
+			m.Rollout = &s
+		}
+	}
 	for _, s := range f.member.Members() {
 		if !s.Self && s.Status != member.Left {
 			m.Members = append(m.Members, s.Record)
--- /dev/null
+++ b/fleet/rollout/lead.go
@@ -0,0 +1,560 @@
+// Package rollout carries a change of settings or of the program through a fleet in
+// stages, and stops it when a stage does worse. It is pure: one event and its time go
+// in, actions come out.
+//
+// One copy leads at a time. It holds a lease from most of those it counts, under a
+// number that only grows; every copy obeys a number that is not below the highest it
+// has seen. The plan, its stage and its history lie with every copy, so that any of
+// them can go on when the one that leads is gone.
+package rollout
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// How leading goes.
+const (
+	Lease       = 3 * time.Second // a vote holds so long for the voter
+	drift       = 0.02            // clocks run fast or slow by at most so much
+	renewEvery  = Lease / 3
+	remindEvery = 2 * time.Second
+	tryAfter    = 400 * time.Millisecond // more for each copy that comes first by name
+	mostHistory = 64                     // lines
+	MostText    = 256 << 10              // bytes of settings
+	MostStages  = 32
+	MostCopies  = 8192
+)
+
+// Kind tells what a plan changes.
+type Kind uint8
+
+// The kinds of change.
+const (
+	Settings Kind = iota + 1
+	Program
+)
+
+// Stage is one step of a plan.
+type Stage struct {
+	Count   int           // copies that are changed by its end, in all; 0 is by Part
+	Part    float64       // part of all copies
+	PerZone bool          // one of each zone at least
+	Soak    time.Duration // they are watched for so long
+}
+
+// Plan is what a person wants.
+type Plan struct {
+	ID      string
+	Kind    Kind
+	Target  string // the settings' hash, or the program's version
+	Text    []byte // the settings
+	Stages  []Stage
+	Away    int           // copies that may be on their way at once
+	Wait    time.Duration // how long a copy may take to change and be ready
+	Unknown time.Duration // how much longer than its soak a stage is watched while too little is known
+	Back    bool          // go back if a stage does worse; else stop and wait for a person
+	Expires time.Duration // since it was taken; nothing new begins after it
+	Guards  Guards
+}
+
+// Phase is what a plan is at.
+type Phase uint8
+
+// The phases. The last four are ends.
+const (
+	None Phase = iota
+	Changing
+	Soaking
+	Paused  // a person said so
+	Stopped // a person has to say what follows: Reason says why
+	Back    // going back
+	Done
+	BackDone
+	Aborted
+	Expired
+)
+
+// String names a phase as tables and logs do.
+func (p Phase) String() string {
+	names := [...]string{"none", "changing", "soaking", "paused", "stopped", "going back", "done", "gone back", "aborted", "expired"}
+	if int(p) >= len(names) {
+		return "unknown"
+	}
+	return names[p]
+}
+
+// Ended tells whether nothing follows any more.
+func (p Phase) Ended() bool { return p == None || p >= Done }
+
+// State is a plan's progress. Of two the one of the higher number holds, and of one
+// number the later version.
+type State struct {
+	Plan    Plan
+	Fence   uint64 // of who wrote it
+	Version uint64
+	Leader  string
+	Phase   Phase
+	Stage   int
+	Reason  string
+	Chosen  []string // copies that are to be changed by now, in order
+	Failed  []string // that could not, or did worse
+	History []string
+	Age     time.Duration // since the plan was taken
+	StageAt time.Duration // Age when the stage's soak began
+}
+
+// Newer tells whether s overrides o.
+func (s *State) Newer(o *State) bool {
+	if s.Fence != o.Fence {
+		return s.Fence > o.Fence
+	}
+	return s.Version > o.Version
+}
+
+// Copy is what the leader knows of one.
+type Copy struct {
+	Name    string
+	Zone    string
+	Alive   bool
+	Ready   bool
+	Holds   string // settings' hash or program's version that it has
+	Epoch   uint64 // of its process: another one is a crash or a restart
+	Refused string // why it could not take what it was told, if it was the plan's
+}
+
+// Message is what copies say to each other about rollouts.
+type Message struct {
+	Kind   MessageKind
+	From   string
+	Fence  uint64
+	Target string // Order: what the one it is for is to hold
+	Back   bool   // Order: what it held before
+	Plan   string
+	State  *State
+	Report *Report
+	Seq    uint64
+}
+
+// MessageKind tells what a message is for.
+type MessageKind uint8
+
+// The kinds of message.
+const (
+	AskVote MessageKind = iota + 1
+	Vote
+	Tell    // State
+	Order   // to one copy
+	Reports // Report, to the leader
+)
+
+// Action is something that the host is to do.
+type Action struct {
+	Kind    ActionKind
+	To      string
+	Message Message
+	Target  string // Apply
+	Back    bool
+	Plan    string
+	Text    []byte
+	Line    string
+}
+
+// ActionKind tells which fields of an Action are set.
+type ActionKind uint8
+
+// The kinds of action.
+const (
+	Send  ActionKind = iota + 1 // To, Message
+	Apply                       // Target, Back, Plan, Text: this copy changes
+	Say                         // Line: for the log
+)
+
+// poll is one time that all were asked for their vote. Answers to one may come after
+// the next was begun.
+type poll struct {
+	seq   uint64
+	at    time.Duration
+	votes map[string]bool
+}
+
+const mostPolls = 4
+
+// Rollout is one copy's side. It is not safe for concurrent use.
+type Rollout struct {
+	name  string
+	now   time.Duration
+	began time.Duration
+	out   []Action
+
+	state   State
+	highest uint64        // number seen
+	voted   time.Duration // until when its vote is given
+	votedTo string
+	applied string // plan and way that this copy was told last
+
+	// Of a candidate or leader.
+	fence    uint64
+	asks     []poll
+	heldTo   time.Duration // the lease, by its own clock
+	nextTry  time.Duration
+	nextAsk  time.Duration
+	nextTell time.Duration
+	nextWord time.Duration
+	turns    int
+	orders   time.Duration // from when it may give them: the votes for another are over
+	copies   []Copy
+	epochs   map[string]uint64 // of changed copies when they became ready
+	ordered  map[string]time.Duration
+	judge    *Judge
+	seq      uint64
+	saved    Phase // before a pause
+}
+
+// New returns a copy's side. It votes for nobody until any vote that it may have given
+// before a restart is over.
+func New(name string, now time.Duration) *Rollout {
+	return &Rollout{name: name, now: now, began: now, voted: now + stretch(Lease), epochs: map[string]uint64{}, ordered: map[string]time.Duration{}}
+}
+
+func stretch(d time.Duration) time.Duration { return time.Duration(float64(d) * (1 + 2*drift)) }
+
+// State is the plan's progress as far as it is known here.
+func (r *Rollout) State() State { return r.state }
+
+// Leads tells whether this copy holds the lease.
+func (r *Rollout) Leads() bool { return r.fence != 0 && r.now < r.heldTo && r.fence >= r.highest }
+
+// Restore takes in what lay on the disk.
+func (r *Rollout) Restore(s State) {
+	if s.Newer(&r.state) {
+		r.state, r.highest = s, max(r.highest, s.Fence)
+	}
+}
+
+// Start hands a plan over. It is refused while another stands.
+func (r *Rollout) Start(now time.Duration, p Plan) error {
+	r.now = max(r.now, now)
+	if err := p.Check(); err != nil {
+		return err
+	}
+	if !r.state.Phase.Ended() {
+		return &StandsError{r.state.Plan.ID, r.state.Phase}
+	}
+	r.highest++
+	r.state = State{Plan: p, Fence: r.highest, Version: 1, Leader: "", Phase: Changing, History: []string{"taken by " + r.name}}
+	r.nextTry, r.judge = r.now, nil
+	return nil
+}
+
+// Word takes a person's word: pause, resume, abort, back.
+func (r *Rollout) Word(now time.Duration, word string) error {
+	r.now = max(r.now, now)
+	s := &r.state
+	if s.Phase.Ended() {
+		return &StandsError{s.Plan.ID, s.Phase}
+	}
+	switch word {
+	case "pause":
+		if s.Phase != Paused {
+			r.saved = s.Phase
+			r.turn(Paused, "a person said so")
+		}
+	case "resume":
+		if s.Phase == Paused || s.Phase == Stopped {
+			r.judge = nil
+			r.turn(Changing, "a person said so")
+		}
+	case "abort":
+		if s.Plan.Back && len(s.Chosen) > 0 {
+			r.turn(Back, "aborted by a person")
+		} else {
+			r.turn(Aborted, "aborted by a person")
+		}
+	case "back":
+		r.turn(Back, "a person said so")
+	}
+	// Whoever leads has to follow: a word is a state of a higher number.
+	r.highest++
+	s.Fence, s.Version, s.Leader = r.highest, 1, ""
+	r.fence, r.heldTo = 0, 0
+	r.spread()
+	return nil
+}
+
+// turn changes the phase and notes why.
+func (r *Rollout) turn(p Phase, why string) {
+	s := &r.state
+	s.Phase, s.Reason = p, why
+	s.Version++
+	s.History = append(s.History, p.String()+": "+why)
+	if len(s.History) > mostHistory {
+		s.History = slices.Delete(s.History, 1, len(s.History)-mostHistory+1)
+	}
+	r.act(Action{Kind: Say, Line: "plan " + s.Plan.ID + ": " + p.String() + ": " + why})
+}
+
+func (r *Rollout) act(a Action) { r.out = append(r.out, a) }
+
+func (r *Rollout) send(to string, m Message) {
+	m.From = r.name
+	r.act(Action{Kind: Send, To: to, Message: m})
+}
+
+// spread tells the state to all that are there.
+func (r *Rollout) spread() {
+	s := r.state
+	for _, c := range r.copies {
+		if c.Alive && c.Name != r.name {
+			r.send(c.Name, Message{Kind: Tell, Fence: s.Fence, State: &s})
+		}
+	}
+}
+
+// Tick does what is due. copies are all that this copy counts, itself among them.
+func (r *Rollout) Tick(now time.Duration, copies []Copy, out []Action) []Action {
+	before := r.now
+	r.now, r.out, r.copies = max(r.now, now), append(out, r.out...), copies
+	if r.state.Phase.Ended() {
+		r.fence = 0
+		r.follow()
+	} else {
+		r.state.Age += r.now - before
+		r.lead()
+	}
+	r.remind()
+	out, r.out = r.out, nil
+	return out
+}
+
+// follow has a copy that was away hold what the plan came to.
+func (r *Rollout) follow() {
+	s := &r.state
+	c := r.find(r.name)
+	if c == nil || s.Plan.ID == "" || c.Refused != "" {
+		return
+	}
+	switch {
+	case s.Phase == Done && s.Plan.Kind == Settings && c.Holds != s.Plan.Target:
+		r.obey(s.Plan.ID, s.Plan.Target, false)
+	case s.Phase == BackDone && c.Holds == s.Plan.Target:
+		r.obey(s.Plan.ID, "", true)
+	}
+}
+
+// remind tells one other now and then how the plan stands: it may have been away.
+func (r *Rollout) remind() {
+	if r.state.Fence == 0 || r.now < r.nextWord || len(r.copies) < 2 {
+		return
+	}
+	r.nextWord = r.now + remindEvery
+	r.turns++
+	for i := range r.copies {
+		if c := r.copies[(r.turns+i)%len(r.copies)]; c.Alive && c.Name != r.name {
+			s := r.state
+			r.send(c.Name, Message{Kind: Tell, Fence: s.Fence, State: &s})
+			return
+		}
+	}
+}
+
+// lead seeks, keeps and uses the lease.
+func (r *Rollout) lead() {
+	switch {
+	case r.fence != 0 && r.fence < r.highest: // another has a higher number
+		r.fence, r.heldTo, r.judge = 0, 0, nil
+	case r.fence == 0:
+		if r.nextTry == 0 {
+			r.nextTry = r.now + Lease + time.Duration(r.rank())*tryAfter
+		}
+		if r.now < r.nextTry || r.now < r.voted && r.votedTo != r.name || !r.most() {
+			return // without most copies in sight a number would only be in the way of who has them
+		}
+		r.highest++
+		r.fence = r.highest
+		r.asks, r.heldTo = nil, 0
+		r.ask()
+		r.nextTry = r.now + Lease + time.Duration(r.rank())*tryAfter
+		return
+	}
+	if r.fence != 0 && r.heldTo == 0 && r.now >= r.nextTry { // too few voted
+		r.fence = 0
+		return
+	}
+	if r.fence != 0 && r.heldTo != 0 && r.now >= r.heldTo+Lease { // lost: another may try
+		r.fence, r.heldTo = 0, 0
+		r.nextTry = r.now + time.Duration(r.rank())*tryAfter
+		return
+	}
+	if r.fence != 0 && r.now >= r.nextAsk {
+		r.ask()
+	}
+	if !r.Leads() {
+		return
+	}
+	if r.state.Fence != r.fence { // what is known of the plan goes on under this number
+		r.state.Fence, r.state.Version, r.state.Leader = r.fence, r.state.Version+1, r.name
+		r.state.History = append(r.state.History, "led by "+r.name)
+		r.judge = nil
+	}
+	before := r.state.Version
+	if r.now >= r.orders {
+		r.drive()
+	}
+	if r.state.Version != before || r.now >= r.nextTell {
+		r.nextTell = r.now + renewEvery
+		r.spread()
+	}
+}
+
+// most tells whether most copies are there.
+func (r *Rollout) most() bool {
+	n := 0
+	for _, c := range r.copies {
+		if c.Alive {
+			n++
+		}
+	}
+	return 2*n > len(r.copies)
+}
+
+// rank is how many copies that are there come before this one by name.
+func (r *Rollout) rank() (n int) {
+	for _, c := range r.copies {
+		if c.Alive && c.Name < r.name {
+			n++
+		}
+	}
+	return n
+}
+
+// ask asks all for their vote, and votes itself.
+func (r *Rollout) ask() {
+	r.nextAsk = r.now + renewEvery
+	r.seq++
+	p := poll{seq: r.seq, at: r.now, votes: map[string]bool{}}
+	if r.now >= r.voted || r.votedTo == r.name {
+		r.voted, r.votedTo = r.now+stretch(Lease), r.name
+		p.votes[r.name] = true
+	}
+	if r.asks = append(r.asks, p); len(r.asks) > mostPolls {
+		r.asks = r.asks[1:]
+	}
+	for _, c := range r.copies {
+		if c.Name != r.name && c.Alive {
+			r.send(c.Name, Message{Kind: AskVote, Fence: r.fence, Seq: r.seq})
+		}
+	}
+	r.counted(&p)
+}
+
+// counted takes the lease once most of all copies have voted. It is counted from
+// when they were asked.
+func (r *Rollout) counted(p *poll) {
+	if 2*len(p.votes) > len(r.copies) {
+		if r.heldTo == 0 {
+			r.orders = r.now + stretch(Lease)
+		}
+		r.heldTo = max(r.heldTo, p.at+time.Duration(float64(Lease)*(1-drift)))
+	}
+}
+
+// Handle takes one message in.
+func (r *Rollout) Handle(now time.Duration, m Message, out []Action) []Action {
+	r.now, r.out = max(r.now, now), append(out, r.out...)
+	switch m.Kind {
+	case AskVote:
+		// A vote is given to one at a time, and to nobody below what was seen.
+		if m.Fence >= r.highest && (r.now >= r.voted || r.votedTo == m.From) {
+			r.highest = m.Fence
+			r.voted, r.votedTo = r.now+stretch(Lease), m.From
+			r.send(m.From, Message{Kind: Vote, Fence: m.Fence, Seq: m.Seq})
+		} else if m.Fence < r.highest { // who asks has to know
+			r.send(m.From, Message{Kind: Vote, Fence: r.highest})
+		}
+	case Vote:
+		if r.highest = max(r.highest, m.Fence); m.Fence != r.fence || r.fence == 0 {
+			break
+		}
+		if i := slices.IndexFunc(r.asks, func(p poll) bool { return p.seq == m.Seq }); i >= 0 {
+			r.asks[i].votes[m.From] = true
+			r.counted(&r.asks[i])
+		}
+	case Tell:
+		if m.State != nil && m.State.Fence == m.Fence && m.State.Plan.Check() == nil {
+			if m.State.Newer(&r.state) {
+				r.state = *m.State
+				r.nextTry = 0
+			}
+			r.highest = max(r.highest, m.Fence)
+		}
+	case Order:
+		if m.Fence < r.highest || m.Fence == 0 || m.From != r.votedTo || r.now >= r.voted {
+			break // of a leader that is one no more, or that this copy did not vote for
+		}
+		r.highest = m.Fence
+		if r.state.Plan.ID != m.Plan {
+			break // its plan is not known here yet: the order comes again
+		}
+		r.obey(m.Plan, m.Target, m.Back)
+	case Reports:
+		if m.Report != nil && r.Leads() && r.judge != nil {
+			r.judge.Hear(r.now, *m.Report)
+		}
+	}
+	out, r.out = r.out, nil
+	return out
+}
+
+// obey has this copy change, once for each order.
+func (r *Rollout) obey(plan, target string, back bool) {
+	way := plan + ">" + target
+	if r.applied == way {
+		return
+	}
+	r.applied = way
+	r.act(Action{Kind: Apply, Plan: plan, Target: target, Back: back, Text: r.state.Plan.Text})
+}
+
+// Again has an order be obeyed once more if it comes: the last one did not last.
+func (r *Rollout) Again() { r.applied = "" }
+
+// order puts copies in the order in which they are changed: zones in turn, and within
+// a zone by chance that the plan's name decides.
+func order(id string, copies []Copy) []Copy {
+	byZone := map[string][]Copy{}
+	var zones []string
+	for _, c := range copies {
+		if byZone[c.Zone] == nil {
+			zones = append(zones, c.Zone)
+		}
+		byZone[c.Zone] = append(byZone[c.Zone], c)
+	}
+	slices.Sort(zones)
+	for _, z := range zones {
+		slices.SortFunc(byZone[z], func(a, b Copy) int {
+			return cmp.Or(cmp.Compare(spreadOf(id, a.Name), spreadOf(id, b.Name)), cmp.Compare(a.Name, b.Name))
+		})
+	}
+	var out []Copy
+	for i := 0; len(out) < len(copies); i++ {
+		for _, z := range zones {
+			if i < len(byZone[z]) {
+				out = append(out, byZone[z][i])
+			}
+		}
+	}
+	return out
+}
+
+func spreadOf(id, name string) uint64 {
+	h := uint64(14695981039346656037)
+	for _, s := range []string{id, "/", name} {
+		for i := range len(s) {
+			h = (h ^ uint64(s[i])) * 1099511628211
+		}
+	}
+	h ^= h >> 29
+	return h * 0xbf58476d1ce4e5b9
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -49,6 +49,7 @@
 			RunE: func(*cobra.Command, []string) error { return check("", getenv, stdout) }},
 		configCommand(getenv, stdout),
 		fleetCommand(getenv, stdout),
+		rolloutCommand(getenv, stdout),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 			Run: func(*cobra.Command, []string) { fmt.Fprintln(stdout, "ryerill", version()) }},
 	)
@@ -125,7 +126,8 @@
 	if cfg.Limits.Sockets < stated {
 		log.Warn("fewer descriptors than limits.sockets states", "stated", stated, "allowed", may)
 	}
-	p, err := proxy.New(cfg, proxy.WithLogger(log), proxy.WithProgram(version()), proxy.WithShare(func(part float64) {
+	var p *proxy.Proxy
+	p, err = proxy.New(cfg, rollouts(getenv, &p, func(c *config.Config) { c.Bound(may) }), proxy.WithLogger(log), proxy.WithProgram(version()), proxy.WithShare(func(part float64) {
 		debug.SetMemoryLimit(int64(part * memoryPart * float64(cfg.Limits.Memory)))
 	}))
 	var address *config.AddressError
--- a/ops/ops.go
+++ b/ops/ops.go
@@ -34,6 +34,7 @@
 	spare        = 2                      // descriptors kept aside for when there are no others
 	maxHead      = 8 << 10                // bytes of a call's head
 	maxBody      = 1 << 10                // bytes of its body, with the framing of its chunks
+	maxPlan      = 256 << 10              // bytes of a plan of a rollout
 	maxID        = 256                    // bytes of a provider's id
 )
 
@@ -49,9 +50,12 @@
 	Up(id string) error
 	StartDrain() error
 	StopDrain() error
-	Fleet() (status any, in bool) // status is nil while there is none; in is false where the proxy is in no fleet
-	Shared() (status any, in bool) // in is false where copies share nothing
-	Forget(name string) error     // of a dead copy; any error is a 404
+	Fleet() (status any, in bool)   // status is nil while there is none; in is false where the proxy is in no fleet
+	Shared() (status any, in bool)  // in is false where copies share nothing
+	Rollout() (status any, in bool) // in is false where the proxy takes no part in rollouts
+	StartRollout(plan []byte) error
+	RolloutWord(word, body string) error
+	Forget(name string) error // of a dead copy; any error is a 404
 }
 
 // Stats are the figures of one process since its start.
@@ -253,8 +257,12 @@
 	if err != nil || req.Host == "" && req.ProtoAtLeast(1, 1) || req.ProtoMajor != 1 || !strings.HasPrefix(req.RequestURI, "/") {
 		return call{}, no(http.StatusBadRequest, "malformed head: send a call of HTTP/1.1, as in GET /ops/stats HTTP/1.1")
 	}
-	if frame.Length > maxBody {
-		return call{}, no(http.StatusRequestEntityTooLarge, "the body is over %d bytes: send the id of a backend alone", maxBody)
+	most := int64(maxBody)
+	if req.RequestURI == "/ops/rollout" {
+		most = maxPlan
+	}
+	if frame.Length > most {
+		return call{}, no(http.StatusRequestEntityTooLarge, "the body is over %d bytes: send the id of a backend alone", most)
 	}
 	k := call{method: req.Method, path: req.RequestURI}
 	if frame.Length > 0 || frame.Chunked {
@@ -263,10 +271,10 @@
 				return call{}, err
 			}
 		}
-		body, err := io.ReadAll(io.LimitReader(frame.Reader(r), maxBody+1))
+		body, err := io.ReadAll(io.LimitReader(frame.Reader(r), most+1))
 		switch {
-		case len(body) > maxBody:
-			return call{}, no(http.StatusRequestEntityTooLarge, "the body is over %d bytes: send the id of a backend alone", maxBody)
+		case int64(len(body)) > most:
+			return call{}, no(http.StatusRequestEntityTooLarge, "the body is over %d bytes: send the id of a backend alone", most)
 		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 			return call{}, err
 		case err != nil:
@@ -293,12 +301,14 @@
 	method, there := map[string]string{"/ops/readiness": http.MethodGet, "/ops/stats": http.MethodGet,
 		"/ops/backends/down": http.MethodPost, "/ops/backends/up": http.MethodPost,
 		"/ops/drain/start": http.MethodPost, "/ops/drain/stop": http.MethodPost,
-		"/ops/fleet": http.MethodGet, "/ops/fleet/shared": http.MethodGet, "/ops/fleet/forget": http.MethodPost}[k.path]
+		"/ops/fleet": http.MethodGet, "/ops/fleet/shared": http.MethodGet, "/ops/fleet/forget": http.MethodPost,
+		"/ops/rollout": "GET or POST", "/ops/rollout/pause": http.MethodPost, "/ops/rollout/resume": http.MethodPost, "/ops/rollout/abort": http.MethodPost,
+		"/ops/rollout/back": http.MethodPost, "/ops/rollout/refused": http.MethodPost}[k.path]
 	switch {
 	case !there:
 		return no(http.StatusNotFound, "nothing is at this path: call GET /ops/readiness, GET /ops/stats, POST /ops/backends/down, "+
-			"POST /ops/backends/up, POST /ops/drain/start, POST /ops/drain/stop, GET /ops/fleet, GET /ops/fleet/shared or POST /ops/fleet/forget")
-	case method != k.method:
+			"POST /ops/backends/up, POST /ops/drain/start, POST /ops/drain/stop, GET /ops/fleet, GET /ops/fleet/shared, POST /ops/fleet/forget, GET or POST /ops/rollout, or POST /ops/rollout/ with pause, resume, abort, back or refused")
+	case method != k.method && !(method == "GET or POST" && (k.method == http.MethodGet || k.method == http.MethodPost)):
 		a := no(http.StatusMethodNotAllowed, "this path takes %s", method)
 		a.allow = method
 		return a
@@ -310,7 +320,7 @@
 		if id == "" || len(id) > maxID || strings.ContainsFunc(id, func(r rune) bool { return r <= ' ' || r == 0x7f || r == 0xfffd }) {
 			return no(http.StatusBadRequest, "the body is not %s", named)
 		}
-	} else if id != "" {
+	} else if id != "" && !strings.HasPrefix(k.path, "/ops/rollout") {
 		return no(http.StatusBadRequest, "a body where none belongs: send none")
 	}
 	var err error
@@ -336,6 +346,22 @@
 			return no(http.StatusNotFound, "this proxy shares nothing with others: its configuration has no fleet.share block, or it is not in the fleet yet")
 		}
 		return inJSON(status)
+	case "/ops/rollout":
+		if k.method == http.MethodPost {
+			if err := d.staff.StartRollout([]byte(k.body)); err != nil {
+				return no(http.StatusConflict, "%v", err)
+			}
+			break
+		}
+		status, in := d.staff.Rollout()
+		if !in {
+			return no(http.StatusNotFound, "this proxy takes no part in rollouts: its configuration has no fleet block")
+		}
+		return inJSON(status)
+	case "/ops/rollout/pause", "/ops/rollout/resume", "/ops/rollout/abort", "/ops/rollout/back", "/ops/rollout/refused":
+		if err := d.staff.RolloutWord(strings.TrimPrefix(k.path, "/ops/rollout/"), id); err != nil {
+			return no(http.StatusConflict, "%v", err)
+		}
 	case "/ops/fleet/forget":
 		if err := d.staff.Forget(id); err != nil {
 			return no(http.StatusNotFound, "%v", err)
--- a/ops/ops_test.go
+++ b/ops/ops_test.go
@@ -44,6 +44,15 @@
 
 func (s *staff) Shared() (any, bool) { return nil, false }
 
+func (s *staff) Rollout() (any, bool) { return nil, false }
+
+func (s *staff) StartRollout(plan []byte) error {
+	s.changes.Add(1)
+	return nil
+}
+
+func (s *staff) RolloutWord(word, body string) error { s.changes.Add(1); return nil }
+
 func (s *staff) Forget(name string) error {
 	if name != "n2" {
 		return ErrUnknown
@@ -114,6 +123,10 @@
 		{"GET /ops/fleet/shared HTTP/1.1\r\nHost: x\r\n\r\n", 404, "fleet.share", 0},
 		{"POST /ops/fleet/forget HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nn2", 200, "done", 0},
 		{"POST /ops/fleet/forget HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nn3", 404, "no backend", 0},
+		{"POST /ops/rollout HTTP/1.1\r\nHost: x\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("s", 9000), 200, "done", 1},
+		{"POST /ops/rollout/pause HTTP/1.1\r\nHost: x\r\n\r\n", 200, "done", 1},
+		{"GET /ops/rollout HTTP/1.1\r\nHost: x\r\n\r\n", 404, "fleet block", 0},
+		{"PUT /ops/rollout HTTP/1.1\r\nHost: x\r\n\r\n", 405, "GET or POST", 0},
 		{"GET /ops HTTP/1.1\r\nHost: x\r\n\r\n", 404, "GET /ops/readiness", 0},
 		{"GET /ops/stats?all HTTP/1.1\r\nHost: x\r\n\r\n", 404, "call", 0},
 		{"GET /ops/drain/start HTTP/1.1\r\nHost: x\r\n\r\n", 405, "POST", 0},
--- a/proxy/book.go
+++ b/proxy/book.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"time"
+
 	"ryerill"
 	"ryerill/config"
 	"ryerill/invocation"
@@ -37,6 +39,7 @@
 		c.figures.inflight.Add(-1)
 	}
 	c.tallies[e.inv.Class].ended(v)
+	c.booked.answered(&c.settings.Balancer.Classes[e.inv.Class], v == invocation.Served, time.Since(e.inv.Taken))
 }
 
 // release forgets an invocation that is answered and has no invoker call out.
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -49,12 +51,15 @@
 	c, text := p.cfg.Fleet, p.cfg.Text
 	p.mu.Unlock()
 	own := c.Config
-	own.Program, own.Settings = p.program, config.SettingsHash(text)
+	own.Program, own.Settings = p.program, config.CommonHash(text)
 	host, err := fleet.New(own, p.log, p.placed)
 	if err != nil {
 		return nil, &config.AddressError{Key: "fleet.listen", Value: c.Listen, Err: err}
 	}
 	host.Feed(p)
+	if p.changer != nil {
+		host.Roll(p.changer, p.done)
+	}
 	return host, nil
 }
 
@@ -131,7 +136,7 @@
 	case p.ready:
 		phase = member.Serving
 	}
-	hash := config.SettingsHash(p.cfg.Text)
+	hash := config.CommonHash(p.cfg.Text)
 	p.mu.Unlock()
 	host.Say(phase, hash)
 }
@@ -205,6 +210,56 @@
 	return nil, false
 }
 
+// Rollout tells how a plan stands; in is false where the proxy takes no part.
+func (p *Proxy) Rollout() (s any, in bool) {
+	if host := p.fleetHost(); host != nil {
+		return host.RolloutStatus()
+	}
+	return nil, false
+}
+
+// StartRollout hands a plan over, as a person wrote it.
+func (p *Proxy) StartRollout(text []byte) error {
+	host := p.fleetHost()
+	if host == nil || p.plan == nil {
+		return errNoFleet
+	}
+	plan, err := p.plan(text)
+	if err != nil {
+		return err
+	}
+	return host.StartRollout(plan)
+}
+
+// RolloutWord passes staff's word on: pause, resume, abort, back; or refused, with the
+// plan and why the operator's own means could not.
+func (p *Proxy) RolloutWord(word, body string) error {
+	host := p.fleetHost()
+	switch {
+	case host == nil:
+		return errNoFleet
+	case word == "refused":
+		plan, why, _ := strings.Cut(body, " ")
+		host.NotTaken(plan, why)
+		return nil
+	}
+	return host.RolloutWord(word)
+}
+
+// Settled waits until the proxy is ready and every pool has heard its directory.
+func (p *Proxy) Settled(within time.Duration) error {
+	limit := time.NewTimer(within)
+	defer limit.Stop()
+	for _, c := range p.cores() {
+		select {
+		case <-c.heard:
+		case <-limit.C:
+			return fmt.Errorf("pool %s: its directory does not answer within %v", c.cfg.Name, within)
+		}
+	}
+	return p.Readiness()
+}
+
 // Forget takes staff's word that a dead copy is gone for good.
 func (p *Proxy) Forget(name string) error {
 	if host := p.fleetHost(); host != nil {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -19,6 +19,8 @@
 
 	"ryerill/config"
 	"ryerill/consumer"
+	"ryerill/fleet"
+	"ryerill/fleet/rollout"
 	"ryerill/internal/buffer"
 	"ryerill/internal/wordfile"
 	"ryerill/ops"
@@ -72,6 +74,8 @@
 	onShare  func(part float64)
 	side     *side  // in the fleet; nil is none
 	program  string // its version
+	changer  fleet.Changer
+	plan     func(text []byte) (rollout.Plan, error)
 }
 
 // listener is a front at its address.
@@ -95,6 +99,12 @@
 // WithProgram tells the version of the program, which the fleet is told.
 func WithProgram(version string) Option { return func(p *Proxy) { p.program = version } }
 
+// WithRollouts has the proxy take part in its fleet's rollouts: change brings settings
+// about here, plan reads one that a person hands over.
+func WithRollouts(change fleet.Changer, plan func(text []byte) (rollout.Plan, error)) Option {
+	return func(p *Proxy) { p.changer, p.plan = change, plan }
+}
+
 // New returns a proxy that listens already; consumers wait until Run. One that
 // finds another process of the same proxy listens in Run, when it is ready to serve.
 func New(cfg config.Config, options ...Option) (*Proxy, error) {
--- a/proxy/sharing.go
+++ b/proxy/sharing.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"time"
+
 	"ryerill"
 	"ryerill/fleet"
 	counts "ryerill/fleet/tally"
@@ -16,6 +18,7 @@
 	wants []float64 // by tenant, since the last look
 	came  []uint64  // by class, since the start
 	ends  []end
+	done  fleet.Done // for rollouts, since the start
 }
 
 type end struct {
@@ -43,11 +46,41 @@
 	}
 }
 
-// shares has pools note for the fleet.
-func (p *Proxy) shares() bool {
-	return p.cfg.Fleet != nil && p.cfg.Fleet.Share != nil
+// answered books an invocation's end for the fleet. The mutex is held.
+func (b *booked) answered(k *ryerill.Class, served bool, took time.Duration) {
+	if b == nil {
+		return
+	}
+	b.done.Asked += k.Worth
+	if !served {
+		return
+	}
+	b.done.Answers++
+	b.done.Took += took.Seconds()
+	if took <= k.Aim {
+		b.done.Good += k.Worth
+	} else {
+		b.done.Good += k.Worth * k.LateWorth
+	}
 }
 
+// done is what each pool did since its start.
+func (p *Proxy) done() (all []fleet.Done) {
+	for _, c := range p.cores() {
+		c.mu.Lock()
+		if c.booked != nil {
+			d := c.booked.done
+			d.Pool = c.cfg.Name
+			all = append(all, d)
+		}
+		c.mu.Unlock()
+	}
+	return all
+}
+
+// shares has pools note for the fleet.
+func (p *Proxy) shares() bool { return p.cfg.Fleet != nil }
+
 // feed is what a pool tells the fleet.
 func (c *core) feed(fed *fleet.Fed) {
 	c.mu.Lock()
