Play nights of random troubles, and mend three faults that they found

Need: parts proved alone fail in combinations.

Found, each with its shrunk night or seed: (1) a plan stood for ever without a leader: candidates voted for themselves, retried at once and kept each other's votes (they now wait by rank after every failure); (2) the same at 30 copies, where 22 waited alike and each try kept votes from the next for a lease (a copy now asks first who would vote, which promises nothing); (3) copies that came back after a plan had gone back changed all at once, two where one may be away (they have their turn by name).

--- a/fleet/rollout/lead.go
+++ b/fleet/rollout/lead.go
@@ -20,9 +20,10 @@
 	drift       = 0.02            // clocks run fast or slow by at most so much
 	renewEvery  = Lease / 3
 	remindEvery = 2 * time.Second
-	tryAfter    = 400 * time.Millisecond // more for each copy that comes first by name
-	mostHistory = 64                     // lines
-	MostText    = 256 << 10              // bytes of settings
+	mostRank    = 8         // beyond it copies wait alike
+	tryAfter    = Lease / 2 // more for each copy that comes first by name
+	mostHistory = 64        // lines
+	MostText    = 256 << 10 // bytes of settings
 	MostStages  = 32
 	MostCopies  = 8192
 )
@@ -144,6 +145,8 @@
 const (
 	AskVote MessageKind = iota + 1
 	Vote
+	AskWill // whether one would vote, if asked: nothing is promised by the answer
+	Will
 	Tell    // State
 	Order   // to one copy
 	Reports // Report, to the leader
@@ -196,6 +199,7 @@
 
 	// Of a candidate or leader.
 	fence    uint64
+	will     poll
 	asks     []poll
 	heldTo   time.Duration // the lease, by its own clock
 	nextTry  time.Duration
@@ -332,17 +336,32 @@
 func (r *Rollout) follow() {
 	s := &r.state
 	c := r.find(r.name)
-	if c == nil || s.Plan.ID == "" || c.Refused != "" {
+	if c == nil || s.Plan.ID == "" || c.Refused != "" || !r.behind(c) {
 		return
 	}
+	// Many may be back at once: they have their turn by name, no more away than the plan allows.
+	before := 0
+	for i := range r.copies {
+		o := &r.copies[i]
+		if o.Alive && o.Refused == "" && o.Name != r.name && (!o.Ready || o.Name < r.name && r.behind(o)) {
+			before++
+		}
+	}
 	switch {
-	case s.Phase == Done && s.Plan.Kind == Settings && c.Holds != s.Plan.Target:
+	case before >= s.Plan.Away:
+	case s.Phase == Done:
 		r.obey(s.Plan.ID, s.Plan.Target, false)
-	case s.Phase == BackDone && c.Holds == s.Plan.Target:
+	default:
 		r.obey(s.Plan.ID, "", true)
 	}
 }
 
+// behind tells whether a copy does not hold what the plan came to.
+func (r *Rollout) behind(c *Copy) bool {
+	s := &r.state
+	return s.Phase == Done && s.Plan.Kind == Settings && c.Holds != s.Plan.Target || s.Phase == BackDone && c.Holds == s.Plan.Target
+}
+
 // remind tells one other now and then how the plan stands: it may have been away.
 func (r *Rollout) remind() {
 	if r.state.Fence == 0 || r.now < r.nextWord || len(r.copies) < 2 {
@@ -364,27 +383,34 @@
 	switch {
 	case r.fence != 0 && r.fence < r.highest: // another has a higher number
 		r.fence, r.heldTo, r.judge = 0, 0, nil
+		r.nextTry = r.now + r.patience()
 	case r.fence == 0:
 		if r.nextTry == 0 {
-			r.nextTry = r.now + Lease + time.Duration(r.rank())*tryAfter
+			r.nextTry = r.now + r.patience()
 		}
 		if r.now < r.nextTry || r.now < r.voted && r.votedTo != r.name || !r.most() {
 			return // without most copies in sight a number would only be in the way of who has them
 		}
-		r.highest++
-		r.fence = r.highest
-		r.asks, r.heldTo = nil, 0
-		r.ask()
-		r.nextTry = r.now + Lease + time.Duration(r.rank())*tryAfter
+		// First it is asked who would vote: a try that must fail would keep votes from others for a lease.
+		r.seq++
+		r.will = poll{seq: r.seq, at: r.now, votes: map[string]bool{r.name: true}}
+		for _, c := range r.copies {
+			if c.Name != r.name && c.Alive {
+				r.send(c.Name, Message{Kind: AskWill, Fence: r.highest + 1, Seq: r.seq})
+			}
+		}
+		r.nextTry = r.now + r.patience()
+		r.willed()
 		return
 	}
-	if r.fence != 0 && r.heldTo == 0 && r.now >= r.nextTry { // too few voted
+	if r.fence != 0 && r.heldTo == 0 && r.now >= r.nextTry { // too few voted: others may have more luck
 		r.fence = 0
+		r.nextTry = r.now + r.patience()
 		return
 	}
 	if r.fence != 0 && r.heldTo != 0 && r.now >= r.heldTo+Lease { // lost: another may try
 		r.fence, r.heldTo = 0, 0
-		r.nextTry = r.now + time.Duration(r.rank())*tryAfter
+		r.nextTry = r.now + r.patience()
 		return
 	}
 	if r.fence != 0 && r.now >= r.nextAsk {
@@ -408,6 +434,26 @@
 	}
 }
 
+// willed seeks the lease once most would vote.
+func (r *Rollout) willed() {
+	if 2*len(r.will.votes) <= len(r.copies) || r.fence != 0 || r.state.Phase.Ended() || r.now < r.voted && r.votedTo != r.name {
+		return
+	}
+	r.will = poll{}
+	r.highest++
+	r.fence = r.highest
+	r.asks, r.heldTo = nil, 0
+	r.ask()
+	r.nextTry = r.now + Lease/2
+}
+
+// patience is how long a copy waits until it seeks the lease: until votes for others
+// are over, and longer for each copy that comes before it by name, so that not all
+// seek it at once, vote for themselves, and nobody ever gets it.
+func (r *Rollout) patience() time.Duration {
+	return stretch(Lease) + time.Duration(min(r.rank(), mostRank))*tryAfter
+}
+
 // most tells whether most copies are there.
 func (r *Rollout) most() bool {
 	n := 0
@@ -473,6 +519,17 @@
 		} else if m.Fence < r.highest { // who asks has to know
 			r.send(m.From, Message{Kind: Vote, Fence: r.highest})
 		}
+	case AskWill:
+		if m.Fence > r.highest && (r.now >= r.voted || r.votedTo == m.From) {
+			r.send(m.From, Message{Kind: Will, Fence: r.highest, Seq: m.Seq})
+		} else if m.Fence <= r.highest {
+			r.send(m.From, Message{Kind: Vote, Fence: r.highest}) // who asks has to know
+		}
+	case Will:
+		if r.highest = max(r.highest, m.Fence); m.Seq == r.will.seq && r.will.votes != nil {
+			r.will.votes[m.From] = true
+			r.willed()
+		}
 	case Vote:
 		if r.highest = max(r.highest, m.Fence); m.Fence != r.fence || r.fence == 0 {
 			break
--- a/fleet/rollout/rollout_test.go
+++ b/fleet/rollout/rollout_test.go
@@ -385,6 +385,9 @@
 		for i := range r.asks {
 			r.asks[i].votes = clone(r.asks[i].votes)
 		}
+		if r.will.votes != nil {
+			r.will.votes = clone(r.will.votes)
+		}
 		r.state.Chosen, r.state.Failed, r.state.History = slices.Clone(r.state.Chosen), slices.Clone(r.state.Failed), slices.Clone(r.state.History)
 		if r.judge != nil {
 			j := *r.judge
@@ -468,7 +471,7 @@
 	for _, h := range c.hands {
 		r := h.r
 		left := func(at time.Duration) time.Duration { return max(at-c.now, -1) / (50 * time.Millisecond) }
-		fmt.Fprint(&b, h.up, h.holds, left(h.ready), left(h.change), h.fence, r.highest, left(r.voted), r.votedTo, r.fence, left(r.heldTo), left(r.nextTry), left(r.nextAsk), polls(r), r.applied,
+		fmt.Fprint(&b, h.up, h.holds, left(h.ready), left(h.change), h.fence, r.highest, left(r.voted), r.votedTo, r.fence, left(r.heldTo), left(r.nextTry), left(r.nextAsk), polls(r), len(r.will.votes), r.applied,
 			r.state.Fence, r.state.Version, r.state.Phase, r.state.Stage, r.state.Chosen, len(r.ordered), left(r.orders))
 	}
 	for _, l := range c.way {
@@ -607,6 +610,6 @@
 		{Name: "a stage that costs goes on", File: "drive.go", From: "	case verdict == Bad:\n		r.worse(\"\", why)\n", To: ""},
 		{Name: "a death within the soak says nothing", File: "drive.go", From: "r.judge.Deaths(name, r.deadUnchanged(s.Chosen), len(r.copies)-len(s.Chosen))", To: "false"},
 		{Name: "a second plan is taken", File: "lead.go", From: "	if !r.state.Phase.Ended() {\n		return &StandsError{r.state.Plan.ID, r.state.Phase}\n	}\n	r.highest++", To: "	r.highest++"},
-		{Name: "who was away keeps what it had", File: "lead.go", From: "	case s.Phase == Done && s.Plan.Kind == Settings && c.Holds != s.Plan.Target:", To: "	case false:"},
+		{Name: "who was away keeps what it had", File: "lead.go", From: "	case s.Phase == Done:\n		r.obey(s.Plan.ID, s.Plan.Target, false)", To: "	case s.Phase == Done:"},
 	})
 }
--- a/lab/members/members.go
+++ b/lab/members/members.go
@@ -361,3 +361,7 @@
 	*q = old[:n]
 	return x
 }
+
+// Depart books that a copy says that it goes for good: it will not come back as one
+// that all count.
+func (c *Copy) Depart() { c.sure, c.left = false, true }
--- /dev/null
+++ b/lab/night/processes.go
@@ -0,0 +1,360 @@
+package night
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"ryerill/config"
+	"ryerill/fleet"
+	"ryerill/lab/copies"
+	badnet "ryerill/lab/net"
+)
+
+// What is looked at on processes.
+const (
+	agreeProcesses = 30 * time.Second
+	planProcesses  = 3 * time.Minute
+	mostGrown      = 24 // descriptors that a copy may hold more in the end
+	mostMemory     = 64 // MB that a copy may hold
+)
+
+// Processes plays a night on real processes of the program, under load, with the
+// ledger kept by the stand-ins behind them.
+func Processes(ctx context.Context, sch Schedule, command []string, say func(string)) (sum copies.Sum, bad *Violation, err error) {
+	dir, err := os.MkdirTemp("", "ryerill-night")
+	if err != nil {
+		return sum, nil, err
+	}
+	defer os.RemoveAll(dir)
+	f, err := copies.Start(ctx, copies.Options{Command: command, Dir: dir, Copies: sch.Copies, Providers: 6, Change: func(_ int, file *config.File) {
+		file.Fleet.Share = &config.ShareFile{Quotas: true, Counts: true, Verdicts: true}
+		file.Pools[0].Tenants = []config.TenantFile{{Name: "acme", Quota: whole}}
+	}})
+	if err != nil {
+		return sum, nil, err
+	}
+	defer f.Close()
+	load, stop := context.WithCancel(ctx)
+	defer stop()
+	var all sync.WaitGroup
+	for i := range f.Copies {
+		all.Add(1)
+		go func() { defer all.Done(); f.Drive(load, i, 15) }()
+	}
+	n := &processes{f: f, began: time.Now(), say: say}
+	if !n.until(ctx, agreeProcesses, n.agree) {
+		return sum, n.fail("views become equal", "not even at the start: %s", n.views()), nil
+	}
+	before := map[string]int{}
+	for _, c := range f.Copies {
+		before[c.Name] = openFiles(c.Pid())
+	}
+	n.began = time.Now()
+	n.play(ctx, sch)
+	f.Relays.Do(func(net *badnet.Net) { net.Heal(); net.Usual(badnet.Link{}) })
+	f.Ledger.Spoil(-1)
+	for i, c := range f.Copies {
+		c.Signal(syscall.SIGCONT)
+		if !c.Up() {
+			c.Await()
+			if err := f.Launch(ctx, i); err != nil {
+				return f.Ledger.Sum(), n.fail("a copy starts", "%v", err), nil
+			}
+		}
+	}
+	over := time.Now()
+	switch {
+	case n.bad != nil:
+	case !n.until(ctx, agreeProcesses, n.agree):
+		n.fail("views become equal", "after %v they are not: %s", agreeProcesses, n.views())
+	case !n.until(ctx, planProcesses, n.settled):
+		n.fail("a plan ends or waits for a person", "after %v: %s", planProcesses, n.plan())
+	}
+	say(fmt.Sprintf("at rest %v after the last trouble", time.Since(over).Round(10*time.Millisecond)))
+	stop()
+	all.Wait()
+	sum = f.Ledger.Sum()
+	if sum.Lost+sum.Late+sum.Repeated > 0 || sum.Failed > f.Ledger.Spoilt() || sum.Served == 0 {
+		n.fail("one final answer in time, and no repeat against the class", "%+v", sum)
+	}
+	for _, c := range f.Copies {
+		log := c.Log()
+		if at := strings.Index(log, "panic"); at >= 0 {
+			n.fail("no copy crashes", "%s: %s", c.Name, log[at:min(len(log), at+2000)])
+		}
+		if now := openFiles(c.Pid()); now > before[c.Name]+mostGrown {
+			n.fail("nothing grows", "%s holds %d descriptors, %d before", c.Name, now, before[c.Name])
+		}
+		if mb := memory(c.Pid()); mb > mostMemory {
+			n.fail("nothing grows", "%s holds %d MB", c.Name, mb)
+		}
+	}
+	return sum, n.bad, nil
+}
+
+func openFiles(pid int) int {
+	all, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	return len(all)
+}
+
+// memory is what a process holds, in MB.
+func memory(pid int) (mb int) {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	var size, resident int
+	fmt.Sscan(string(text), &size, &resident)
+	return resident * os.Getpagesize() >> 20
+}
+
+type processes struct {
+	f     *copies.Fleet
+	began time.Time
+	say   func(string)
+	mu    sync.Mutex
+	bad   *Violation
+	plans int
+	all   sync.WaitGroup
+}
+
+func (n *processes) fail(rule, format string, args ...any) *Violation {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.bad == nil {
+		n.bad = &Violation{time.Since(n.began), rule, fmt.Sprintf(format, args...)}
+	}
+	return n.bad
+}
+
+func (n *processes) until(ctx context.Context, most time.Duration, so func() bool) bool {
+	for end := time.Now().Add(most); !so(); time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(end) || ctx.Err() != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// play has each trouble begin and end at its time.
+func (n *processes) play(ctx context.Context, sch Schedule) {
+	for _, st := range sch.Steps {
+		n.all.Add(1)
+		go func() {
+			defer n.all.Done()
+			if !pause(ctx, st.At-time.Since(n.began)) {
+				return
+			}
+			n.say(fmt.Sprintf("%v %s %v for %v", time.Since(n.began).Round(100*time.Millisecond), st.Kind, st.Whom, st.For))
+			n.begin(ctx, &st)
+		}()
+	}
+	for end := n.began.Add(sch.Length); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(500 * time.Millisecond) {
+		n.rates()
+	}
+	n.all.Wait()
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(max(d, 0)):
+		return true
+	}
+}
+
+// rates looks whether all together may spend more than there is: what moves between
+// two questions is asked again.
+func (n *processes) rates() {
+	sum := 0.0
+	for range 10 {
+		sum = 0
+		for _, c := range n.f.Copies {
+			if s, err := c.Shared(); c.Up() && err == nil {
+				for _, b := range s.Budgets {
+					sum += b.Rate
+				}
+			}
+		}
+		if sum <= whole*1.0001 {
+			return
+		}
+		time.Sleep(30 * time.Millisecond)
+	}
+	n.fail("a budget is never overspent", "all together may spend %.1f of %.0f", sum, whole)
+}
+
+func (n *processes) names(st *Step) (out []string) {
+	for _, i := range st.Whom {
+		out = append(out, n.f.Copies[i].Name)
+	}
+	return out
+}
+
+// begin carries a trouble out, and ends it.
+func (n *processes) begin(ctx context.Context, st *Step) {
+	net := func(change func(*badnet.Net)) { n.f.Relays.Do(change) }
+	back := func() {
+		for _, i := range st.Whom {
+			if c := n.f.Copies[i]; c.Await() != context.Canceled && !c.Up() && ctx.Err() == nil {
+				if err := n.f.Launch(ctx, i); err != nil && !strings.Contains(err.Error(), "in use") {
+					n.fail("a copy starts", "%v", err)
+				}
+			}
+		}
+	}
+	switch st.Kind {
+	case Cut, Deaf:
+		net(func(b *badnet.Net) {
+			for _, name := range n.names(st) {
+				b.CutOff(name, st.Kind == Deaf)
+			}
+		})
+		pause(ctx, st.For)
+		net((*badnet.Net).Heal)
+	case Split:
+		net(func(b *badnet.Net) { b.Split(n.names(st)) })
+		pause(ctx, st.For)
+		net((*badnet.Net).Heal)
+	case Bad:
+		net(func(b *badnet.Net) { b.Usual(st.Link) })
+		pause(ctx, st.For)
+		net(func(b *badnet.Net) { b.Usual(badnet.Link{}) })
+	case Stop:
+		for _, i := range st.Whom {
+			n.f.Copies[i].Signal(syscall.SIGSTOP)
+		}
+		pause(ctx, min(st.For, 3*time.Second)) // longer and consumers give up: a fleet that is off would lose that too
+		for _, i := range st.Whom {
+			n.f.Copies[i].Signal(syscall.SIGCONT)
+		}
+	case Kill, Leave:
+		for _, i := range st.Whom {
+			c := n.f.Copies[i]
+			c.Signal(syscall.SIGCONT)
+			if c.Signal(map[string]syscall.Signal{Kill: syscall.SIGKILL, Leave: syscall.SIGTERM}[st.Kind]); st.Kind == Kill {
+				c.Await()
+			}
+		}
+		pause(ctx, st.For)
+		back()
+	case Wants:
+		for _, i := range st.Whom {
+			if st.Much > 0 {
+				n.all.Add(1)
+				go func() {
+					defer n.all.Done()
+					load, stop := context.WithTimeout(ctx, st.For)
+					defer stop()
+					n.f.Drive(load, i, int(min(st.Much, 100)))
+				}()
+			}
+		}
+	case Good:
+		n.mu.Lock()
+		n.plans++
+		text, err := n.settings(n.plans)
+		n.mu.Unlock()
+		if err == nil {
+			n.f.Copies[st.Whom[0]].Ask("POST", "/ops/rollout", text) // refused while another stands
+		}
+	case Abort:
+		n.f.Copies[st.Whom[0]].Ask("POST", "/ops/rollout/abort", "")
+	case Trouble, Costly:
+		n.f.Ledger.Spoil(st.Whom[0] % 6)
+		pause(ctx, st.For)
+		n.f.Ledger.Spoil(-1)
+	}
+}
+
+// settings is a harmless plan over the first copy's file.
+func (n *processes) settings(number int) (string, error) {
+	text, err := os.ReadFile(n.f.Copies[0].File)
+	if err != nil {
+		return "", err
+	}
+	file := new(config.File)
+	if err := yaml.Unmarshal(text, file); err != nil {
+		return "", err
+	}
+	file.Pools[0].Copy, file.Pools[0].Limits.Attempts = 0, 3+number%3
+	pools, err := yaml.Marshal(map[string]any{"pools": file.Pools})
+	return fmt.Sprintf("id: plan-%d\nkind: settings\nstages: [{count: 1, soak: 1s}, {part: 0.5, soak: 1s}, {part: 1, soak: 1s}]\naway: 2\nwait: 20s\nunknown: 20s\nsettings:\n  %s\n",
+		number, strings.ReplaceAll(strings.TrimSpace(string(pools)), "\n", "\n  ")), err
+}
+
+func (n *processes) agree() bool {
+	digest := ""
+	for _, c := range n.f.Copies {
+		s, err := c.Status()
+		if err != nil || digest != "" && s.Digest != digest {
+			return false
+		}
+		digest = s.Digest
+		alive := 0
+		for _, m := range s.Members {
+			if m.Status == "alive" {
+				alive++
+			}
+		}
+		if alive != len(n.f.Copies) {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *processes) views() (text string) {
+	for _, c := range n.f.Copies {
+		s, err := c.Status()
+		text += fmt.Sprintf("%s %s %v:", c.Name, s.Digest, err)
+		for _, m := range s.Members {
+			if m.Status != "alive" {
+				text += " " + m.Name + " " + m.Status
+			}
+		}
+		text += "; "
+	}
+	return text
+}
+
+func (n *processes) status(c *copies.Copy) (s fleet.RolloutStatus, err error) {
+	text, err := c.Ask("GET", "/ops/rollout", "")
+	if err == nil {
+		err = json.Unmarshal([]byte(text), &s)
+	}
+	return s, err
+}
+
+func (n *processes) settled() bool {
+	for _, c := range n.f.Copies {
+		if s, err := n.status(c); err != nil || !s.Ended && s.Phase != "stopped" {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *processes) plan() (text string) {
+	for _, c := range n.f.Copies {
+		s, err := n.status(c)
+		text += fmt.Sprintf("%s: %s %s (%s) led by %s number %d %v; ", c.Name, s.Plan, s.Phase, s.Reason, s.Leader, s.Number, err)
+	}
+	return text
+}
+
+// Found is where a schedule that does not balance is kept.
+func Found(dir string, sch Schedule, rule string) (string, error) {
+	file := filepath.Join(dir, fmt.Sprintf("%s-%d-%d.yaml", strings.ReplaceAll(rule, " ", "-"), sch.Copies, sch.Seed))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return "", err
+	}
+	return file, sch.Write(file)
+}
--- /dev/null
+++ b/lab/night/virtual.go
@@ -0,0 +1,514 @@
+package night
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"ryerill/fleet/allot"
+	"ryerill/fleet/member"
+	"ryerill/fleet/rollout"
+	"ryerill/lab/members"
+	badnet "ryerill/lab/net"
+)
+
+// What must hold once all troubles are over.
+const (
+	look     = 100 * time.Millisecond
+	agreeIn  = 30 * time.Second // all know all
+	grantIn  = 20 * time.Second // the budget goes where it is wanted
+	granted  = 0.85             // of what is there, also where many want more than that
+	planIn   = 10 * time.Minute // a plan ends, or waits for a person
+	whole    = 1000.0           // units a second of the budget
+	oldHash  = "0123456789abcdef"
+	settling = time.Second // a copy takes so long to change
+)
+
+// Violation is something that does not balance.
+type Violation struct {
+	At   time.Duration
+	Rule string
+	Text string
+}
+
+func (v *Violation) Error() string { return fmt.Sprintf("at %v: %s: %s", v.At, v.Rule, v.Text) }
+
+// Figures are what a night came to.
+type Figures struct {
+	Copies, Steps     int
+	Length            time.Duration
+	Agreed            time.Duration // after the last trouble's end, until all knew all
+	Deaths, Suspected int
+	Plans, Done       int
+	Datagrams         uint64
+}
+
+// hand is one copy with all that the fleet's host holds beside membership.
+type hand struct {
+	*members.Copy
+	i       int
+	allot   *allot.Allot
+	roll    *rollout.Rollout
+	epoch   uint64
+	holds   string
+	before  string
+	plan    string // that it changed by last
+	ready   time.Duration
+	change  time.Duration
+	wants   float64
+	told    int // among how many it divides
+	state   rollout.State
+	stopped bool
+}
+
+type parcel struct {
+	from, to int
+	budget   *allot.Message
+	roll     *rollout.Message
+}
+
+// virtual is one night in virtual time.
+type virtual struct {
+	s       *members.Sim
+	hands   []*hand
+	rng     *rand.Rand
+	costs   map[string]float64 // by target
+	zones   [3]float64         // what the zones lose now
+	links   []badnet.Link
+	plans   int
+	bad     *Violation
+	figures Figures
+	last    time.Duration // the end of the last trouble
+	strange Mutation
+}
+
+// Mutation is a fault planted in the glue between the parts, to see that nights find it.
+type Mutation string
+
+// Play plays a night in virtual time.
+func Play(sch Schedule, m Mutation) (Figures, *Violation) {
+	net := badnet.New(members.Lan, sch.Seed)
+	v := &virtual{s: members.New(sch.Copies, net, sch.Seed), rng: rand.New(rand.NewPCG(sch.Seed, 22)), costs: map[string]float64{}, strange: m}
+	v.figures = Figures{Copies: sch.Copies, Steps: len(sch.Steps), Length: sch.Length}
+	v.s.Seen = func(c members.Change) {
+		switch c.Record.Status {
+		case member.Dead:
+			v.figures.Deaths++
+		case member.Suspect:
+			v.figures.Suspected++
+		}
+	}
+	for i := range sch.Copies {
+		v.hands = append(v.hands, &hand{Copy: v.s.Copies[i], i: i, holds: oldHash, before: oldHash})
+		v.s.Config = func(i int, c *member.Config) {
+			c.Tags.Settings, c.Tags.Phase = v.hands[i].holds, member.Starting
+		}
+		v.start(i)
+	}
+	for _, st := range sch.Steps {
+		v.s.At(st.At, func() { v.begin(&st) })
+		v.last = max(v.last, st.At)
+		if st.For > 0 && st.Kind != Wants && st.Kind != Good && st.Kind != Costly && st.Kind != Abort {
+			v.s.At(st.At+st.For, func() { v.end(&st) })
+			v.last = max(v.last, st.At+st.For)
+		}
+	}
+	for v.s.Now < max(v.last, sch.Length) && v.bad == nil {
+		v.step()
+	}
+	v.quiet()
+	v.figures.Datagrams = net.Total.Frames
+	return v.figures, v.bad
+}
+
+func (v *virtual) fail(rule, format string, args ...any) {
+	if v.bad == nil {
+		v.bad = &Violation{v.s.Now, rule, fmt.Sprintf(format, args...)}
+	}
+}
+
+func (v *virtual) start(i int) {
+	h := v.hands[i]
+	again := h.Member != nil
+	h.epoch++
+	h.ready, h.change = v.s.Now+300*time.Millisecond, 0
+	var seeds []string
+	for j := range min(3, len(v.hands)) {
+		if j != i {
+			seeds = append(seeds, members.Name(j))
+		}
+	}
+	if len(seeds) == 0 {
+		seeds = []string{members.Name((i + 1) % v.figures.Copies)}
+	}
+	v.s.Start(i, seeds...)
+	fresh := again && v.strange != "restarted copies lend at once"
+	h.allot = allot.New(h.Name, h.epoch, uint64(i)+h.epoch<<20, fresh, v.s.Now)
+	h.allot.Set(v.s.Now, []allot.Budget{{Name: "quota", Kind: allot.Rate, Whole: whole}})
+	h.roll = rollout.New(h.Name, v.s.Now)
+	h.roll.Restore(h.state)
+}
+
+// up tells whether a copy runs and is not stopped.
+func (h *hand) up() bool { return h.Up && !h.Stopped }
+
+// step plays a span: membership by itself, and then each copy's look at the rest, as
+// the host does.
+func (v *virtual) step() {
+	v.s.Run(v.s.Now + look)
+	v.s.Look(v.figures.Copies)
+	second := v.s.Now%time.Second < look
+	for _, h := range v.hands {
+		if h.up() {
+			v.look(h, second)
+		}
+	}
+	v.check()
+}
+
+func (v *virtual) look(h *hand, second bool) {
+	now := v.s.Now
+	phase := member.Serving
+	if now < h.ready {
+		phase = member.Starting
+	}
+	if t := h.Member.Self().Tags; t.Phase != phase || t.Settings != h.holds {
+		tags := *t
+		tags.Phase, tags.Settings = phase, h.holds
+		v.s.Tell(h.i, member.Event{Kind: member.Retag, Tags: tags})
+	}
+	place := h.View.Pool("main")
+	among := place.Among
+	if !place.Sure && v.strange != "unsure copies spend" {
+		among = 0
+	}
+	if v.strange == "divided among those that are there" {
+		among = max(place.There, 1)
+	}
+	var others []string
+	var crew []rollout.Copy
+	for _, m := range h.Member.Members() {
+		if m.Status == member.Left || m.Tags == nil {
+			continue
+		}
+		alive := m.Self || m.Status == member.Alive || m.Status == member.Suspect
+		if v.strange == "the dead count as there" {
+			alive = true
+		}
+		crew = append(crew, rollout.Copy{Name: m.Name, Zone: m.Tags.Zone, Alive: alive, Ready: m.Tags.Phase == member.Serving || v.strange == "starting counts as ready", Holds: m.Tags.Settings, Epoch: m.Epoch})
+		if !m.Self && m.Status == member.Alive {
+			others = append(others, m.Name)
+		}
+	}
+	if v.strange == "a crew of those in sight" {
+		crew = slices.DeleteFunc(crew, func(c rollout.Copy) bool { return !c.Alive })
+	}
+	h.allot.Among(now, among, others)
+	h.allot.Want(now, "quota", h.wants*look.Seconds())
+	v.budgets(h, h.allot.Tick(now, nil))
+	v.rolls(h, h.roll.Tick(now, crew, nil))
+	h.state = h.roll.State()
+	if v.strange == "plans are not kept" {
+		h.state = rollout.State{}
+	}
+	if second {
+		v.report(h)
+	}
+}
+
+func (v *virtual) budgets(h *hand, out []allot.Action) {
+	for _, a := range out {
+		v.post(parcel{from: h.i, to: v.index(a.To), budget: &a.Message})
+	}
+}
+
+func (v *virtual) index(name string) int {
+	var i int
+	if _, err := fmt.Sscanf(name, "m%d", &i); err != nil || i >= len(v.hands) {
+		return -1
+	}
+	return i
+}
+
+func (v *virtual) post(p parcel) {
+	if p.to < 0 {
+		return
+	}
+	epoch := v.hands[p.to].epoch
+	for _, c := range v.s.Net.Send(v.s.Now, members.Name(p.from), members.Name(p.to), 150) {
+		if c.Corrupt && v.strange != "torn frames are taken" {
+			continue
+		}
+		v.s.At(c.At, func() {
+			h := v.hands[p.to]
+			if !h.up() || h.epoch != epoch {
+				return
+			}
+			if p.budget != nil {
+				msg := *p.budget
+				if c.Corrupt {
+					msg.Amount *= 3
+				}
+				v.budgets(h, h.allot.Handle(v.s.Now, members.Name(p.from), msg, nil))
+			} else {
+				v.rolls(h, h.roll.Handle(v.s.Now, *p.roll, nil))
+			}
+		})
+	}
+}
+
+// rolls carries out what a rollout wants of a copy.
+func (v *virtual) rolls(h *hand, out []rollout.Action) {
+	for _, a := range out {
+		switch a.Kind {
+		case rollout.Send:
+			v.post(parcel{from: h.i, to: v.index(a.To), roll: &a.Message})
+		case rollout.Apply:
+			want := a.Target
+			if a.Back {
+				want = h.before
+			}
+			if want == h.holds {
+				continue
+			}
+			if !a.Back {
+				h.before = h.holds
+			}
+			if p := h.roll.State().Phase; p == rollout.Aborted || p == rollout.Expired || p == rollout.Paused {
+				v.fail("an ended plan changes nothing", "%s changes while its plan is %v", h.Name, p)
+			}
+			h.holds, h.ready, h.change = want, v.s.Now+settling, v.s.Now+settling
+		}
+	}
+}
+
+// report tells the leader how a copy did in the last second.
+func (v *virtual) report(h *hand) {
+	s := h.roll.State()
+	leader := v.index(s.Leader)
+	if leader < 0 || s.Phase.Ended() {
+		return
+	}
+	zone := h.i % 3
+	asked := 60.0
+	good := min(max(0.98-v.zones[zone]-v.costs[h.holds]+0.01*v.rng.NormFloat64(), 0), 1)
+	if v.s.Now < h.ready {
+		asked = 0
+	}
+	rep := &rollout.Report{Name: h.Name, Zone: fmt.Sprint("z", zone), Pool: "main", Span: uint64(v.s.Now / time.Second), Asked: asked, Good: math.Round(asked * good), Answers: math.Round(asked * good), Took: 0.02 * asked * good}
+	msg := rollout.Message{Kind: rollout.Reports, From: h.Name, Report: rep}
+	if leader == h.i {
+		v.rolls(h, h.roll.Handle(v.s.Now, msg, nil))
+	} else {
+		v.post(parcel{from: h.i, to: leader, roll: &msg})
+	}
+}
+
+// check looks at what must hold at every moment.
+func (v *virtual) check() {
+	rates, parts, leaders, away := 0.0, 0.0, 0, 0
+	bound := 0
+	for _, h := range v.hands {
+		if !h.Up {
+			continue
+		}
+		rates += h.allot.Rate(v.s.Now, "quota")
+		if h.View != nil {
+			parts += h.View.Pool("main").Part()
+		}
+		if h.up() && h.roll.Leads() {
+			leaders++
+		}
+		if v.s.Now < h.change {
+			away++
+		}
+		bound = max(bound, h.roll.State().Plan.Away)
+	}
+	if rates > whole*1.0001 {
+		v.fail("a budget is never overspent", "all together may spend %.1f of %.0f", rates, whole)
+	}
+	if parts > 1.0001 {
+		v.fail("parts never exceed the whole", "the parts come to %.4f", parts)
+	}
+	if leaders > 1 {
+		v.fail("one copy leads", "%d lead", leaders)
+	}
+	if away > bound && bound > 0 {
+		v.fail("no more away than a plan allows", "%d on their way, %d may be", away, bound)
+	}
+}
+
+// quiet plays on after the last trouble until all has come to rest.
+func (v *virtual) quiet() {
+	for _, h := range v.hands {
+		v.s.Continue(h.i)
+		if !h.Up {
+			v.start(h.i)
+		}
+	}
+	over := v.s.Now
+	for v.bad == nil && !v.whole() {
+		if v.s.Now-over > agreeIn {
+			v.fail("views become equal", "after %v they are not: %s", agreeIn, v.views())
+		}
+		v.step()
+	}
+	v.figures.Agreed = v.s.Now - over
+	wanted, rest := 0.0, v.s.Now
+	for _, h := range v.hands {
+		wanted += h.wants
+	}
+	for v.bad == nil {
+		got := 0.0
+		for _, h := range v.hands {
+			got += min(h.wants, h.allot.Rate(v.s.Now, "quota"))
+		}
+		if got >= granted*min(wanted, whole) {
+			break
+		}
+		if v.s.Now-rest > grantIn {
+			v.fail("budgets go where they are wanted", "%.0f of %.0f wanted are granted after %v", got, min(wanted, whole), grantIn)
+		}
+		v.step()
+	}
+	for began := v.s.Now; v.bad == nil && !v.settled(); {
+		if v.s.Now-began > planIn {
+			v.fail("a plan ends or waits for a person", "after %v: %s", planIn, v.plan())
+		}
+		v.step()
+	}
+}
+
+// whole tells whether all hold all for alive, alike.
+func (v *virtual) whole() bool {
+	if !v.s.Equal() {
+		return false
+	}
+	for _, h := range v.hands {
+		if alive, _, _ := h.Member.Count(); alive != len(v.hands)-1 {
+			return false
+		}
+	}
+	return true
+}
+
+func (v *virtual) views() (text string) {
+	for _, h := range v.hands[:min(len(v.hands), 12)] {
+		alive, suspect, dead := h.Member.Count()
+		text += fmt.Sprintf("%s %d/%d/%d %x; ", h.Name, alive, suspect, dead, h.Member.Digest()&0xffff)
+	}
+	return text
+}
+
+// plan is how it stands with each copy.
+func (v *virtual) plan() (text string) {
+	for _, h := range v.hands[:min(len(v.hands), 12)] {
+		s := h.roll.State()
+		text += fmt.Sprintf("%s leads %v, number %d.%d of %s, %v stage %d chosen %d (%s), holds %s; ", h.Name, h.roll.Leads(), s.Fence, s.Version, s.Leader, s.Phase, s.Stage, len(s.Chosen), s.Reason, h.holds)
+	}
+	return text
+}
+
+// settled tells whether what stands has ended, everywhere alike, or waits for a person,
+// and all hold what it came to.
+func (v *virtual) settled() bool {
+	first := v.hands[0].roll.State()
+	for _, h := range v.hands {
+		s := h.roll.State()
+		if s.Fence != first.Fence || s.Version != first.Version || !s.Phase.Ended() && s.Phase != rollout.Stopped && s.Phase != rollout.Paused {
+			return false
+		}
+		switch {
+		case first.Phase == rollout.Done && h.holds != first.Plan.Target, first.Phase == rollout.BackDone && h.holds == first.Plan.Target:
+			return false
+		}
+	}
+	if first.Phase == rollout.Done {
+		v.figures.Done++
+	}
+	return true
+}
+
+// begin starts a trouble.
+func (v *virtual) begin(st *Step) {
+	names := func() (out []string) {
+		for _, i := range st.Whom {
+			out = append(out, members.Name(i))
+		}
+		return out
+	}
+	switch st.Kind {
+	case Cut, Deaf:
+		for _, name := range names() {
+			v.s.Net.CutOff(name, st.Kind == Deaf)
+		}
+	case Split:
+		v.s.Net.Split(names())
+	case Bad:
+		v.s.Net.Usual(st.Link)
+	case Stop:
+		for _, i := range st.Whom {
+			v.s.Stop(i)
+		}
+	case Kill:
+		for _, i := range st.Whom {
+			v.s.Kill(i)
+		}
+	case Leave:
+		for _, i := range st.Whom {
+			if h := v.hands[i]; h.up() {
+				h.Depart()
+				v.s.Tell(i, member.Event{Kind: member.Depart})
+				h.allot.Among(v.s.Now, 0, nil)
+				v.s.At(v.s.Now+500*time.Millisecond, func() { v.s.Kill(i) })
+			}
+		}
+	case Wants:
+		for _, i := range st.Whom {
+			v.hands[i].wants = st.Much
+		}
+	case Good, Costly:
+		i := st.Whom[0]
+		if h := v.hands[i]; h.up() {
+			target := fmt.Sprintf("t%d-%s", v.plans, st.Kind)
+			p := rollout.Plan{ID: target, Kind: rollout.Settings, Target: target, Back: true, Away: 1 + v.rng.IntN(3),
+				Stages: []rollout.Stage{{Count: 1, Soak: 3 * time.Second}, {PerZone: true, Soak: 3 * time.Second}, {Part: 0.3, Soak: 3 * time.Second}, {Part: 1, Soak: 3 * time.Second}}, Unknown: time.Minute}
+			p.Complete()
+			if h.roll.Start(v.s.Now, p) == nil {
+				v.plans++
+				v.figures.Plans++
+				v.costs[target] = st.Much
+			}
+		}
+	case Abort:
+		if h := v.hands[st.Whom[0]]; h.up() {
+			h.roll.Word(v.s.Now, "abort")
+		}
+	case Trouble:
+		v.zones[st.Whom[0]%3] = st.Much
+	}
+}
+
+// end ends it.
+func (v *virtual) end(st *Step) {
+	switch st.Kind {
+	case Cut, Deaf, Split:
+		v.s.Net.Heal()
+	case Bad:
+		v.s.Net.Usual(members.Lan)
+	case Stop:
+		for _, i := range st.Whom {
+			v.s.Continue(i)
+		}
+	case Kill, Leave:
+		for _, i := range st.Whom {
+			if !v.hands[i].Up {
+				v.start(i)
+			}
+		}
+	case Trouble:
+		v.zones[st.Whom[0]%3] = 0
+	}
+}
