Bound who changes while away, and let copies meet before they follow a plan

Change: of those that look away no more are told at once than the plan allows, and a copy follows what a plan came to only once it has had 5 s to meet the others.

--- a/fleet/rollout/drive.go
+++ b/fleet/rollout/drive.go
@@ -240,7 +240,7 @@
 		at, told := r.ordered[name]
 		switch {
 		case told && r.now-at <= time.Second:
-		case told || r.away(done) < p.Away || !c.Ready: // one that is not ready is away already
+		case told || len(r.ordered) < p.Away && (r.away(done) < p.Away || !c.Ready): // one that is not ready is away already, or was when it told
 			if !told {
 				r.ordered[name] = r.now
 			}
--- a/fleet/rollout/lead.go
+++ b/fleet/rollout/lead.go
@@ -20,10 +20,11 @@
 	drift       = 0.02            // clocks run fast or slow by at most so much
 	renewEvery  = Lease / 3
 	remindEvery = 2 * time.Second
-	mostRank    = 8         // beyond it copies wait alike
-	tryAfter    = Lease / 2 // more for each copy that comes first by name
-	mostHistory = 64        // lines
-	MostText    = 256 << 10 // bytes of settings
+	mostRank    = 8               // beyond it copies wait alike
+	tryAfter    = Lease / 2       // more for each copy that comes first by name
+	meet        = 5 * time.Second // after its start a copy knows who else is there
+	mostHistory = 64              // lines
+	MostText    = 256 << 10       // bytes of settings
 	MostStages  = 32
 	MostCopies  = 8192
 )
@@ -336,7 +337,7 @@
 func (r *Rollout) follow() {
 	s := &r.state
 	c := r.find(r.name)
-	if c == nil || s.Plan.ID == "" || c.Refused != "" || !r.behind(c) {
+	if c == nil || s.Plan.ID == "" || c.Refused != "" || !r.behind(c) || !r.most() || r.now-r.began < meet {
 		return
 	}
 	// Many may be back at once: they have their turn by name, no more away than the plan allows.
