--- a/fleet/view/view.go
+++ b/fleet/view/view.go
@@ -63,6 +63,7 @@
 	now     time.Duration
 	counted uint64
 	sure    bool
+	left    bool
 	last    time.Duration // when anybody was heard
 	lost    []time.Duration
 	was     map[string]member.Status
@@ -127,6 +128,7 @@
 	if self == nil || self.Tags == nil {
 		return false
 	}
+	v.left = self.Status == member.Left // what others don't count any more it has not got
 	for _, name := range self.Tags.Pools {
 		p := v.pools[name]
 		if p == nil {
@@ -260,7 +262,7 @@
 	// While all that may be there fit the floor each may spend its part, whatever the others know. A copy
 	// that has met nobody yet does not know who may be there.
 	floor := v.floor(name)
-	p.place = Place{Self: at, Of: of, Among: max(among, floor), There: certain, Lost: lost, Sure: !s.Displaced && (v.sure || s.Joined && among <= floor)}
+	p.place = Place{Self: at, Of: of, Among: max(among, floor), There: certain, Lost: lost, Sure: !s.Displaced && !v.left && (v.sure || s.Joined && among <= floor)}
 	if p.place.Of = max(p.place.Of, p.place.Self+1); v.last > 0 && len(s.Members) > 1 {
 		if quiet := v.now - v.last; quiet > cutSpan {
 			p.place.Stale = quiet
