Heal faster, doubt a fifth longer, and compare over zones where no zone has both

Seen: 300 copies took 6.1 s to heal a split and 1,000 took 9.8; with one member in ten standing still for up to a second now and then 536 deaths an hour at 300; a plan in a fleet with one copy a zone knew nothing for ever. Causes: those whom the other half holds for dead were told eight at a time, views that go on changing were exchanged after 3 s; a suspicion that two confirm lasted 1.0 s, as long as the stall; the judge compared within zones alone. Change: 32 at a time, 1.5 s and half the gap between exchanges, 1.2 s of doubt; where no zone of a span has changed and unchanged copies they are compared over all zones. A host test of three fleets in one process runs with the race detector, and lost requests of the laboratory say why.

--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,192 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"ryerill/fleet/member"
+	"ryerill/fleet/rollout"
+	"ryerill/fleet/tally"
+	"ryerill/fleet/verdict"
+	"ryerill/fleet/view"
+)
+
+// stub is a proxy as the fleet sees it.
+type stub struct {
+	mu      sync.Mutex
+	places  map[string]view.Place
+	told    Told
+	wants   float64
+	changed []string
+	refuse  bool
+}
+
+func (s *stub) Feed() Fed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Fed{Budgets: map[string]float64{"main/acme": 90}, Wants: map[string]float64{"main/acme": s.wants / 5},
+		Counts: map[tally.Key]tally.Counts{{Pool: "main"}: {Arrivals: 10}}, Seen: []Seen{{Server: verdict.Server{ID: 7, Since: 1}, Outcome: verdict.Hung}, {Server: verdict.Server{ID: 8, Since: 1}}},
+		Servers: map[string][]verdict.Server{"main": {{ID: 7, Since: 1}, {ID: 8, Since: 1}, {ID: 9, Since: 1}, {ID: 10, Since: 1}}}}
+}
+
+func (s *stub) Tell(t Told) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told = t
+}
+
+func (s *stub) see(p map[string]view.Place) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.places = p
+}
+
+// trio starts three hosts on loopback that know the first one's address.
+func trio(t *testing.T, change func(i int, c *Config)) (hosts []*Fleet, stubs []*stub) {
+	t.Helper()
+	seed := ""
+	dir := t.TempDir()
+	for i := range 3 {
+		s := &stub{}
+		c := Config{Name: fmt.Sprint("c", i), Fleet: "f", Listen: "127.0.0.1:0", Keys: [][]byte{[]byte("sixteen-characters-or-more")}, Copies: map[string]int{"main": 3},
+			Zone: fmt.Sprint("z", i), Pools: []string{"main"}, Settings: "old", Program: "v1", Share: &Share{Quotas: true, Counts: true, Verdicts: true},
+			Remember: filepath.Join(dir, fmt.Sprint("c", i))}
+		if seed != "" {
+			c.Seeds = []string{seed}
+		}
+		if change != nil {
+			change(i, &c)
+		}
+		f, err := New(c, slog.New(slog.DiscardHandler), s.see)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Feed(s)
+		f.Roll(func(_ rollout.Kind, target string, _ []byte, back bool) error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.refuse {
+				return errors.New("it will not")
+			}
+			s.changed = append(s.changed, target)
+			if back {
+				target = "old"
+			}
+			go f.Say(member.Serving, target)
+			return nil
+		}, func() []Done {
+			return []Done{{Pool: "main", Asked: float64(time.Now().UnixMilli() % 1e9), Good: float64(time.Now().UnixMilli() % 1e9)}}
+		})
+		f.Say(member.Serving, "old")
+		ctx, stop := context.WithCancel(t.Context())
+		over := make(chan struct{})
+		go func() { defer close(over); f.Run(ctx) }()
+		t.Cleanup(func() { stop(); <-over })
+		if seed == "" {
+			seed = f.Address()
+		}
+		hosts, stubs = append(hosts, f), append(stubs, s)
+	}
+	return hosts, stubs
+}
+
+func until(t *testing.T, what string, so func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !so(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("still waiting for %s", what)
+		}
+	}
+}
+
+// Three hosts find each other, divide, lend, hear of a server that hangs, carry a plan
+// through, and one leaves; nothing of them is left in the end.
+func TestHosts(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	t.Run("together", func(t *testing.T) {
+		hosts, stubs := trio(t, nil)
+		until(t, "all to know all", func() bool {
+			for _, f := range hosts {
+				if s := f.Status(); len(s.Members) != 3 || s.Pools["main"].Part < 0.33 || s.Pools["main"].Of != 3 {
+					return false
+				}
+			}
+			return true
+		})
+		stubs[0].mu.Lock()
+		stubs[0].wants = 80
+		stubs[0].mu.Unlock()
+		until(t, "the first to borrow", func() bool {
+			stubs[0].mu.Lock()
+			defer stubs[0].mu.Unlock()
+			return stubs[0].told.Parts["main/acme"].Now > 0.8
+		})
+		until(t, "a server that hangs everywhere to be condemned", func() bool {
+			s := hosts[1].Shared()
+			return s != nil && len(s.Evidence) > 0 && s.Sums["arrivals"].N == 30
+		})
+		p := rollout.Plan{ID: "p", Kind: rollout.Settings, Target: "new", Text: make([]byte, 100<<10), Back: true, Stages: []rollout.Stage{{Count: 1, Soak: time.Second}, {Part: 1, Soak: time.Second}}}
+		p.Complete()
+		if err := hosts[2].StartRollout(p); err != nil {
+			t.Fatal(err)
+		}
+		until(t, "the plan to be through", func() bool {
+			for _, f := range hosts {
+				if s, _ := f.RolloutStatus(); s.Phase != "done" {
+					return false
+				}
+			}
+			return true
+		})
+		for _, f := range hosts {
+			if s := f.Status(); s.Members[0].Settings != "new" || s.Members[1].Settings != "new" || s.Members[2].Settings != "new" {
+				t.Errorf("%+v", s.Members)
+			}
+		}
+	})
+}
+
+// What a host meets at its edges: a stranger, a torn memory, an address that is taken.
+func TestHostEdges(t *testing.T) {
+	dir := t.TempDir()
+	torn := filepath.Join(dir, "c1")
+	if err := os.WriteFile(torn, []byte(`{"fleet":"f","na`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	hosts, _ := trio(t, func(i int, c *Config) {
+		c.Share = nil
+		if i == 1 {
+			c.Remember = torn
+		}
+		if i == 2 {
+			c.Remember = filepath.Join(dir, "no", "such", "folder")
+		}
+	})
+	if _, err := New(Config{Name: "x", Fleet: "f", Listen: hosts[0].Address(), Keys: [][]byte{[]byte("sixteen-characters-or-more")}}, slog.New(slog.DiscardHandler), nil); err == nil {
+		t.Error("an address is taken twice")
+	}
+	until(t, "all to know all", func() bool { return len(hosts[2].Status().Members) == 3 && len(hosts[0].Status().Members) == 3 })
+	for range mostExchanges + 4 { // those who connect and say nothing hold no more than their part
+		c, err := net.Dial("tcp", hosts[0].Address())
+		if err == nil { // beyond the bound it may be reset at once
+			defer c.Close()
+		}
+	}
+	until(t, "exchanges beyond the bound to be refused", func() bool { return hosts[0].Status().Frames.ExchangesRefused > 0 })
+	if err := hosts[0].Forget("c2"); !errors.Is(err, ErrNotDead) {
+		t.Error(err)
+	}
+	if hosts[0].Shared() != nil {
+		t.Error("shares without being told to")
+	}
+}
--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -15,7 +15,7 @@
 	mostAnswer  = 1500 * time.Millisecond // an answer is waited for so long at most before others are asked
 	perAnswer   = 2.5                     // a period holds so many waits for an answer: one direct, one by others
 	needed      = 2                       // confirmations that shorten a suspicion to its least
-	leastDoubt  = 5.0                     // a suspicion lasts so many periods at the least: news of it goes out and a refutation comes back
+	leastDoubt  = 6.0                     // a suspicion lasts so many periods at the least: news of it goes out and a refutation comes back
 	mostDoubt   = 6.0                     // and so many times the least where nobody confirms it
 	witnesses   = 4.0                     // members of the whole that look at once when they hear of a suspicion
 	gossipEvery = 100 * time.Millisecond  // while there is news
@@ -27,12 +27,12 @@
 	agreed      = 4                       // members in a row whose views are the same: what is in the queue is known
 	mostNews    = 1024                    // records in the queue of news; beyond it what was sent most goes
 	mostDispute = 512                     // members that are told that others hold them for dead
-	disputeStep = 8                       // of them at a time
+	disputeStep = 32                      // of them at a time
 	seekEvery   = time.Second             // between looks for those who are lost, on average
 	seekers     = 4.0                     // of the whole that look for one that is lost, each time
 	quiet       = 600 * time.Millisecond  // a view that has not changed for so long and differs from another's is exchanged
-	restless    = 3 * time.Second         // and one that changes on and on after so long
-	exchangeGap = time.Second             // between exchanges that one member begins, and more in large fleets,
+	restless    = 1500 * time.Millisecond // and one that changes on and on after so long
+	exchangeGap = 500 * time.Millisecond  // between exchanges that one member begins, and more in large fleets,
 	exchangePer = 500.0                   // by so many members
 	exchangeFor = 5 * time.Second         // an exchange that has not ended by then is given up
 	leftFor     = 10 * time.Minute        // one that left is remembered: older news of it may still be about
--- a/fleet/rollout/judge.go
+++ b/fleet/rollout/judge.go
@@ -1,8 +1,10 @@
 package rollout
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"gonum.org/v1/gonum/stat/distuv"
@@ -161,23 +163,61 @@
 // close compares the spans that are over.
 func (j *Judge) close() {
 	spans := map[uint64]bool{}
-	for at, p := range j.open {
+	// Zones in which all copies are alike compare with nobody: their sums over all zones, if no zone of the
+	// span has both.
+	over := map[place]*[2]side{}
+	both := map[place]bool{}
+	for _, at := range inOrder(j.open) { // so that sums come out alike
+		p := j.open[at]
 		if at.span+lag > j.newest {
 			continue
 		}
 		delete(j.open, at)
-		if p[0].asked < leastAsked || p[1].asked < leastAsked {
-			continue
+		whole := place{"", at.pool, at.span}
+		if over[whole] == nil {
+			over[whole] = &[2]side{}
+		}
+		over[whole][0].join(&p[0])
+		over[whole][1].join(&p[1])
+		if p[0].asked >= leastAsked && p[1].asked >= leastAsked {
+			both[whole], spans[at.span] = true, true
+			j.compare(p)
 		}
-		spans[at.span] = true
-		j.good += clamp(j.compareGood(&p[0], &p[1]))
-		if p[0].answers >= leastAsked && p[1].answers >= leastAsked && p[0].took > 0 {
-			j.late += clamp(j.compareTimes(&p[0], &p[1]))
+	}
+	for _, at := range inOrder(over) {
+		if p := over[at]; !both[at] && p[0].asked >= leastAsked && p[1].asked >= leastAsked {
+			spans[at.span] = true
+			j.compare(p)
 		}
 	}
 	j.spans += len(spans)
 }
 
+func inOrder(m map[place]*[2]side) []place {
+	all := make([]place, 0, len(m))
+	for at := range m {
+		all = append(all, at)
+	}
+	slices.SortFunc(all, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.span, b.span), cmp.Compare(a.pool, b.pool), cmp.Compare(a.zone, b.zone))
+	})
+	return all
+}
+
+// compare adds what one span of a place says.
+func (j *Judge) compare(p *[2]side) {
+	j.good += clamp(j.compareGood(&p[0], &p[1]))
+	if p[0].answers >= leastAsked && p[1].answers >= leastAsked && p[0].took > 0 {
+		j.late += clamp(j.compareTimes(&p[0], &p[1]))
+	}
+}
+
+// join adds another side's sums.
+func (s *side) join(o *side) {
+	s.n, s.asked, s.good, s.answers, s.took = s.n+o.n, s.asked+o.asked, s.good+o.good, s.answers+o.answers, s.took+o.took
+	s.parts, s.times = append(s.parts, o.parts...), append(s.times, o.times...)
+}
+
 func clamp(v float64) float64 { return min(max(v, -mostLogs), mostLogs) }
 
 // compareGood is how much one span says for the cost. What differs among copies that
--- a/lab/copies/ledger.go
+++ b/lab/copies/ledger.go
@@ -33,6 +33,7 @@
 	Answered time.Time
 	Status   int // 0 is none
 	Broken   bool
+	Fault    string
 	Excused  bool // its copy was killed, stopped or ended while it was open
 	Runs     int
 	Again    int // runs of a key within its memory that a provider dropped
@@ -145,7 +146,7 @@
 				l.mu.Lock()
 				e.Answered = time.Now()
 				if err != nil {
-					e.Broken, e.Excused = true, !c.Up()
+					e.Broken, e.Excused, e.Fault = true, !c.Up(), err.Error()
 				} else if l.lax.Load() && resp.StatusCode >= 500 {
 					e.Excused = true
 				} else if e.Status = resp.StatusCode; e.Status == 200 && string(body) != id {
@@ -164,6 +165,7 @@
 
 // Sum is what a ledger comes to.
 type Sum struct {
+	Faults                                                           []string // of some that were lost
 	Requests, Served, Refused, Failed, Lost, Late, Repeated, Excused int
 	Copies                                                           map[int]int // served, by copy
 }
@@ -185,7 +187,9 @@
 		case e.Excused:
 			s.Excused++
 		case e.Broken:
-			s.Lost++
+			if s.Lost++; len(s.Faults) < 5 {
+				s.Faults = append(s.Faults, fmt.Sprintf("%s at copy %d, asked at %s, over after %v: %s", e.Class, e.Copy, e.Asked.Format("15:04:05.000"), e.Answered.Sub(e.Asked), e.Fault))
+			}
 		case e.Status == 200:
 			s.Served++
 			s.Copies[e.Copy]++
