--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -21,6 +21,7 @@
 
 	"ryerill/fleet/frame"
 	"ryerill/fleet/member"
+	"ryerill/fleet/share"
 	"ryerill/fleet/view"
 )
 
@@ -33,7 +34,6 @@
 	dialTime      = time.Second            // for its connection
 	departFor     = 700 * time.Millisecond // news of a departure goes out for so long
 	rememberEvery = 30 * time.Second
-	mostSeeds     = 256  // addresses that are remembered
 	mostRate      = 2000 // datagrams a second that are looked at; a flood beyond it is dropped unread
 	mostBurst     = 4000
 	sayEvery      = 10 * time.Second // a fault of frames is logged so often at most
@@ -58,6 +58,7 @@
 	Seed      uint64
 	Period    time.Duration // 0 is the default
 	Budget    int           // bytes a second; 0 is the default
+	Share     *Share        // what copies share; nil is nothing
 }
 
 // Places tells what follows for the proxy. It is called with every change and must
@@ -75,7 +76,13 @@
 	slots  chan struct{} // of exchanges that others began
 	all    sync.WaitGroup
 
+	writing sync.Mutex // of the file
+
 	mu        sync.Mutex
+	feed      Feed
+	share     *share.Share
+	budgets   map[string]float64
+	zones     int
 	codec     *frame.Codec
 	member    *member.Member
 	view      *view.View
@@ -91,6 +98,13 @@
 	credit    float64              // datagrams that may be read
 	creditAt  time.Time
 	twinAt    time.Time
+
+	// What lies in the file: a copy counts others for all to hear only once it would remember them after
+	// a restart.
+	knew     bool // whom it may meet, from the start on
+	kept     uint64
+	keptSure bool
+	keeping  bool
 }
 
 // Figures count what passed since the start.
@@ -130,10 +144,14 @@
 		said: map[string]time.Time{}, credit: mostBurst, creditAt: now, view: view.New(cfg.Copies)}
 	f.figures.Bad = map[string]uint64{}
 	f.tags = member.Tags{Address: cfg.Advertise, Zone: cfg.Zone, Tier: cfg.Tier, Pools: cfg.Pools, Program: cfg.Program, Settings: cfg.Settings, Phase: member.Starting}
-	seeds, epoch := f.remembered()
-	f.member = member.New(member.Config{Name: cfg.Name, Epoch: max(drawEpoch(now), epoch+1), Seed: cfg.Seed ^ uint64(now.UnixNano()), Tags: f.tags,
-		Seeds: seeds, Period: cfg.Period, Budget: cfg.Budget})
-	return f, nil
+	known := f.remembered()
+	f.member = member.New(member.Config{Name: cfg.Name, Epoch: max(drawEpoch(now), known.Epoch+1), Seed: cfg.Seed ^ uint64(now.UnixNano()), Tags: f.tags,
+		Seeds: cfg.Seeds, Period: cfg.Period, Budget: cfg.Budget})
+	f.knew = len(cfg.Seeds) == 0 || len(known.Members) > 0 && !known.Left
+	if f.member.Handle(0, member.Event{Kind: member.Recall, Records: known.Members}, nil); known.Sure {
+		f.view.Trust()
+	}
+	return f, f.startShare(known)
 }
 
 // epochBits of an epoch are drawn: two processes of a copied configuration may
@@ -163,6 +181,10 @@
 	f.handle(member.Event{Kind: member.Begin})
 	f.mu.Unlock()
 	f.log.Info("fleet", "fleet", f.cfg.Fleet, "copy", f.cfg.Name, "at", f.Address(), "known as", f.cfg.Advertise, "copies written", f.cfg.Copies)
+	if f.share != nil {
+		f.all.Add(1)
+		go f.sharing(ctx)
+	}
 	f.all.Add(2)
 	go f.read()
 	go f.accept()
@@ -174,7 +196,7 @@
 			going = false
 		case <-keep.C:
 		}
-		f.remember()
+		f.remember(f.what(going))
 	}
 	f.mu.Lock()
 	abandoned := f.abandoned
@@ -294,7 +316,11 @@
 	}
 	f.viewed = now
 	moved := f.view.Update(f.now(), f.snapshot())
-	f.member.Counted(f.view.Counted())
+	f.among()
+	// What is lent must come back before others may count on this copy's part being smaller.
+	if f.fits() && (f.view.Counted() != f.kept || f.view.Sure() != f.keptSure) {
+		f.keep()
+	}
 	if !moved || f.places == nil {
 		return
 	}
@@ -317,7 +343,7 @@
 }
 
 func (f *Fleet) snapshot() view.Snapshot {
-	return view.Snapshot{Members: f.member.Members(), Joined: f.member.Joined(), Displaced: f.member.Displaced(), Health: f.member.Health()}
+	return view.Snapshot{Members: f.member.Members(), Joined: f.member.Joined() || f.knew, Displaced: f.member.Displaced(), Health: f.member.Health()}
 }
 
 // reach is the address by which this copy reaches another.
@@ -364,6 +390,13 @@
 		if a.Was == 0 {
 			was = "unknown"
 		}
+		if f.share != nil && (r.Status == member.Left || a.Was != 0 && a.Why == "started anew") {
+			epoch := r.Epoch
+			if r.Status != member.Left {
+				epoch--
+			}
+			f.share.Over(r.Name, epoch)
+		}
 		f.log.Info("fleet: member", "name", r.Name, "is", r.Status.String(), "was", was, "why", a.Why, "epoch", r.Epoch, "count", r.Inc, "at", address)
 	case member.Displaced:
 		f.log.Error("fleet: another process of this name started later: this copy is no part of the fleet any more. "+
@@ -417,6 +450,9 @@
 		return
 	}
 	f.handle(member.Event{Kind: member.Heard, Message: m, From: from.String()})
+	if m.Kind == member.Shared {
+		f.hearShared(m)
+	}
 }
 
 // bad counts a frame that is dropped. It is never answered.
