Look at no clock and no class for the fleet where there is none

Seen: a test whose pool has no classes broke down, as a request's end looked its class up for the fleet although there was none to tell. Change: the look is made only where the fleet is on, so that off costs nothing there. Measured: TestBreakdownOfDecisionsIsAnswered passes again; it is the test for this.

--- a/proxy/book.go
+++ b/proxy/book.go
@@ -39,7 +39,9 @@
 		c.figures.inflight.Add(-1)
 	}
 	c.tallies[e.inv.Class].ended(v)
-	c.booked.answered(&c.settings.Balancer.Classes[e.inv.Class], v == invocation.Served, time.Since(e.inv.Taken))
+	if c.booked != nil {
+		c.booked.answered(&c.settings.Balancer.Classes[e.inv.Class], v == invocation.Served, time.Since(e.inv.Taken))
+	}
 }
 
 // release forgets an invocation that is answered and has no invoker call out.
--- a/proxy/sharing.go
+++ b/proxy/sharing.go
@@ -48,9 +48,6 @@
 
 // answered books an invocation's end for the fleet. The mutex is held.
 func (b *booked) answered(k *ryerill.Class, served bool, took time.Duration) {
-	if b == nil {
-		return
-	}
 	b.done.Asked += k.Worth
 	if !served {
 		return
