--- a/fleet/rollout/lead.go
+++ b/fleet/rollout/lead.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 )
@@ -20,8 +21,7 @@
 	drift       = 0.02            // clocks run fast or slow by at most so much
 	renewEvery  = Lease / 3
 	remindEvery = 2 * time.Second
-	mostRank    = 8               // beyond it copies wait alike
-	tryAfter    = Lease / 2       // more for each copy that comes first by name
+	tryWithin   = 4 * Lease       // copies that seek the lease spread over so much
 	meet        = 5 * time.Second // after its start a copy knows who else is there
 	mostHistory = 64              // lines
 	MostText    = 256 << 10       // bytes of settings
@@ -228,6 +228,12 @@
 // State is the plan's progress as far as it is known here.
 func (r *Rollout) State() State { return r.state }
 
+// Seeking tells in words what a copy does about leading, for people who look for why
+// nobody does.
+func (r *Rollout) Seeking() string {
+	return fmt.Sprintf("number %d seen, own %d, vote for %q for %v, next try in %v, %d of %d there", r.highest, r.fence, r.votedTo, max(r.voted-r.now, 0), r.nextTry-r.now, r.there(), len(r.copies))
+}
+
 // Leads tells whether this copy holds the lease.
 func (r *Rollout) Leads() bool { return r.fence != 0 && r.now < r.heldTo && r.fence >= r.highest }
 
@@ -449,21 +455,26 @@
 }
 
 // patience is how long a copy waits until it seeks the lease: until votes for others
-// are over, and longer for each copy that comes before it by name, so that not all
-// seek it at once, vote for themselves, and nobody ever gets it.
+// are over, and then a while that is its own for each number, lest all seek it at
+// once, vote for themselves, and nobody ever gets it. Who comes first by name does not
+// wait longer.
 func (r *Rollout) patience() time.Duration {
-	return stretch(Lease) + time.Duration(min(r.rank(), mostRank))*tryAfter
+	if r.rank() == 0 {
+		return stretch(Lease)
+	}
+	return stretch(Lease) + time.Duration(spreadOf(fmt.Sprint(r.highest), r.name)%uint64(tryWithin))
 }
 
 // most tells whether most copies are there.
-func (r *Rollout) most() bool {
-	n := 0
+func (r *Rollout) most() bool { return 2*r.there() > len(r.copies) }
+
+func (r *Rollout) there() (n int) {
 	for _, c := range r.copies {
 		if c.Alive {
 			n++
 		}
 	}
-	return 2*n > len(r.copies)
+	return n
 }
 
 // rank is how many copies that are there come before this one by name.
@@ -516,6 +527,7 @@
 		if m.Fence >= r.highest && (r.now >= r.voted || r.votedTo == m.From) {
 			r.highest = m.Fence
 			r.voted, r.votedTo = r.now+stretch(Lease), m.From
+			r.nextTry = max(r.nextTry, r.now+r.patience())
 			r.send(m.From, Message{Kind: Vote, Fence: m.Fence, Seq: m.Seq})
 		} else if m.Fence < r.highest { // who asks has to know
 			r.send(m.From, Message{Kind: Vote, Fence: r.highest})
