Bring a word into force before its change is told to be over

Seen: TestChangeWaitsBriefly failed twice on a loaded machine: a change that was refused still showed, and one that was kept did not yet. Cause: keep told the caller before it set the word, which is read without the mutex. Change: the word is set first.

--- a/internal/wordfile/wordfile.go
+++ b/internal/wordfile/wordfile.go
@@ -172,6 +172,7 @@
 		s.mu.Unlock()
 		w, err := s.keepAll(batch)
 		s.mu.Lock()
+		var ended []*change
 		now := time.Now()
 		if err == nil {
 			s.kept = w
@@ -180,10 +181,13 @@
 			if !slices.Contains(batch, c) || err != nil && now.Before(c.end) {
 				return false
 			}
-			c.done <- err
+			ended = append(ended, c)
 			return true
 		})
 		s.set(over(s.kept, s.pending))
+		for _, c := range ended { // who is told looks at the word next
+			c.done <- err
+		}
 		s.mu.Unlock()
 		if err != nil {
 			time.Sleep(retry) // there may be room again soon
