Let frames grow, play two versions side by side, and compare copies with themselves before

Frames, counts and packets were CBOR arrays of fixed length: the decoder refuses a longer one, so a copy of a later program could not have been heard at all (the comment said the contrary). They are maps with numbers for keys now; what a member says of itself beyond what is known here is kept and handed on, bounded; kinds that are not known are passed over; a plan's state is handed on as it came. A copy tells which levels it speaks, 'ryerill version' prints them, and a plan for a program with 'speaks' is refused before its first stage where some copy could not hear it. The build tag fleetlater plays the later program: six processes, three of each, lend a quota and carry a plan of either through, and what c01 says reaches c03 through copies that don't know it.

A plan was stopped there twice though it did no harm: the copy changed first was asked for 15 times what others were and refused a part of it, before as after. Changed copies are compared with how they differed before; how far copies differ at all is drawn from all of them, and a plan waits until that of the first is known well enough. Guards on calls a request and on memory are new.

An agent takes both doors of an upgrade, and RYERILL_TARGET names the plan's version also when going back.

--- a/config/overlay.go
+++ b/config/overlay.go
@@ -101,8 +101,10 @@
 	Kind     string         `yaml:"kind"`
 	Settings map[string]any `yaml:"settings,omitempty"`
 	Program  string         `yaml:"program,omitempty"` // version
+	Speaks   []uint8        `yaml:"speaks,omitempty"`  // least and most level that it speaks, as ryerill version prints
 	Stages   []StageFile    `yaml:"stages,omitempty"`
 	Away     int            `yaml:"away,omitempty"`
+	Watch    time.Duration  `yaml:"watch,omitempty"`
 	Wait     time.Duration  `yaml:"wait,omitempty"`
 	Unknown  time.Duration  `yaml:"unknown,omitempty"`
 	Back     *bool          `yaml:"back,omitempty"` // default true
@@ -124,6 +126,9 @@
 	Latency float64 `yaml:"latency,omitempty"`
 	Wrong   float64 `yaml:"wrong,omitempty"`
 	Missed  float64 `yaml:"missed,omitempty"`
+
+	Attempts float64 `yaml:"attempts,omitempty"`
+	Memory   float64 `yaml:"memory,omitempty"`
 }
 
 // ParsePlan reads a plan. What is at fault is named with file, line and key. Its target
@@ -135,8 +140,15 @@
 		return p, err
 	}
 	at := func(key string, err error) error { return fmt.Errorf("%s%s: %w", name, tree.Position(key), err) }
-	p = rollout.Plan{ID: f.ID, Kind: map[string]rollout.Kind{"settings": rollout.Settings, "program": rollout.Program}[f.Kind], Away: f.Away, Wait: f.Wait, Unknown: f.Unknown,
+	p = rollout.Plan{ID: f.ID, Kind: map[string]rollout.Kind{"settings": rollout.Settings, "program": rollout.Program}[f.Kind], Away: f.Away, Watch: f.Watch, Wait: f.Wait, Unknown: f.Unknown,
 		Back: f.Back == nil || *f.Back, Expires: f.Expires, Target: f.Program, Guards: rollout.Guards(f.Guards)}
+	switch len(f.Speaks) {
+	case 0:
+	case 2:
+		p.Least, p.Most = f.Speaks[0], f.Speaks[1]
+	default:
+		return p, at("speaks", fmt.Errorf("speaks: unexpected value %v, want the least and the most level, as in [1, 2]", f.Speaks))
+	}
 	for _, s := range f.Stages {
 		p.Stages = append(p.Stages, rollout.Stage(s))
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -140,7 +140,8 @@
 	f := &Fleet{cfg: cfg, log: log, udp: udp, tcp: tcp, start: now, places: places, codec: codec, slots: make(chan struct{}, mostExchanges),
 		said: map[string]time.Time{}, credit: mostBurst, creditAt: now, view: view.New(cfg.Copies)}
 	f.figures.Bad = map[string]uint64{}
-	f.tags = member.Tags{Address: cfg.Advertise, Zone: cfg.Zone, Tier: cfg.Tier, Pools: cfg.Pools, Program: cfg.Program, Settings: cfg.Settings, Phase: member.Starting}
+	f.tags = member.Tags{Address: cfg.Advertise, Zone: cfg.Zone, Tier: cfg.Tier, Pools: cfg.Pools, Program: cfg.Program, Settings: cfg.Settings, Phase: member.Starting,
+		Least: frame.LeastLevel, Most: frame.Level, Later: frame.Later}
 	known := f.remembered()
 	f.recalled = known
 	f.member = member.New(member.Config{Name: cfg.Name, Epoch: max(drawEpoch(now), known.Epoch+1), Seed: cfg.Seed ^ uint64(now.UnixNano()), Tags: f.tags,
@@ -299,6 +300,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.handle(member.Event{Kind: member.Tick})
+	if laterKind != 0 && !f.ended {
+		for _, m := range f.member.Members() {
+			if !m.Self && m.Tags != nil {
+				f.send(m.Name, m.Tags.Address, &member.Message{Kind: laterKind, From: f.member.Self().Head, Target: m.Name, Digest: f.member.Digest(), Share: []byte("later")})
+			}
+		}
+	}
 }
 
 // handle hands an event over and carries out what follows. The mutex is held.
--- a/fleet/frame/frame.go
+++ b/fleet/frame/frame.go
@@ -5,6 +5,12 @@
 //
 //	version 1 | fleet 4 | key 1 | number 8 | CBOR | code 16
 //
+// The version is that of this form alone. What a message says grows by fields and by
+// kinds: a CBOR map with small whole numbers for keys, so that a copy that is older
+// passes over what it does not know. What a member says of itself is handed on by
+// others, so what of that is not known is kept and handed on as it came. A record's
+// head, by which the newer of two is found, never grows.
+//
 // The code is HMAC-SHA-256 over all before it and the fleet's name, cut to its
 // first 16 bytes. The number counts up within a start of the sender; a receiver
 // keeps a window of those it has seen, so that a frame counts once.
@@ -60,7 +66,7 @@
 	seen   map[string]*window
 }
 
-// Key identifies a key by its first bytes' hash, so that two may be valid at once.
+// keyID identifies a key by its first bytes' hash, so that two may be valid at once.
 func keyID(key []byte) byte { s := sha256.Sum256(key); return s[0] }
 
 // New returns a codec. The first key signs; all of them are taken.
@@ -98,66 +104,114 @@
 	return nil
 }
 
-// The form on the wire: arrays, in this order. More elements at an end are of a
-// later version and passed over.
+// The form on the wire. Numbers are never used for another meaning.
 type (
 	wireTags struct {
-		_        struct{} `cbor:",toarray"`
-		Address  string
-		Zone     string
-		Tier     int
-		Pools    []string
-		Program  string
-		Settings string
-		Phase    uint8
+		Address  string   `cbor:"1,keyasint,omitempty"`
+		Zone     string   `cbor:"2,keyasint,omitempty"`
+		Tier     int      `cbor:"3,keyasint,omitempty"`
+		Pools    []string `cbor:"4,keyasint,omitempty"`
+		Program  string   `cbor:"5,keyasint,omitempty"`
+		Settings string   `cbor:"6,keyasint,omitempty"`
+		Phase    uint8    `cbor:"7,keyasint,omitempty"`
+		Least    uint8    `cbor:"8,keyasint,omitempty"`
+		Most     uint8    `cbor:"9,keyasint,omitempty"`
 	}
 	wireRecord struct {
-		_      struct{} `cbor:",toarray"`
-		Name   string
-		Epoch  uint64
-		Inc    uint32
-		Status uint8
-		Tagged uint32
-		By     string
-		Tags   *wireTags
+		Name   string          `cbor:"1,keyasint,omitempty"`
+		Epoch  uint64          `cbor:"2,keyasint,omitempty"`
+		Inc    uint32          `cbor:"3,keyasint,omitempty"`
+		Status uint8           `cbor:"4,keyasint,omitempty"`
+		Tagged uint32          `cbor:"5,keyasint,omitempty"`
+		By     string          `cbor:"6,keyasint,omitempty"`
+		Tags   cbor.RawMessage `cbor:"7,keyasint,omitempty"`
 	}
 	wireMessage struct {
-		_       struct{} `cbor:",toarray"`
-		Kind    uint8
-		Seq     uint32
-		From    wireRecord
-		Target  string
-		Digest  uint64
-		Counted uint64
-		News    []wireRecord
-		Want    []string
-		Share   []byte
+		Kind    uint8        `cbor:"1,keyasint"`
+		Seq     uint32       `cbor:"2,keyasint,omitempty"`
+		From    wireRecord   `cbor:"3,keyasint"`
+		Target  string       `cbor:"4,keyasint,omitempty"`
+		Digest  uint64       `cbor:"5,keyasint,omitempty"`
+		Counted uint64       `cbor:"6,keyasint,omitempty"`
+		News    []wireRecord `cbor:"7,keyasint,omitempty"`
+		Want    []string     `cbor:"8,keyasint,omitempty"`
+		Share   []byte       `cbor:"9,keyasint,omitempty"`
 	}
 )
 
-func toWire(r *member.Record) wireRecord {
-	w := wireRecord{Name: r.Name, Epoch: r.Epoch, Inc: r.Inc, Status: uint8(r.Status), Tagged: r.Tagged, By: r.By}
-	if t := r.Tags; t != nil {
-		w.Tags = &wireTags{Address: t.Address, Zone: t.Zone, Tier: t.Tier, Pools: t.Pools, Program: t.Program, Settings: t.Settings, Phase: uint8(t.Phase)}
+// mostTag is the highest key of wireTags.
+const mostTag = 9
+
+// tags writes what a member says of itself, and what it says that is not known here.
+func (c *Codec) tags(t *member.Tags) (cbor.RawMessage, error) {
+	text, err := c.enc.Marshal(wireTags{Address: t.Address, Zone: t.Zone, Tier: t.Tier, Pools: t.Pools, Program: t.Program, Settings: t.Settings, Phase: uint8(t.Phase),
+		Least: t.Least, Most: t.Most})
+	if err != nil || len(t.Later) == 0 {
+		return text, err
+	}
+	all := map[uint64]cbor.RawMessage{}
+	if err := errors.Join(c.dec.Unmarshal([]byte(t.Later), &all), c.dec.Unmarshal(text, &all)); err != nil {
+		return text, nil // what was not understood is no reason to say nothing
+	}
+	return c.enc.Marshal(all)
+}
+
+func (c *Codec) readTags(text cbor.RawMessage) (*member.Tags, error) {
+	var w wireTags
+	if err := c.dec.Unmarshal(text, &w); err != nil {
+		return nil, err
+	}
+	t := &member.Tags{Address: w.Address, Zone: w.Zone, Tier: w.Tier, Pools: w.Pools, Program: w.Program, Settings: w.Settings, Phase: member.Phase(w.Phase),
+		Least: w.Least, Most: w.Most}
+	all := map[uint64]cbor.RawMessage{}
+	if err := c.dec.Unmarshal(text, &all); err != nil {
+		return nil, err
+	}
+	for key := range all {
+		if key <= mostTag {
+			delete(all, key)
+		}
+	}
+	if len(all) > 0 {
+		later, err := c.enc.Marshal(all)
+		if err == nil && len(later) <= member.MaxLater {
+			t.Later = string(later)
+		}
+	}
+	return t, nil
+}
+
+func (c *Codec) toWire(r *member.Record) (w wireRecord, err error) {
+	w = wireRecord{Name: r.Name, Epoch: r.Epoch, Inc: r.Inc, Status: uint8(r.Status), Tagged: r.Tagged, By: r.By}
+	if r.Tags != nil {
+		w.Tags, err = c.tags(r.Tags)
 	}
-	return w
+	return w, err
 }
 
-func fromWire(w *wireRecord) member.Record {
-	r := member.Record{Head: member.Head{Name: w.Name, Epoch: w.Epoch, Inc: w.Inc, Status: member.Status(w.Status), Tagged: w.Tagged}, By: w.By}
-	if t := w.Tags; t != nil {
-		r.Tags = &member.Tags{Address: t.Address, Zone: t.Zone, Tier: t.Tier, Pools: t.Pools, Program: t.Program, Settings: t.Settings, Phase: member.Phase(t.Phase)}
+func (c *Codec) fromWire(w *wireRecord) (r member.Record, err error) {
+	r = member.Record{Head: member.Head{Name: w.Name, Epoch: w.Epoch, Inc: w.Inc, Status: member.Status(w.Status), Tagged: w.Tagged}, By: w.By}
+	if len(w.Tags) > 0 {
+		r.Tags, err = c.readTags(w.Tags)
 	}
-	return r
+	return r, err
 }
 
 // Encode makes a frame of a message.
 func (c *Codec) Encode(m *member.Message) ([]byte, error) {
-	w := wireMessage{Kind: uint8(m.Kind), Seq: m.Seq, From: toWire(&member.Record{Head: m.From}), Target: m.Target, Digest: m.Digest, Counted: m.Counted, Want: m.Want, Share: m.Share}
+	w := wireMessage{Kind: uint8(m.Kind), Seq: m.Seq, Target: m.Target, Digest: m.Digest, Counted: m.Counted, Want: m.Want, Share: m.Share}
+	var err error
+	if w.From, err = c.toWire(&member.Record{Head: m.From}); err != nil {
+		return nil, err
+	}
 	for i := range m.News {
-		w.News = append(w.News, toWire(&m.News[i]))
+		r, err := c.toWire(&m.News[i])
+		if err != nil {
+			return nil, err
+		}
+		w.News = append(w.News, r)
 	}
-	body, err := c.enc.Marshal(w)
+	body, err := c.enc.Marshal(later(&w))
 	if err != nil {
 		return nil, err
 	}
@@ -201,9 +255,14 @@
 	if err := c.dec.Unmarshal(text[header:end], &w); err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrTorn, err)
 	}
-	m := &member.Message{Kind: member.MessageKind(w.Kind), Seq: w.Seq, From: fromWire(&w.From).Head, Target: w.Target, Digest: w.Digest, Counted: w.Counted, Want: w.Want, Share: w.Share}
+	m := &member.Message{Kind: member.MessageKind(w.Kind), Seq: w.Seq, Target: w.Target, Digest: w.Digest, Counted: w.Counted, Want: w.Want, Share: w.Share}
+	from, err := c.fromWire(&w.From)
 	for i := range w.News {
-		m.News = append(m.News, fromWire(&w.News[i]))
+		r, bad := c.fromWire(&w.News[i])
+		m.News, err = append(m.News, r), errors.Join(err, bad)
+	}
+	if m.From = from.Head; err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrTorn, err)
 	}
 	if !c.fresh(m.From.Name, m.From.Epoch, binary.BigEndian.Uint64(text[6:])) {
 		return nil, ErrAgain
--- /dev/null
+++ b/fleet/later.go
@@ -0,0 +1,9 @@
+//go:build !fleetlater
+
+package fleet
+
+import "ryerill/fleet/member"
+
+// laterKind is a kind of message that Level 1 does not know; 0 is that this build
+// sends none.
+const laterKind member.MessageKind = 0
--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -34,7 +34,7 @@
 	restless    = 1500 * time.Millisecond // and one that changes on and on after so long
 	backlog     = 64                      // records in the queue of news: gossip takes seconds for them
 	exchangeGap = 500 * time.Millisecond  // between exchanges that one member begins, and more in large fleets,
-	exchangePer = 500.0                   // by so many members
+	exchangePer = 1000.0                  // by so many members
 	exchangeFor = 5 * time.Second         // an exchange that has not ended by then is given up
 	leftFor     = 10 * time.Minute        // one that left is remembered: older news of it may still be about
 	stallLeast  = 500 * time.Millisecond  // a tick this late says that this copy stood still
@@ -683,9 +683,9 @@
 
 // Size is how many bytes a record takes in a datagram at most.
 func (r *Record) Size() int {
-	n := 28 + len(r.Name) + len(r.By)
+	n := 40 + len(r.Name) + len(r.By)
 	if t := r.Tags; t != nil {
-		n += 16 + len(t.Address) + len(t.Zone) + len(t.Program) + len(t.Settings)
+		n += 40 + len(t.Address) + len(t.Zone) + len(t.Program) + len(t.Settings) + len(t.Later)
 		for _, p := range t.Pools {
 			n += 2 + len(p)
 		}
--- a/fleet/member/record.go
+++ b/fleet/member/record.go
@@ -56,6 +56,7 @@
 	MaxName      = 64  // bytes of a name, an address or a tag
 	MaxPools     = 16  // pools that are named,
 	MaxPoolBytes = 256 // and bytes of their names
+	MaxLater     = 128 // bytes that a later program says beyond what this one knows
 )
 
 // Tags is what a member says of itself, beyond that it is there.
@@ -67,6 +68,9 @@
 	Program  string // version of the program
 	Settings string // hash of the settings
 	Phase    Phase
+	Least    uint8 // the levels of what copies say to each other that it speaks: see package frame
+	Most     uint8
+	Later    string // what it says that this program does not know, as it came; handed on
 }
 
 // Bound cuts what is longer than others would take, and tells whether it did.
@@ -76,6 +80,9 @@
 			*s, cut = (*s)[:MaxName], true
 		}
 	}
+	if len(t.Later) > MaxLater {
+		t.Later, cut = "", true
+	}
 	for !FitPools(t.Pools) {
 		t.Pools, cut = t.Pools[:len(t.Pools)-1], true
 	}
@@ -94,7 +101,7 @@
 // sound tells whether tags keep the bounds.
 func (t *Tags) sound() bool {
 	return len(t.Address) <= MaxName && len(t.Zone) <= MaxName && len(t.Program) <= MaxName && len(t.Settings) <= MaxName &&
-		FitPools(t.Pools) && t.Phase <= Leaving
+		FitPools(t.Pools) && len(t.Later) <= MaxLater
 }
 
 // Head orders what is said of a member. Of two, the newer holds wherever both
--- a/fleet/rolling.go
+++ b/fleet/rolling.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"runtime/metrics"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -27,6 +28,7 @@
 type Done struct {
 	Pool                       string
 	Asked, Good, Answers, Took float64
+	Requests, Attempts         float64
 }
 
 // roller is this copy's side of rollouts. The fleet's mutex guards it.
@@ -41,6 +43,8 @@
 	fetching bool
 	fetched  time.Time
 	kept     uint64 // version of the state on the disk, with its number
+	told     []byte // the state that toldOf names as it came: a later program may have said more in it than is known here
+	toldOf   rollout.State
 	wanted   Wanted
 }
 
@@ -96,7 +100,8 @@
 			continue
 		}
 		c := rollout.Copy{Name: m.Name, Zone: m.Tags.Zone, Alive: m.Self || m.Status == member.Alive || m.Status == member.Suspect,
-			Ready: m.Tags.Phase == member.Serving, Holds: m.Tags.Settings, Epoch: m.Epoch}
+			Ready: m.Tags.Phase == member.Serving, Holds: m.Tags.Settings, Epoch: m.Epoch,
+			Least: m.Tags.Least, Most: m.Tags.Most}
 		if s.Plan.Kind == rollout.Program {
 			c.Holds = m.Tags.Program
 		}
@@ -198,7 +203,7 @@
 // fetch gets another's state whole.
 func (f *Fleet) fetch(address string) {
 	defer f.all.Done()
-	state, err := f.fetchState(address)
+	state, text, err := f.fetchState(address)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.roller.fetching, f.roller.fetched = false, time.Now()
@@ -207,13 +212,14 @@
 		return
 	}
 	f.roller.fetched = time.Time{}
+	f.roller.told, f.roller.toldOf = text, rollout.State{Fence: state.Fence, Version: state.Version}
 	f.carry(f.roller.Handle(f.now(), rollout.Message{Kind: rollout.Tell, From: state.Leader, Fence: state.Fence, State: state}, nil))
 }
 
-func (f *Fleet) fetchState(address string) (*rollout.State, error) {
+func (f *Fleet) fetchState(address string) (*rollout.State, []byte, error) {
 	conn, err := net.DialTimeout("tcp", address, dialTime)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(exchangeTime))
@@ -221,14 +227,14 @@
 	self := f.member.Self().Head
 	f.mu.Unlock()
 	if err := f.deliver(conn, &member.Message{Kind: member.Fetch, From: self}); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	m, err := f.receive(conn, member.Fetched)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	s := new(rollout.State)
-	return s, cbor.Unmarshal(m.Share, s)
+	return s, m.Share, cbor.Unmarshal(m.Share, s)
 }
 
 // answerFetch tells this copy's state whole.
@@ -238,17 +244,41 @@
 		f.mu.Unlock()
 		return
 	}
-	s, self := f.roller.State(), f.member.Self().Head
+	s, self, r := f.roller.State(), f.member.Self().Head, f.roller
+	told := r.told
+	if r.toldOf.Fence != s.Fence || r.toldOf.Version != s.Version {
+		told = nil
+	}
 	f.mu.Unlock()
-	if text, err := cbor.Marshal(s); err == nil {
+	text, err := told, error(nil)
+	if told == nil {
+		text, err = cbor.Marshal(s)
+	}
+	if err == nil {
 		f.deliver(conn, &member.Message{Kind: member.Fetched, From: self, Share: text})
 	}
 }
 
+// held is how many MB this process holds of the system.
+func held() float64 {
+	all := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(all)
+	for _, s := range all {
+		if s.Value.Kind() != metrics.KindUint64 {
+			return 0
+		}
+	}
+	return float64(all[0].Value.Uint64()-all[1].Value.Uint64()) / (1 << 20)
+}
+
 // report tells the leader what this copy did in the last span. The mutex is held.
 func (f *Fleet) report(span uint64) {
 	r := f.roller
 	s := r.State()
+	memory := 0.0
+	if s.Phase == rollout.Soaking {
+		memory = held()
+	}
 	for _, now := range r.done() {
 		b := r.before[now.Pool]
 		r.before[now.Pool] = now
@@ -256,7 +286,8 @@
 			continue
 		}
 		rep := rollout.Report{Name: f.cfg.Name, Zone: f.cfg.Zone, Pool: now.Pool, Span: span, Asked: now.Asked - b.Asked, Good: now.Good - b.Good,
-			Answers: now.Answers - b.Answers, Took: now.Took - b.Took, Plan: r.own[0], Refused: r.own[1]}
+			Answers: now.Answers - b.Answers, Took: now.Took - b.Took,
+			Requests: now.Requests - b.Requests, Attempts: now.Attempts - b.Attempts, Memory: memory, Plan: r.own[0], Refused: r.own[1]}
 		msg := rollout.Message{Kind: rollout.Reports, From: f.cfg.Name, Report: &rep}
 		if s.Leader == f.cfg.Name {
 			f.carry(r.Handle(f.now(), msg, nil))
--- a/fleet/rollout/drive.go
+++ b/fleet/rollout/drive.go
@@ -48,6 +48,9 @@
 // than the plan allows.
 func (r *Rollout) change() {
 	s, p := &r.state, &r.state.Plan
+	if first := r.next(); len(s.Chosen) == 0 && (r.now < r.orders+p.Watch || r.now < r.orders+p.Watch+p.Unknown && !r.before.Enough(p.Guards, first)) {
+		return // it is found how copies differ while all are alike
+	}
 	zones := map[string]bool{}
 	all := 0
 	for _, c := range r.copies {
@@ -106,13 +109,23 @@
 	if left == 0 && there > 0 {
 		clear(r.ordered)
 		s.StageAt = s.Age
-		r.judge = NewJudge(p.Guards, s.Chosen)
+		r.judge = NewJudge(p.Guards, s.Chosen, r.before)
 		r.turn(Soaking, fmt.Sprintf("stage %d: %d of %d copies hold it", s.Stage+1, len(s.Chosen), all))
 	} else if left == 0 && there == 0 && s.Age > p.Expires/2 {
 		r.turn(Stopped, "none of the copies of this stage is there")
 	}
 }
 
+// next is the copy that is changed first.
+func (r *Rollout) next() string {
+	for _, c := range order(r.state.Plan.ID, r.copies) {
+		if c.Alive {
+			return c.Name
+		}
+	}
+	return ""
+}
+
 // order tells one copy, which may be this one.
 func (r *Rollout) order(name, target string, back bool) {
 	if name == r.name {
@@ -126,7 +139,7 @@
 func (r *Rollout) soak() {
 	s, p := &r.state, &r.state.Plan
 	if r.judge == nil { // another led: it is watched anew
-		r.judge = NewJudge(p.Guards, s.Chosen)
+		r.judge = NewJudge(p.Guards, s.Chosen, r.before)
 		s.StageAt = s.Age
 	}
 	for _, name := range s.Chosen {
--- a/fleet/rollout/lead.go
+++ b/fleet/rollout/lead.go
@@ -54,11 +54,14 @@
 	Text    []byte // the settings
 	Stages  []Stage
 	Away    int           // copies that may be on their way at once
+	Watch   time.Duration // how long copies are compared before the first is changed
 	Wait    time.Duration // how long a copy may take to change and be ready
 	Unknown time.Duration // how much longer than its soak a stage is watched while too little is known
 	Back    bool          // go back if a stage does worse; else stop and wait for a person
 	Expires time.Duration // since it was taken; nothing new begins after it
 	Guards  Guards
+	Least   uint8 // levels of what copies say to each other that the program speaks; 0 is not stated
+	Most    uint8
 }
 
 // Phase is what a plan is at.
@@ -124,6 +127,8 @@
 	Holds   string // settings' hash or program's version that it has
 	Epoch   uint64 // of its process: another one is a crash or a restart
 	Refused string // why it could not take what it was told, if it was the plan's
+	Least   uint8  // levels that it speaks; 0 is not known
+	Most    uint8
 }
 
 // Message is what copies say to each other about rollouts.
@@ -213,6 +218,7 @@
 	epochs   map[string]uint64 // of changed copies when they became ready
 	ordered  map[string]time.Duration
 	judge    *Judge
+	before   *Before
 	seq      uint64
 	saved    Phase // before a pause
 }
@@ -220,7 +226,8 @@
 // New returns a copy's side. It votes for nobody until any vote that it may have given
 // before a restart is over.
 func New(name string, now time.Duration) *Rollout {
-	return &Rollout{name: name, now: now, began: now, voted: now + stretch(Lease), epochs: map[string]uint64{}, ordered: map[string]time.Duration{}}
+	return &Rollout{name: name, now: now, began: now, voted: now + stretch(Lease), epochs: map[string]uint64{}, ordered: map[string]time.Duration{},
+		before: NewBefore()}
 }
 
 func stretch(d time.Duration) time.Duration { return time.Duration(float64(d) * (1 + 2*drift)) }
@@ -253,9 +260,14 @@
 	if !r.state.Phase.Ended() {
 		return &StandsError{r.state.Plan.ID, r.state.Phase}
 	}
+	for _, c := range r.copies {
+		if p.Most > 0 && c.Most > 0 && (c.Least > p.Most || c.Most < p.Least) {
+			return &KeyError{"speaks", fmt.Sprintf("%d to %d", p.Least, p.Most), fmt.Sprintf("levels that meet those of every copy: %s speaks %d to %d, and the two could not hear each other", c.Name, c.Least, c.Most)}
+		}
+	}
 	r.highest++
 	r.state = State{Plan: p, Fence: r.highest, Version: 1, Leader: "", Phase: Changing, History: []string{"taken by " + r.name}}
-	r.nextTry, r.judge = r.now, nil
+	r.nextTry, r.judge, r.before = r.now, nil, NewBefore()
 	return nil
 }
 
@@ -569,9 +581,15 @@
 		}
 		r.obey(m.Plan, m.Target, m.Back)
 	case Reports:
-		if m.Report != nil && r.Leads() && r.judge != nil {
+		if m.Report == nil || !r.Leads() {
+			break
+		}
+		if r.judge != nil {
 			r.judge.Hear(r.now, *m.Report)
 		}
+		if !slices.Contains(r.state.Chosen, m.Report.Name) {
+			r.before.Hear(*m.Report)
+		}
 	}
 	out, r.out = r.out, nil
 	return out
--- a/fleet/rollout/plan.go
+++ b/fleet/rollout/plan.go
@@ -9,6 +9,7 @@
 // Defaults of a plan.
 const (
 	DefaultSoak    = 30 * time.Second
+	DefaultWatch   = 10 * time.Second // or the first stage's soak, if that is shorter
 	DefaultWait    = 30 * time.Second
 	DefaultUnknown = 5 * time.Minute
 	DefaultExpires = 2 * time.Hour
@@ -30,6 +31,9 @@
 			p.Stages[i].Soak = DefaultSoak
 		}
 	}
+	if p.Watch == 0 {
+		p.Watch = min(DefaultWatch, p.Stages[0].Soak)
+	}
 	if p.Away == 0 {
 		p.Away = 1
 	}
@@ -83,10 +87,14 @@
 		return bad("settings", len(p.Text), fmt.Sprintf("at most %d bytes", MostText))
 	case len(p.Stages) == 0 || len(p.Stages) > MostStages:
 		return bad("stages", len(p.Stages), fmt.Sprintf("1 to %d stages", MostStages))
+	case p.Least > p.Most:
+		return bad("speaks", fmt.Sprintf("%d to %d", p.Least, p.Most), "the least and the most level, as ryerill version prints them")
 	case p.Away < 1 || p.Away > MostCopies:
 		return bad("away", p.Away, "1 or more copies at once")
 	case p.Wait <= 0 || p.Wait > time.Hour:
 		return bad("wait", p.Wait, "a time up to 1h, as in 30s")
+	case p.Watch < 0 || p.Watch > time.Hour:
+		return bad("watch", p.Watch, "a time up to 1h, as in 10s")
 	case p.Unknown <= 0 || p.Unknown > 24*time.Hour:
 		return bad("unknown", p.Unknown, "a time up to 24h, as in 5m")
 	case p.Expires <= 0 || p.Expires > 30*24*time.Hour:
--- a/fleet/share/share.go
+++ b/fleet/share/share.go
@@ -44,25 +44,28 @@
 
 // aged is an item with how old it was when it was sent.
 type aged[T any] struct {
-	_     struct{} `cbor:",toarray"`
-	AgeMS int64
-	Item  T
+	AgeMS int64 `cbor:"1,keyasint,omitempty"`
+	Item  T     `cbor:"2,keyasint"`
 }
 
 type wireCounts struct {
-	_                                 struct{} `cbor:",toarray"`
-	Pool, Class, Tenant               string
-	Arrivals, Served, Refused, Failed uint64
-	InFlight                          int64
+	Pool     string `cbor:"1,keyasint,omitempty"`
+	Class    string `cbor:"2,keyasint,omitempty"`
+	Tenant   string `cbor:"3,keyasint,omitempty"`
+	Arrivals uint64 `cbor:"4,keyasint,omitempty"`
+	Served   uint64 `cbor:"5,keyasint,omitempty"`
+	Refused  uint64 `cbor:"6,keyasint,omitempty"`
+	Failed   uint64 `cbor:"7,keyasint,omitempty"`
+	InFlight int64  `cbor:"8,keyasint,omitempty"`
 }
 
 type wireTally struct {
-	_              struct{} `cbor:",toarray"`
-	Name           string
-	Epoch, Version uint64
-	Zone           string
-	Members        int
-	Counts         []wireCounts
+	Name    string       `cbor:"1,keyasint"`
+	Epoch   uint64       `cbor:"2,keyasint"`
+	Version uint64       `cbor:"3,keyasint"`
+	Zone    string       `cbor:"4,keyasint,omitempty"`
+	Members int          `cbor:"5,keyasint,omitempty"`
+	Counts  []wireCounts `cbor:"6,keyasint,omitempty"`
 }
 
 // Packet is what one copy sends another.
@@ -195,10 +198,10 @@
 
 func (s *Share) tallyItem(t tally.Item) item {
 	w := &wireTally{Name: t.Name, Epoch: t.Epoch, Version: t.Version, Zone: t.Zone, Members: t.Members}
-	size := 40 + len(t.Name) + len(t.Zone)
+	size := 48 + len(t.Name) + len(t.Zone)
 	for k, c := range t.Counts {
 		w.Counts = append(w.Counts, wireCounts{Pool: k.Pool, Class: k.Class, Tenant: k.Tenant, Arrivals: c.Arrivals, Served: c.Served, Refused: c.Refused, Failed: c.Failed, InFlight: c.InFlight})
-		size += 26 + len(k.Pool) + len(k.Class) + len(k.Tenant)
+		size += 34 + len(k.Pool) + len(k.Class) + len(k.Tenant)
 	}
 	slices.SortFunc(w.Counts, func(a, b wireCounts) int {
 		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Class, b.Class), cmp.Compare(a.Tenant, b.Tenant))
@@ -206,7 +209,7 @@
 	for size > payload && len(w.Counts) > 0 { // a datagram's worth: the last keys wait for none
 		last := w.Counts[len(w.Counts)-1]
 		w.Counts = w.Counts[:len(w.Counts)-1]
-		size -= 26 + len(last.Pool) + len(last.Class) + len(last.Tenant)
+		size -= 34 + len(last.Pool) + len(last.Class) + len(last.Tenant)
 	}
 	return item{key: "t" + t.Zone + "/" + t.Name, since: s.now - time.Duration(t.AgeMS)*time.Millisecond, tally: w, size: size}
 }
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"fmt"
+
 	"ryerill/fleet/member"
 	"ryerill/fleet/view"
 )
@@ -50,8 +52,10 @@
 	Settings string   `json:"settings"`
 	Epoch    uint64   `json:"epoch"`
 	Count    uint32   `json:"count"`
-	SinceMS  int64    `json:"since_ms"` // how long it has been of this status
-	HeardMS  int64    `json:"heard_ms"` // how long ago it spoke to this copy itself
+	SinceMS  int64    `json:"since_ms"`        // how long it has been of this status
+	HeardMS  int64    `json:"heard_ms"`        // how long ago it spoke to this copy itself
+	Speaks   [2]uint8 `json:"speaks"`          // least and most level
+	Later    string   `json:"later,omitempty"` // what it says that this program does not know, in hexadecimal
 	Accused  []string `json:"accused_by,omitempty"`
 	By       string   `json:"by,omitempty"`
 }
@@ -86,6 +90,7 @@
 		}
 		if t := m.Tags; t != nil {
 			one.Phase, one.Address, one.Zone, one.Tier, one.Pools, one.Program, one.Settings = t.Phase.String(), t.Address, t.Zone, t.Tier, t.Pools, t.Program, t.Settings
+			one.Speaks, one.Later = [2]uint8{t.Least, t.Most}, fmt.Sprintf("%x", t.Later)
 		}
 		s.Members = append(s.Members, one)
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -40,7 +40,7 @@
 		fmt.Fprintf(stdout, "plan %s wants %s, back %v\n", done.Plan, done.Target, done.Back)
 		run, end := context.WithTimeout(ctx, within)
 		cmd := exec.CommandContext(run, args[0], args[1:]...)
-		cmd.Env = append(os.Environ(), "RYERILL_PLAN="+done.Plan, "RYERILL_TARGET="+done.Target, "RYERILL_BACK="+strconv.FormatBool(done.Back))
+		cmd.Env = append(os.Environ(), "RYERILL_PLAN="+done.Plan, "RYERILL_TARGET="+s.Target, "RYERILL_BACK="+strconv.FormatBool(done.Back))
 		cmd.Stdout, cmd.Stderr = stdout, stdout
 		err = cmd.Run()
 		end()
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"ryerill/config"
+	"ryerill/fleet/frame"
 	"ryerill/internal/logging"
 	"ryerill/proxy"
 )
@@ -51,7 +52,9 @@
 		fleetCommand(getenv, stdout),
 		rolloutCommand(getenv, stdout),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
-			Run: func(*cobra.Command, []string) { fmt.Fprintln(stdout, "ryerill", version()) }},
+			Run: func(*cobra.Command, []string) {
+				fmt.Fprintf(stdout, "ryerill %s\nfleet levels %d to %d\n", version(), frame.LeastLevel, frame.Level)
+			}},
 	)
 	err := root.Execute()
 	var failed runError
@@ -84,7 +87,7 @@
 // version is that of the module as it was built.
 func version() string {
 	if info, ok := debug.ReadBuildInfo(); ok && info.Main.Version != "" {
-		return info.Main.Version + " " + info.GoVersion
+		return info.Main.Version + " " + info.GoVersion + frame.Note
 	}
 	return "(unknown)"
 }
--- a/internal/command/rollout.go
+++ b/internal/command/rollout.go
@@ -104,13 +104,7 @@
 	c := &cobra.Command{Use: "rollout", Short: "Change settings or the program through a fleet, in stages"}
 	c.PersistentFlags().StringVar(&door, "door", "", "the door of any copy, IP and port; default that of the configuration in "+config.EnvFile)
 	c.PersistentFlags().BoolVar(&inJSON, "json", false, "print what the door says, for programs")
-	ask := func() (s fleet.RolloutStatus, err error) {
-		text, err := call(doorOf(door, getenv), "GET", "/ops/rollout", "")
-		if err == nil {
-			err = json.Unmarshal(text, &s)
-		}
-		return s, err
-	}
+	ask := func() (fleet.RolloutStatus, error) { return askRollout(doorOf(door, getenv)) }
 	word := func(use, short string) *cobra.Command {
 		return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
 			if _, err := call(doorOf(door, getenv), "POST", "/ops/rollout/"+use, ""); err != nil {
@@ -171,14 +165,35 @@
 	plan.Flags().StringVar(&own, "over", "", "the configuration that it is laid over; default that in "+config.EnvFile)
 	within := time.Minute
 	beside := &cobra.Command{Use: "agent -- COMMAND [ARG...]", Short: "Beside a proxy: run a command when a rollout wants another program there", Args: cobra.MinimumNArgs(1),
-		Long: "Beside a proxy: run a command when a rollout wants another program there. The command gets RYERILL_PLAN, RYERILL_TARGET and\n" +
-			"RYERILL_BACK (true or false) and is to start the second process beside the first and stop the first. Another exit status than 0,\n" +
-			"or more time than --within, is told to the fleet as a refusal.",
+		Long: "Beside a proxy: run a command when a rollout wants another program there. The command gets RYERILL_PLAN, RYERILL_TARGET (the plan's version) and\n" +
+			"RYERILL_BACK (true: what was there before it is wanted) and is to start the second process beside the first and stop the first. Another exit status than 0,\n" +
+			"or more time than --within, is told to the fleet as a refusal. Where the two processes have doors of their own, --door names both,\n" +
+			"parted by a comma.",
 		RunE: func(_ *cobra.Command, args []string) error {
 			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
-			return agent.Run(ctx, ask, func(path, body string) error {
-				_, err := call(doorOf(door, getenv), "POST", path, body)
+			// At an upgrade one process's door follows the other's: who answers is asked, and who wants something first.
+			doors := strings.Split(doorOf(door, getenv), ",")
+			return agent.Run(ctx, func() (s fleet.RolloutStatus, err error) {
+				for _, at := range doors {
+					if one, bad := askRollout(at); bad != nil {
+						err = errors.Join(err, bad)
+					} else if s.Wanted.Plan == "" {
+						s = one
+					}
+				}
+				if s.Phase != "" {
+					err = nil
+				}
+				return s, err
+			}, func(path, body string) (err error) {
+				for _, at := range doors {
+					if _, bad := call(at, "POST", path, body); bad == nil {
+						return nil
+					} else {
+						err = errors.Join(err, bad)
+					}
+				}
 				return err
 			}, args, within, stdout)
 		}}
@@ -209,6 +224,14 @@
 	return c
 }
 
+func askRollout(door string) (s fleet.RolloutStatus, err error) {
+	text, err := call(door, "GET", "/ops/rollout", "")
+	if err == nil {
+		err = json.Unmarshal(text, &s)
+	}
+	return s, err
+}
+
 func first(a, b string) string {
 	if a != "" {
 		return a
--- /dev/null
+++ b/lab/copies/versions_test.go
@@ -0,0 +1,179 @@
+package copies
+
+import (
+	"context"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"ryerill/config"
+	"ryerill/fleet"
+	badnet "ryerill/lab/net"
+)
+
+// both builds the program and one that speaks a later level, and tells the versions that
+// they print.
+func both(t *testing.T) (commands [2][]string, versions [2]string) {
+	t.Helper()
+	slow(t)
+	for i, build := range []func() (string, error){program, later} {
+		at, err := build()
+		if err != nil {
+			t.Fatal(err)
+		}
+		out, err := exec.Command(at, "version").Output()
+		if err != nil {
+			t.Fatal(err)
+		}
+		first, _, _ := strings.Cut(string(out), "\n")
+		commands[i], versions[i] = []string{at, "serve"}, strings.TrimPrefix(first, "ryerill ")
+	}
+	return commands, versions
+}
+
+// find is what a copy knows of another.
+func (c *Copy) find(name string) (m fleet.Member) {
+	s, _ := c.Status()
+	if i := slices.IndexFunc(s.Members, func(m fleet.Member) bool { return m.Name == name }); i >= 0 {
+		return s.Members[i]
+	}
+	return m
+}
+
+// A program and a later one work side by side: unknown fields are handed on by those that
+// don't know them, unknown fields and kinds of messages break nothing, quotas are lent and
+// a plan is carried through by either.
+func TestVersionsProcesses(t *testing.T) {
+	commands, _ := both(t)
+	f := rig(t, Options{Copies: 6, Of: func(i int) []string { return commands[i%2] }, Change: func(_ int, file *config.File) {
+		file.Fleet.Share = &config.ShareFile{Quotas: true, Counts: true, Verdicts: true}
+		file.Pools[0].Tenants = []config.TenantFile{{Name: "acme", Quota: 1000}}
+	}})
+	until(t, 20*time.Second, "all to know all", f.agree)
+	said := hex.EncodeToString([]byte("\xa1\x18\x64\x65later"))
+	// c01 speaks with those alone that don't know what it says.
+	f.Relays.Do(func(n *badnet.Net) {
+		for _, other := range []string{"c03", "c05"} {
+			n.Set("c01", other, badnet.Link{Cut: true})
+			n.Set(other, "c01", badnet.Link{Cut: true})
+		}
+	})
+	f.Copies[1].Kill()
+	if err := f.Launch(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	epoch := f.Copies[1].find("c01").Epoch
+	until(t, 20*time.Second, "what it says to be handed on", func() bool {
+		m := f.Copies[3].find("c01")
+		return m.Epoch == epoch && m.Later == said && m.Speaks == [2]uint8{1, 2}
+	})
+	f.Relays.Do(func(n *badnet.Net) { n.Heal() })
+	until(t, 20*time.Second, "all to know all", f.agree)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go f.Drive(ctx, 0, 300)
+	until(t, 20*time.Second, "a quota to be lent", func() bool {
+		s, err := f.Copies[0].Shared()
+		return err == nil && len(s.Budgets) == 1 && s.Budgets[0].Rate >= 280
+	})
+	f.rates(t)
+	for i, id := range []string{"by-this", "by-later"} {
+		plan := f.plan(t, id, "stages: [{count: 2, soak: 2s}, {part: 1, soak: 2s}]\naway: 2\nwait: 15s\n", func(p *config.PoolFile) { p.Limits.Attempts = 4 + i })
+		if _, err := f.Copies[i].Ask("POST", "/ops/rollout", plan); err != nil {
+			t.Fatal(err)
+		}
+		until(t, 90*time.Second, "the plan to end", func() bool { s := f.rollout(); return s.Plan == id && s.Ended })
+		if s := f.rollout(); s.Phase != "done" {
+			t.Errorf("%s: %s", s.Phase, s.Reason)
+		}
+	}
+	for _, c := range f.Copies {
+		s, _ := c.Status()
+		if s.Frames.Bad["torn"]+s.Frames.Bad["of another version"] > 0 {
+			t.Errorf("%s dropped %v", c.Name, s.Frames.Bad)
+		}
+	}
+}
+
+// Another program goes through the fleet by the operator's own means, here a stand-in
+// that asks this test: forward, then as far as one that can't take it, and back. A
+// program that others could not hear is refused before the first stage.
+func TestProgramsProcesses(t *testing.T) {
+	commands, versions := both(t)
+	const n = 5
+	f := rig(t, Options{Copies: n})
+	until(t, 20*time.Second, "all to know all", f.agree)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	spoilt := "" // a copy whose command fails
+	for i, c := range f.Copies {
+		want, done := filepath.Join(f.Opt.Dir, c.Name+".want"), filepath.Join(f.Opt.Dir, c.Name+".done")
+		agent := exec.CommandContext(ctx, commands[0][0], "rollout", "agent", "--door", c.Doors[0]+","+c.Doors[1], "--", "sh", "-c",
+			fmt.Sprintf(`echo "$RYERILL_TARGET,$RYERILL_BACK" > %s.part; mv %s.part %s; while [ ! -e %s ]; do sleep 0.05; done; read ok < %s; rm %s; [ "$ok" = yes ]`, want, want, want, done, done, done))
+		if err := agent.Start(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { stop(); agent.Wait() })
+		go func() { // the operator's means on this machine
+			for ctx.Err() == nil {
+				time.Sleep(50 * time.Millisecond)
+				text, err := os.ReadFile(want)
+				if err != nil {
+					continue
+				}
+				os.Remove(want)
+				target, back, _ := strings.Cut(strings.TrimSpace(string(text)), ",")
+				which, answer := 0, "yes"
+				if (back != "true") == (target == versions[1]) {
+					which = 1
+				}
+				if c.Name == spoilt && back != "true" {
+					answer = "no"
+				} else if err := f.Replace(ctx, i, commands[which]); err != nil {
+					t.Errorf("%s: %v", c.Name, err)
+				}
+				os.WriteFile(done+".part", []byte(answer+"\n"), 0o600)
+				os.Rename(done+".part", done)
+			}
+		}()
+	}
+	plan := func(id, version, rest string) string {
+		return fmt.Sprintf("id: %s\nkind: program\nprogram: %q\nstages: [{count: 1, soak: 2s}, {part: 1, soak: 2s}]\naway: 2\nwait: 20s\n%s", id, version, rest)
+	}
+	holding := func(version string) func() bool {
+		return func() bool {
+			for _, c := range f.Copies {
+				if c.find(c.Name).Program != version {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	if _, err := f.Copies[0].Ask("POST", "/ops/rollout", plan("deaf", "v9", "speaks: [7, 8]\n")); err == nil || !strings.Contains(err.Error(), "could not hear each other") {
+		t.Errorf("a program that nobody could hear: %v", err)
+	}
+	if _, err := f.Copies[0].Ask("POST", "/ops/rollout", plan("later", versions[1], "speaks: [1, 2]\n")); err != nil {
+		t.Fatal(err)
+	}
+	until(t, 120*time.Second, "the plan to end", func() bool { s := f.rollout(); return s.Plan == "later" && (s.Ended || s.Phase == "stopped") })
+	if s := f.rollout(); s.Phase != "done" || !holding(versions[1])() {
+		t.Fatalf("%s: %s\n%s", s.Phase, s.Reason, strings.Join(s.History, "\n"))
+	}
+	until(t, 20*time.Second, "all to know all", f.agree)
+	spoilt = "c03"
+	if _, err := f.Copies[2].Ask("POST", "/ops/rollout", plan("earlier", versions[0], "")); err != nil {
+		t.Fatal(err)
+	}
+	until(t, 120*time.Second, "the plan to go back", func() bool { s := f.rollout(); return s.Plan == "earlier" && (s.Ended || s.Phase == "stopped") })
+	if s := f.rollout(); s.Phase != "gone back" {
+		t.Errorf("%s: %s\n%s", s.Phase, s.Reason, strings.Join(s.History, "\n"))
+	}
+	until(t, 30*time.Second, "all to hold what they held", holding(versions[1]))
+}
--- a/proxy/sharing.go
+++ b/proxy/sharing.go
@@ -41,7 +41,10 @@
 
 // ended books a call's end for the fleet. The mutex is held.
 func (b *booked) ended(server ryerill.ServerID, o ryerill.Outcome) {
-	if b != nil && len(b.ends) < mostBooked {
+	if b == nil {
+		return
+	}
+	if b.done.Attempts++; len(b.ends) < mostBooked {
 		b.ends = append(b.ends, end{server, o})
 	}
 }
@@ -49,6 +52,7 @@
 // answered books an invocation's end for the fleet. The mutex is held.
 func (b *booked) answered(k *ryerill.Class, served bool, took time.Duration) {
 	b.done.Asked += k.Worth
+	b.done.Requests++
 	if !served {
 		return
 	}
