Keep what may be lent when a disk has lost it, and play disks, keys and upgrades in nights

A copy whose memory could not be read took itself for one that never ran: it lent and spent at once what it might have lent before its restart, for up to one lease. Found by writing the night's trouble 'disk'; a copy keeps that back now unless its memory says that it left. The memory has a version and a checksum, and one older than an hour gives no part by itself: a person's word may have given it to others.

Nights draw three kinds of trouble more: disks gone (both forms), keys changed in steps, a second process that follows the first (processes). On processes goodput has to be back at 95% two aims after the last trouble's end.

--- a/fleet/remember.go
+++ b/fleet/remember.go
@@ -1,11 +1,15 @@
 package fleet
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io/fs"
 	"os"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/renameio/v2"
 
 	"ryerill/fleet/member"
@@ -16,6 +20,7 @@
 // own was the last, whatever the clock says at the next, and whether all others
 // count it, so that it has its part at once.
 type memory struct {
+	Written time.Time       `json:"written"`
 	Fleet   string          `json:"fleet"`
 	Name    string          `json:"name"`
 	Epoch   uint64          `json:"epoch"`
@@ -27,7 +32,29 @@
 	counted uint64
 }
 
-const mostMemory = 4 << 20 // bytes of the file
+const (
+	mostMemory = 4 << 20   // bytes of the file
+	young      = time.Hour // a part that was told longer ago may have been given to others by a person's word
+	memoryHead = "ryerill-fleet 1 %016x\n"
+)
+
+// pack puts a line with a version and a checksum before what is kept, and unpack takes it
+// off: what is torn, changed or of another version is an error.
+func pack(text []byte) []byte {
+	return append(fmt.Appendf(nil, memoryHead, xxhash.Sum64(text)), text...)
+}
+
+func unpack(text []byte) ([]byte, error) {
+	var sum uint64
+	head, rest, _ := bytes.Cut(text, []byte("\n"))
+	if _, err := fmt.Sscanf(string(head)+"\n", memoryHead, &sum); err != nil {
+		return nil, errors.New("of no known version")
+	}
+	if xxhash.Sum64(rest) != sum {
+		return nil, errors.New("its checksum does not fit")
+	}
+	return rest, nil
+}
 
 // remembered reads what was kept. What can't be used is logged and passed over.
 func (f *Fleet) remembered() (m memory) {
@@ -41,7 +68,9 @@
 	if err == nil {
 		var text []byte
 		if text, err = os.ReadFile(f.cfg.Remember); err == nil {
-			err = json.Unmarshal(text, &m)
+			if text, err = unpack(text); err == nil {
+				err = json.Unmarshal(text, &m)
+			}
 		}
 	}
 	switch {
@@ -51,6 +80,10 @@
 	case m.Fleet != f.cfg.Fleet || m.Name != f.cfg.Name:
 		f.log.Warn("fleet: what was remembered is of another copy", "file", f.cfg.Remember, "fleet", m.Fleet, "name", m.Name)
 	default:
+		if age := time.Since(m.Written); m.Sure && (age > young || age < -young) {
+			m.Sure = false
+			f.log.Warn("fleet: what was remembered is old: this copy has no part until it has met all others", "file", f.cfg.Remember, "age", age.Round(time.Second))
+		}
 		return m
 	}
 	return memory{}
@@ -62,7 +95,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	left := !stays && !f.abandoned
-	m := memory{Fleet: f.cfg.Fleet, Name: f.cfg.Name, Epoch: f.member.Self().Epoch, Sure: f.view.Sure() && !left, Left: left, counted: f.view.Counted()}
+	m := memory{Written: time.Now(), Fleet: f.cfg.Fleet, Name: f.cfg.Name, Epoch: f.member.Self().Epoch, Sure: f.view.Sure() && !left, Left: left, counted: f.view.Counted()}
 	if f.roller != nil {
 		if s := f.roller.State(); s.Fence > 0 {
 			m.Rollout = &s
@@ -111,7 +144,7 @@
 	defer f.writing.Unlock()
 	text, err := json.Marshal(m)
 	if err == nil {
-		err = renameio.WriteFile(f.cfg.Remember, text, 0o600)
+		err = renameio.WriteFile(f.cfg.Remember, pack(text), 0o600)
 	}
 	if err != nil {
 		f.mu.Lock()
--- a/fleet/sharing.go
+++ b/fleet/sharing.go
@@ -64,8 +64,10 @@
 		return nil
 	}
 	c := f.cfg.Share
+	// Only a copy that said that it leaves has nothing lent for certain: one that remembers nothing may start
+	// for the first time, or have lost its disk.
 	f.share, err = share.New(share.Config{Name: f.cfg.Name, Zone: f.cfg.Zone, Epoch: f.member.Self().Epoch, Seed: f.cfg.Seed ^ f.member.Self().Epoch,
-		Fresh: known.Epoch != 0 && !known.Left || f.cfg.Remember == "", Quotas: c.Quotas, Counts: c.Counts, Verdicts: c.Verdicts, Budget: c.Budget}, f.now())
+		Fresh: !known.Left, Quotas: c.Quotas, Counts: c.Counts, Verdicts: c.Verdicts, Budget: c.Budget}, f.now())
 	return err
 }
 
--- a/lab/copies/ledger.go
+++ b/lab/copies/ledger.go
@@ -165,6 +165,23 @@
 	all.Wait()
 }
 
+// Served is which part of the requests that were asked for in a time were answered well,
+// and how many there were. What is excused does not count.
+func (l *Ledger) Served(from, to time.Time) (part float64, of int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	good := 0
+	for _, e := range l.requests {
+		if e.Asked.Before(from) || !e.Asked.Before(to) || e.Excused || e.Answered.IsZero() {
+			continue
+		}
+		if of++; e.Status == 200 && !e.Broken {
+			good++
+		}
+	}
+	return float64(good) / float64(max(of, 1)), of
+}
+
 // Sum is what a ledger comes to.
 type Sum struct {
 	Faults                                                           []string // of some that were lost
--- a/lab/members/members.go
+++ b/lab/members/members.go
@@ -37,6 +37,7 @@
 	knew     bool
 	Up       bool
 	Stopped  bool
+	Broken   bool // its disk: nothing is remembered, and it tells nobody whom it counts anew
 	life     int
 	wakes    time.Duration // the tick that is set; never if none
 	backlog  []member.Event
@@ -89,6 +90,9 @@
 	s.byName[c.Address] = c
 	c.Member, c.View, c.Up, c.Stopped, c.backlog = member.New(cfg), nil, true, false, nil
 	c.wakes = -1
+	if c.Broken {
+		c.memory, c.sure = nil, false
+	}
 	if c.knew = len(seeds) == 0 || len(c.memory) > 0 && !c.left; len(c.memory) > 0 {
 		s.tell(c, member.Event{Kind: member.Recall, Records: c.memory})
 	}
@@ -289,6 +293,9 @@
 		m := c.Member
 		c.View.Update(s.Now, view.Snapshot{Members: m.Members(), Joined: m.Joined() || c.knew, Displaced: m.Displaced(), Health: m.Health()})
 		c.left = m.Self().Status == member.Left
+		if c.Broken {
+			continue
+		}
 		c.sure, c.memory = c.View.Sure() && !c.left, c.memory[:0]
 		for _, other := range m.Members() {
 			if !other.Self && other.Status != member.Left {
--- a/lab/night/processes.go
+++ b/lab/night/processes.go
@@ -23,8 +23,11 @@
 const (
 	agreeProcesses = 30 * time.Second
 	planProcesses  = 3 * time.Minute
-	mostGrown      = 24 // descriptors that a copy may hold more in the end
-	mostMemory     = 64 // MB that a copy may hold
+	mostGrown      = 24              // descriptors that a copy may hold more in the end
+	mostMemory     = 64              // MB that a copy may hold
+	recovery       = 2 * time.Second // after the last trouble's end: two aims
+	recovered      = 0.95            // of the goodput before the first
+	measured       = 3 * time.Second
 )
 
 // Processes plays a night on real processes of the program, under load, with the
@@ -58,6 +61,8 @@
 	for _, c := range f.Copies {
 		before[c.Name] = openFiles(c.Pid())
 	}
+	pause(ctx, measured)
+	usual, _ := f.Ledger.Served(time.Now().Add(-measured), time.Now())
 	n.began = time.Now()
 	n.play(ctx, sch)
 	f.Relays.Do(func(net *badnet.Net) { net.Heal(); net.Usual(badnet.Link{}) })
@@ -72,6 +77,13 @@
 		}
 	}
 	over := time.Now()
+	if pause(ctx, recovery+measured+time.Second); n.bad == nil {
+		now, of := f.Ledger.Served(over.Add(recovery), over.Add(recovery+measured))
+		say(fmt.Sprintf("goodput before %.4f, and after %v %.4f of %d", usual, recovery, now, of))
+		if now < recovered*usual || of == 0 {
+			n.fail("goodput is back", "%.4f of %d requests are served %v after the last trouble, %.4f before the first", now, of, recovery, usual)
+		}
+	}
 	switch {
 	case n.bad != nil:
 	case !n.until(ctx, agreeProcesses, n.agree):
@@ -122,6 +134,9 @@
 	bad   *Violation
 	plans int
 	all   sync.WaitGroup
+
+	changing sync.Mutex // of keys, and of processes at an upgrade
+	key      int
 }
 
 func (n *processes) fail(rule, format string, args ...any) *Violation {
@@ -191,6 +206,12 @@
 	n.fail("a budget is never overspent", "all together may spend %.1f of %.0f", sum, whole)
 }
 
+func (n *processes) disks(whom []int, there bool) {
+	for _, i := range whom {
+		n.f.Disk(i, there) // of two troubles with one disk the second changes nothing
+	}
+}
+
 func (n *processes) names(st *Step) (out []string) {
 	for _, i := range st.Whom {
 		out = append(out, n.f.Copies[i].Name)
@@ -267,6 +288,40 @@
 		}
 	case Abort:
 		n.f.Copies[st.Whom[0]].Ask("POST", "/ops/rollout/abort", "")
+	case Disk:
+		n.disks(st.Whom, false)
+		pause(ctx, st.For)
+		n.disks(st.Whom, true)
+	case Keys:
+		n.changing.Lock()
+		defer n.changing.Unlock()
+		n.key++
+		old, next := fmt.Sprintf("key-%012d-of-this-fleet", n.key-1), fmt.Sprintf("key-%012d-of-this-fleet", n.key)
+		if n.key == 1 {
+			old = copies.FirstKey
+		}
+		for _, keys := range [][]string{{old, next}, {next, old}, {next}} {
+			if err := n.f.WriteKeys(keys...); err != nil {
+				n.fail("keys change", "%v", err)
+			}
+			for _, c := range n.f.Copies {
+				if _, err := c.Ask("GET", "/ops/readiness", ""); c.Up() && err == nil {
+					c.Signal(syscall.SIGHUP)
+				}
+			}
+			pause(ctx, 2*time.Second)
+		}
+	case Upgrade:
+		n.changing.Lock()
+		defer n.changing.Unlock()
+		for _, i := range st.Whom {
+			if c := n.f.Copies[i]; c.Up() {
+				ends := c.Ends()
+				if err := n.f.Replace(ctx, i, n.f.Opt.Command); err != nil && ctx.Err() == nil && c.Ends() == ends {
+					n.fail("a copy is upgraded", "%v", err)
+				}
+			}
+		}
 	case Trouble, Costly:
 		n.f.Ledger.Spoil(st.Whom[0] % 6)
 		pause(ctx, st.For)
--- a/lab/night/virtual.go
+++ b/lab/night/virtual.go
@@ -554,6 +554,10 @@
 		}
 	case Trouble:
 		v.zones[st.Whom[0]%3] = st.Much
+	case Disk:
+		for _, i := range st.Whom {
+			v.hands[i].Broken = true
+		}
 	}
 }
 
@@ -580,5 +584,9 @@
 		}
 	case Trouble:
 		v.zones[st.Whom[0]%3] = 0
+	case Disk:
+		for _, i := range st.Whom {
+			v.hands[i].Broken = false
+		}
 	}
 }
