Play troubles between proxies, roaming tenants and uneven proxies in experiments

Worlds take cut, one-way, split and lossy among their troubles, with lab/net's links; a tenant may roam and the first proxy be asked more than others; arms may be decided by 'shared' and 'oracle'. They are played in virtual time with the pure parts that the host carries; sockets refuse them by name. A copy that restarts there is another life of its name, and tiers share apart. lab/sharing's own cuts are such troubles now.

--- a/lab/experiment/file.go
+++ b/lab/experiment/file.go
@@ -19,6 +19,7 @@
 	"ryerill"
 	"ryerill/internal/yamlfile"
 	"ryerill/lab/baseline"
+	"ryerill/lab/sharing"
 	"ryerill/lab/world"
 )
 
@@ -46,7 +47,7 @@
 // Arm is one of the things compared.
 type Arm struct {
 	Name        string         `yaml:"name" json:"name" jsonschema:"required"`
-	Decider     string         `yaml:"decider" json:"decider,omitempty" jsonschema_description:"ryerill (default), or a picker and a limit: p2c, least/fixed:20, random/gradient"`
+	Decider     string         `yaml:"decider" json:"decider,omitempty" jsonschema_description:"ryerill (default); shared: its copies share quotas and evidence; oracle: and hear each other at once; or a picker and a limit: p2c, least/fixed:20, random/gradient"`
 	Host        string         `yaml:"host" json:"host,omitempty"`
 	Build       string         `yaml:"build" json:"build,omitempty" jsonschema_description:"sockets: a ryerill binary, default the proxy built into the laboratory; overhead: ryerill, relay or reverseproxy"`
 	Connections int            `yaml:"connections" json:"connections,omitempty" jsonschema_description:"overhead: how many ask at once; default 16"`
@@ -124,8 +125,8 @@
 		if a.Connections == 0 {
 			a.Connections = 16
 		}
-		if _, err := baseline.New(a.Decider, ryerill.Config{}, 0); err != nil {
-			bad(at+".decider", a.Decider, "ryerill, or a picker and a limit as in p2c/fixed:20 ("+err.Error()+")")
+		if _, err := baseline.New(a.Decider, ryerill.Config{}, 0); err != nil && !slices.Contains(sharing.Arms[1:], a.Decider) {
+			bad(at+".decider", a.Decider, "ryerill, shared, oracle, or a picker and a limit as in p2c/fixed:20 ("+err.Error()+")")
 		}
 		if a.Host != Sim && a.Decider != "" && a.Decider != "ryerill" {
 			bad(at+".decider", a.Decider, "ryerill: other deciders play in virtual time only")
@@ -146,6 +147,9 @@
 		if err != nil {
 			problems = append(problems, fmt.Errorf("%s%s: %w", path, tree.Position(at), err))
 		}
+		if w != nil && a.Host == Sockets && w.VirtualOnly() {
+			bad(at+".host", a.Host, "sim: tenants that roam, uneven proxies and troubles between proxies are played in virtual time")
+		}
 		if w != nil && w.Parallel && a.Host == Sim {
 			bad(at+".host", a.Host, "sockets: the world's tiers are parallel")
 		}
--- a/lab/experiment/run.go
+++ b/lab/experiment/run.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"ryerill/lab/measure"
+	"ryerill/lab/sharing"
 	"ryerill/lab/sim"
 	"ryerill/lab/world"
 )
@@ -49,6 +50,9 @@
 
 // Virtual plays in virtual time.
 func Virtual(ctx context.Context, w *world.World, arm Arm, seed uint64) (*measure.Result, error) {
+	if slices.Contains(sharing.Arms[1:], arm.Decider) {
+		return sim.Run(ctx, w, sim.Options{Seed: seed, New: sharing.NewHubs(arm.Decider, seed, w).Decider})
+	}
 	return sim.Run(ctx, w, sim.Options{Decider: arm.Decider, Seed: seed})
 }
 
--- a/lab/sharing/sharing.go
+++ b/lab/sharing/sharing.go
@@ -4,6 +4,7 @@
 package sharing
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -20,7 +21,7 @@
 )
 
 // Arms are what is compared. Oracle's copies hear each other at once and for nothing.
-var Arms = []string{"off", "on", "oracle"}
+var Arms = []string{"off", "shared", "oracle"}
 
 // Hub leads what the copies of one run say to each other.
 type Hub struct {
@@ -31,18 +32,75 @@
 	now    time.Duration
 	Bytes  uint64
 	// Lost counts calls of all copies that ended badly at each server, from From on.
-	Lost map[ryerill.ServerID]int
-	From time.Duration
-	Over time.Duration
-	cuts []cut
+	Lost  map[ryerill.ServerID]int
+	From  time.Duration
+	Over  time.Duration
+	cuts  []cut
+	lives uint64
+	due   time.Duration // when the next copy looks
 }
 
+// cut is something that happens to the network between copies.
 type cut struct {
 	at   time.Duration
 	do   func(*badnet.Net)
 	done bool
 }
 
+// epoch is what deciders of the simulation see as its start.
+const epoch = time.Hour
+
+// Hubs lead what the copies of a world say to each other: those that send to one tier
+// are a fleet.
+type Hubs struct{ tiers []*Hub }
+
+// NewHubs returns the hubs of a run of a world.
+func NewHubs(arm string, seed uint64, w *world.World) *Hubs {
+	h := &Hubs{}
+	for tier := range w.Tiers {
+		one := New(arm, seed+uint64(tier)<<32, max(len(w.Network.Zones), 1))
+		one.trouble(w, w.ProxyCount(tier))
+		h.tiers = append(h.tiers, one)
+	}
+	return h
+}
+
+// Decider makes one copy; it goes into sim.Options.New.
+func (h *Hubs) Decider(cfg ryerill.Config, seed uint64) baseline.Decider {
+	return h.tiers[cfg.Tier].Decider(cfg, seed)
+}
+
+// trouble puts a world's troubles between proxies on the hub's network.
+func (h *Hub) trouble(w *world.World, copies int) {
+	for _, t := range w.Troubles {
+		if !t.BetweenProxies() {
+			continue
+		}
+		var whom []string
+		for i := range max(int(t.Part*float64(copies)), 1) {
+			whom = append(whom, name(i))
+		}
+		begin, end := func(n *badnet.Net) {
+			for _, c := range whom {
+				n.CutOff(c, t.Kind == world.OneWay)
+			}
+		}, (*badnet.Net).Heal
+		switch t.Kind {
+		case world.Split:
+			begin = func(n *badnet.Net) { n.Split(whom) }
+		case world.Lossy:
+			begin, end = func(n *badnet.Net) { n.Usual(t.Link) }, func(n *badnet.Net) { n.Usual(lan) }
+		}
+		h.cuts = append(h.cuts, cut{at: epoch + t.At, do: begin}, cut{at: epoch + t.At + t.For, do: end})
+	}
+	slices.SortStableFunc(h.cuts, func(a, b cut) int { return cmp.Compare(a.at, b.at) })
+}
+
+func name(i int) string { return fmt.Sprintf("c%04d", i) }
+
+// lan is the network between copies where nothing is wrong with it.
+var lan = badnet.Link{Delay: time.Millisecond, Jitter: 2 * time.Millisecond}
+
 // Copy is one proxy.
 type Copy struct {
 	*ryerill.Balancer
@@ -65,19 +123,31 @@
 
 // New returns the hub of a run.
 func New(arm string, seed uint64, zones int) *Hub {
-	return &Hub{arm: arm, net: badnet.New(badnet.Link{Delay: time.Millisecond, Jitter: 2 * time.Millisecond}, seed), zones: zones, Lost: map[ryerill.ServerID]int{}}
+	return &Hub{arm: arm, net: badnet.New(lan, seed), zones: zones, Lost: map[ryerill.ServerID]int{}}
 }
 
 // Decider makes one copy; it goes into sim.Options.New.
 func (h *Hub) Decider(cfg ryerill.Config, seed uint64) baseline.Decider {
-	c := &Copy{Balancer: ryerill.New(cfg, seed), hub: h, cfg: cfg, name: fmt.Sprintf("c%04d", len(h.copies)), zone: fmt.Sprint("z", cfg.Zone),
+	c := &Copy{Balancer: ryerill.New(cfg, seed), hub: h, cfg: cfg, name: name(cfg.Self), zone: fmt.Sprint("z", cfg.Zone),
 		wants: make([]float64, len(cfg.Tenants)), servers: map[ryerill.ServerID]ryerill.Server{}, next: -1}
 	budget := 0
 	if h.arm == "oracle" {
 		budget = 1 << 30
 	}
-	c.share, _ = share.New(share.Config{Name: c.name, Zone: c.zone, Epoch: 1, Seed: seed, Quotas: true, Verdicts: true, Budget: budget}, 0)
-	h.copies = append(h.copies, c)
+	// One that restarts is another life of its name: what it had lent is not known.
+	h.lives++
+	again := slices.IndexFunc(h.copies, func(o *Copy) bool { return o.name == c.name })
+	c.share, _ = share.New(share.Config{Name: c.name, Zone: c.zone, Epoch: h.lives, Seed: seed, Quotas: true, Verdicts: true, Budget: budget, Fresh: again >= 0}, h.now)
+	if h.due = 0; again < 0 {
+		h.copies = append(h.copies, c)
+		return c
+	}
+	h.copies[again] = c
+	for _, o := range h.copies {
+		if o != c {
+			o.share.Over(c.name, h.lives-1)
+		}
+	}
 	return c
 }
 
@@ -125,14 +195,19 @@
 			k.do(h.net)
 		}
 	}
-	for _, c := range h.copies {
-		if c.next < 0 {
-			c.next = h.now + time.Duration(len(c.name)*int(c.name[len(c.name)-1]))%share.Every
+	if h.now < h.due {
+		return
+	}
+	h.due = h.now + share.Every
+	for i, c := range h.copies {
+		if c.next < 0 { // spread over the time between looks
+			c.next = h.now + share.Every*time.Duration(i%16)/16
 		}
 		if h.now >= c.next {
 			c.next = h.now + share.Every
 			c.look()
 		}
+		h.due = min(h.due, c.next)
 	}
 }
 
@@ -227,6 +302,10 @@
 	if k.Copies >= 300 {
 		rate = 900
 	}
+	cut := ""
+	if k.Cut {
+		cut = "\n  - {kind: split, at: 10s, for: 15s, part: 0.3334}"
+	}
 	text := fmt.Sprintf(`
 name: sharing
 length: %v
@@ -239,12 +318,12 @@
 load: {rate: %g}
 consumers: {retries: 1, try: 0.6, wait: 100ms, honour: 0.3}
 troubles:
-%s`, length, k.Copies, providers, int(rate/200)+2, rate, map[string]string{
+%s%s`, length, k.Copies, providers, int(rate/200)+2, rate, map[string]string{
 		"err":  "  - {kind: err, at: 12s, for: 18s, part: 0.125, factor: 0.9}",
 		"hang": "  - {kind: hang, at: 12s, for: 18s, part: 0.125}",
 		"slow": "  - {kind: slow, at: 12s, for: 18s, part: 0.125, factor: 12}",
 		"none": "  []",
-	}[k.Trouble])
+	}[k.Trouble], cut)
 	if k.Trouble == "none" {
 		text = text[:len(text)-len("troubles:\n  []")]
 	}
@@ -253,17 +332,8 @@
 		return r, err
 	}
 	h := New(arm, seed, 3)
-	const epoch = time.Hour // as the simulation's deciders see its start
+	h.trouble(w, k.Copies)
 	h.From, h.Over = epoch+12*time.Second, epoch+30*time.Second
-	if k.Cut {
-		h.cuts = []cut{{at: epoch + 10*time.Second, do: func(n *badnet.Net) {
-			var part []string
-			for i := range k.Copies / 3 {
-				part = append(part, fmt.Sprintf("c%04d", i))
-			}
-			n.Split(part)
-		}}, {at: epoch + 25*time.Second, do: func(n *badnet.Net) { n.Heal() }}}
-	}
 	res, err := sim.Run(ctx, w, sim.Options{Seed: seed, New: h.Decider})
 	if err != nil {
 		return r, err
--- a/lab/sim/consumer.go
+++ b/lab/sim/consumer.go
@@ -34,8 +34,20 @@
 	f.try()
 }
 
-// choose picks the front's next proxy for a zone: its own, or any if there is none.
-func (s *Sim) choose(zone int) *proxy {
+// choose picks the front's next proxy for a zone: its own, or any if there is none. A
+// tenant may roam from proxy to proxy, and the first may be asked more than others.
+func (s *Sim) choose(zone, tenant int) *proxy {
+	n := len(s.slots)
+	if roams := s.w.Tenants[tenant].Roams; roams > 0 {
+		for i := range n {
+			if p := s.slots[(int(s.now/roams)+i)%n].proxy; p != nil {
+				return p
+			}
+		}
+	}
+	if more := s.w.Load.Uneven; more > 1 && s.slots[0].proxy != nil && s.who.Float64() < more/(more+float64(n-1)) {
+		return s.slots[0].proxy
+	}
 	for _, any := range []bool{false, true} {
 		for range s.slots {
 			s.turns[zone]++
@@ -56,7 +68,7 @@
 	s.rec.Count("tries", 1)
 	patience := min(time.Duration(s.w.Consumers.Try*float64(c.Deadline)), f.until-s.now)
 	way := s.delay(-1, 0)
-	p := s.choose(f.q.Zone)
+	p := s.choose(f.q.Zone, f.q.Tenant)
 	if p == nil {
 		f.last = measure.Failed
 		s.after(2*way, func() { f.again(true, 0) })
--- a/lab/world/check.go
+++ b/lab/world/check.go
@@ -253,10 +253,16 @@
 		name(at+"name", t.Name, tenants)
 		number(at+"share", t.Share, 0, 1e6)
 		number(at+"quota", t.Quota, 0, 1e9)
+		if t.Roams != 0 {
+			span(at+"roams", t.Roams, time.Millisecond, maxLength)
+		}
 	}
 	number("load.rate", w.Load.Rate, 0.01, MaxRate)
 	oneOf("load.shape", w.Load.Shape, "steady", "wave", "bursty")
 	number("load.swing", w.Load.Swing, 0, 1)
+	if w.Load.Uneven != 0 {
+		number("load.uneven", w.Load.Uneven, 1, 1e6)
+	}
 	for i, s := range w.Load.Steps {
 		number(fmt.Sprintf("load.steps[%d].factor", i), s.Factor, 0, 100)
 	}
@@ -277,6 +283,9 @@
 		}
 		number(at+"part", t.Part, 0, 1)
 		number(at+"factor", t.Factor, 0, 100)
+		if err := t.Link.Check(); err != nil {
+			bad(at+"link", t.Link, err.Error())
+		}
 		if t.Kind == Burst && t.Factor < 1 {
 			bad(at+"factor", t.Factor, "1 or more: steps of the load make it fall")
 		}
--- a/lab/world/world.go
+++ b/lab/world/world.go
@@ -7,11 +7,13 @@
 package world
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"ryerill"
+	badnet "ryerill/lab/net"
 )
 
 // World is a whole deployment and what happens to it.
@@ -116,6 +118,8 @@
 	Name  string  `yaml:"name" json:"name"`
 	Share float64 `yaml:"share" json:"share" jsonschema_description:"part of the requests"`
 	Quota float64 `yaml:"quota" json:"quota,omitempty" jsonschema_description:"requests a second that earn full worth; 0 is no quota"`
+
+	Roams time.Duration `yaml:"roams" json:"roams,omitempty" jsonschema_description:"all its requests come to one proxy, and after this time to the next one; 0 is all proxies; virtual time only"`
 }
 
 // Load is how much is asked for, first tries only.
@@ -125,6 +129,7 @@
 	Swing  float64       `yaml:"swing" json:"swing,omitempty" jsonschema_description:"how far a wave or bursts move the rate; 0 to 1"`
 	Period time.Duration `yaml:"period" json:"period,omitempty" jsonschema_description:"of a wave; mean length of a burst; default 20s"`
 	Steps  []Step        `yaml:"steps" json:"steps,omitempty"`
+	Uneven float64       `yaml:"uneven" json:"uneven,omitempty" jsonschema_description:"the first proxy is asked so many times what each other one is; default 1; virtual time only"`
 }
 
 // Step changes the rate from a time on.
@@ -175,14 +180,20 @@
 	Reload    = "reload"    // proxies are given Count new configurations; sockets only
 	Err       = "err"       // Factor is the part of requests that providers answer with an error at once
 	Heavy     = "heavy"     // requests of Tenant are Factor times as much work
+
+	// Between proxies that share: virtual time only. Part is of the proxies, those of the lowest numbers.
+	Cut    = "cut"     // they hear no other and are heard by none
+	OneWay = "one-way" // no other hears them
+	Split  = "split"   // they hear each other alone
+	Lossy  = "lossy"   // every way between proxies behaves as Link says
 )
 
 // Kinds lists the kinds of trouble.
-var Kinds = []string{Slow, Silent, Hang, Burst, Release, Replace, Restart, Spoil, DirSilent, ZoneLoss, Reload, Err, Heavy}
+var Kinds = []string{Slow, Silent, Hang, Burst, Release, Replace, Restart, Spoil, DirSilent, ZoneLoss, Reload, Err, Heavy, Cut, OneWay, Split, Lossy}
 
 // Trouble is something that goes wrong for a time.
 type Trouble struct {
-	Kind   string        `yaml:"kind" json:"kind" jsonschema:"enum=slow,enum=silent,enum=hang,enum=burst,enum=release,enum=replace,enum=restart,enum=spoil,enum=directory,enum=zone-loss,enum=reload,enum=err,enum=heavy"`
+	Kind   string        `yaml:"kind" json:"kind" jsonschema:"enum=slow,enum=silent,enum=hang,enum=burst,enum=release,enum=replace,enum=restart,enum=spoil,enum=directory,enum=zone-loss,enum=reload,enum=err,enum=heavy,enum=cut,enum=one-way,enum=split,enum=lossy"`
 	At     time.Duration `yaml:"at" json:"at"`
 	For    time.Duration `yaml:"for" json:"for,omitempty"`
 	Tier   string        `yaml:"tier" json:"tier,omitempty" jsonschema_description:"default: the first; for slow with part 1 'all' is every tier"`
@@ -192,9 +203,21 @@
 	Tenant string        `yaml:"tenant" json:"tenant,omitempty" jsonschema_description:"heavy: whose requests"`
 	Count  int           `yaml:"count" json:"count,omitempty" jsonschema_description:"reload: how many, evenly over the time"`
 	Drain  time.Duration `yaml:"drain" json:"drain,omitempty" jsonschema_description:"release: how long each drains; default 4s"`
+	Link   badnet.Link   `yaml:"link" json:"link,omitempty" jsonschema_description:"lossy: drop, duplicate, corrupt, reorder, delay, jitter, bytes_per_s"`
 	Pause  time.Duration `yaml:"pause" json:"pause,omitempty" jsonschema_description:"release, restart: until the next process runs; default 500ms"`
 }
 
+// BetweenProxies tells whether a trouble is one of the network between proxies.
+func (t *Trouble) BetweenProxies() bool {
+	return t.Kind == Cut || t.Kind == OneWay || t.Kind == Split || t.Kind == Lossy
+}
+
+// VirtualOnly tells whether the world has something that sockets can't play.
+func (w *World) VirtualOnly() bool {
+	return w.Load.Uneven > 1 || slices.ContainsFunc(w.Tenants, func(t Tenant) bool { return t.Roams > 0 }) ||
+		slices.ContainsFunc(w.Troubles, func(t Trouble) bool { return t.BetweenProxies() })
+}
+
 // TierIndex returns the index of the tier of a name, or -1.
 func (w *World) TierIndex(name string) int {
 	for i := range w.Tiers {
