--- a/fleet/rolling.go
+++ b/fleet/rolling.go
@@ -347,6 +347,9 @@
 	History []string      `json:"history"`
 	Copies  []CopyStatus  `json:"copies"`
 	Wanted  Wanted        `json:"wanted"`
+
+	Evidence string          `json:"evidence,omitempty"` // of the copy that leads
+	Points   []rollout.Point `json:"points,omitempty"`
 }
 
 // StageStatus is one stage.
@@ -376,6 +379,7 @@
 	kinds := map[rollout.Kind]string{rollout.Settings: "settings", rollout.Program: "program"}
 	out := RolloutStatus{Plan: s.Plan.ID, Kind: kinds[s.Plan.Kind], Target: s.Plan.Target, Phase: s.Phase.String(), Ended: s.Phase.Ended(), Stage: s.Stage + 1, Reason: s.Reason,
 		Leader: s.Leader, Leads: f.roller.Leads(), Number: s.Fence, AgeMS: s.Age.Milliseconds(), Changed: s.Chosen, Failed: s.Failed, History: s.History, Wanted: f.roller.wanted}
+	out.Evidence, out.Points = f.roller.Evidence()
 	zones := map[string]bool{}
 	crew := f.crew()
 	for _, c := range crew {
--- a/fleet/rollout/judge.go
+++ b/fleet/rollout/judge.go
@@ -255,9 +255,21 @@
 	heavy   int // spans in a row in which changed copies hold more memory
 	spans   int
 	seen    map[string]uint64
+	points  []Point
+}
+
+// Point is what one span came to, over all places: for people, and for charts.
+type Point struct {
+	Span               uint64
+	Old, Changed       float64 // goodput of unchanged and of changed copies
+	OldTook, Took      float64 // seconds that an answer took
+	OldTries, Tries    float64 // calls to providers for each request
+	OldMemory, Memory  float64 // MB, the largest
+	Evidence, Up, Down float64 // of lower goodput, and between which bounds too little is known
 }
 
 const (
+	mostPoints = 600
 	lag        = 3 // spans after which one is closed
 	mostPlaces = 4096
 	stages     = 6.0 // over which the chance of a wrong stop is divided
@@ -333,6 +345,7 @@
 	}
 	for _, at := range inOrder(over) {
 		j.weigh(over[at])
+		j.note(at.span, over[at])
 		if p := over[at]; !both[at] && p[0].asked >= leastAsked && p[1].asked >= leastAsked {
 			spans[at.span] = true
 			j.compare(p)
@@ -367,6 +380,38 @@
 	}
 }
 
+// note keeps what a span came to, of the first pool by name that has both sides.
+func (j *Judge) note(span uint64, p *[2]side) {
+	if p[0].asked <= 0 || p[1].asked <= 0 {
+		return
+	}
+	ratio := func(a, b float64) float64 {
+		if b <= 0 {
+			return 0
+		}
+		return a / b
+	}
+	most := func(all []float64) (m float64) {
+		for _, v := range all {
+			m = max(m, v)
+		}
+		return m
+	}
+	up, down := j.guards.bounds()
+	one := Point{span, ratio(p[0].good, p[0].asked), ratio(p[1].good, p[1].asked), ratio(p[0].took, p[0].answers), ratio(p[1].took, p[1].answers),
+		ratio(p[0].attempts, p[0].requests), ratio(p[1].attempts, p[1].requests), most(p[0].memory), most(p[1].memory), j.evidence(), up, down}
+	if n := len(j.points); n > 0 && j.points[n-1].Span == span {
+		return
+	}
+	if j.points = append(j.points, one); len(j.points) > mostPoints {
+		j.points = j.points[1:]
+	}
+}
+
+// evidence is the log of how much more likely the cost is than none. However long one
+// watches, how copies differed before is known only so well.
+func (j *Judge) evidence() float64 { return j.good / (1 + j.doubt) }
+
 // weigh looks whether changed copies hold more memory than any unchanged one does, by
 // the median of theirs.
 func (j *Judge) weigh(p *[2]side) {
@@ -453,8 +498,7 @@
 // Verdict tells what is known.
 func (j *Judge) Verdict(time.Duration) (Answer, string) {
 	upper, lower := j.guards.bounds()
-	// However long one watches, how copies differed before is known only so well.
-	good := j.good / (1 + j.doubt)
+	good := j.evidence()
 	switch {
 	case good >= upper:
 		return Bad, fmt.Sprintf("goodput is lower than that of unchanged copies by %.3g or so (evidence %.1f of %.1f)", j.guards.Goodput, good, upper)
--- a/fleet/rollout/lead.go
+++ b/fleet/rollout/lead.go
@@ -244,6 +244,21 @@
 // Leads tells whether this copy holds the lease.
 func (r *Rollout) Leads() bool { return r.fence != 0 && r.now < r.heldTo && r.fence >= r.highest }
 
+// Evidence is what the copy that leads knows of the stage that is watched: in words, and
+// by span.
+func (r *Rollout) Evidence() (words string, points []Point) {
+	switch {
+	case !r.Leads():
+		return "", nil
+	case r.state.Phase == Changing && len(r.state.Chosen) == 0:
+		return "how copies differ while all are alike is being watched", nil
+	case r.judge == nil:
+		return "", nil
+	}
+	_, words = r.judge.Verdict(r.now)
+	return words, slices.Clone(r.judge.points)
+}
+
 // Restore takes in what lay on the disk.
 func (r *Rollout) Restore(s State) {
 	if s.Newer(&r.state) {
--- a/internal/command/rollout.go
+++ b/internal/command/rollout.go
@@ -245,6 +245,11 @@
 		return
 	}
 	fmt.Fprintf(w, "plan\t%s: %s to %s\nphase\t%s\nwhy\t%s\nled by\t%s, number %d\ntaken\t%s ago\n", s.Plan, s.Kind, s.Target, s.Phase, s.Reason, first(s.Leader, "nobody yet"), s.Number, ago(s.AgeMS))
+	if s.Evidence != "" {
+		fmt.Fprintf(w, "evidence\t%s\n", s.Evidence)
+	} else if !s.Ended && s.Leader != "" {
+		fmt.Fprintf(w, "evidence\task %s, which leads\n", s.Leader)
+	}
 	for i, st := range s.Stages {
 		mark := ""
 		switch {
--- a/lab/command/command.go
+++ b/lab/command/command.go
@@ -47,7 +47,7 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	root.AddCommand(demoCommand(stdout, stderr), runCommand(stdout, stderr), overheadCommand(stdout, stderr),
-		membersCommand(stdout), fleetCostCommand(stdout), sharingCommand(stdout), rolloutsCommand(stdout), nightCommand(stdout), reportCommand(stdout), compareCommand(stdout), worldCommand(stdout), schemaCommand(stdout))
+		membersCommand(stdout), fleetCostCommand(stdout), sharingCommand(stdout), rolloutsCommand(stdout), rolloutReportCommand(stdout), nightCommand(stdout), reportCommand(stdout), compareCommand(stdout), worldCommand(stdout), schemaCommand(stdout))
 	err := root.ExecuteContext(ctx)
 	var short shortError
 	switch {
