Order a copy again that a person has given something else in the middle of a plan

A reload by hand in the middle of a plan had the whole plan go back: the leader ordered the copy again, which obeys an order once and took this for the same one; after 'wait' it counted as not ready. Found by writing the hard case; Again, meant for it, was called by tests alone and is gone. A copy notes that it came to what it was told, and obeys once more if it then holds something else. A plan without most copies in sight says so as its evidence. Hard cases that stand now: a fleet that grows on the way, the first copy cut off as it changes, most copies gone until the plan has expired.

--- a/fleet/rollout/lead.go
+++ b/fleet/rollout/lead.go
@@ -201,7 +201,8 @@
 	highest uint64        // number seen
 	voted   time.Duration // until when its vote is given
 	votedTo string
-	applied string // plan and way that this copy was told last
+	applied string // plan and way that this copy was told last,
+	reached bool   // and it came to hold that
 
 	// Of a candidate or leader.
 	fence    uint64
@@ -248,6 +249,8 @@
 // by span.
 func (r *Rollout) Evidence() (words string, points []Point) {
 	switch {
+	case !r.state.Phase.Ended() && !r.most():
+		return fmt.Sprintf("nobody can lead: %d of %d copies are in sight, and most have to be", r.there(), len(r.copies)), nil
 	case !r.Leads():
 		return "", nil
 	case r.state.Phase == Changing && len(r.state.Chosen) == 0:
@@ -354,6 +357,7 @@
 func (r *Rollout) Tick(now time.Duration, copies []Copy, out []Action) []Action {
 	before := r.now
 	r.now, r.out, r.copies = max(r.now, now), append(out, r.out...), copies
+	r.reached = r.reached || r.holds(r.state.Plan.ID)
 	if r.state.Phase.Ended() {
 		r.fence = 0
 		r.follow()
@@ -610,19 +614,29 @@
 	return out
 }
 
-// obey has this copy change, once for each order.
+// holds tells whether this copy has come to what it was told last.
+func (r *Rollout) holds(plan string) bool {
+	c := r.find(r.name)
+	if c == nil || r.applied == "" {
+		return false
+	}
+	if r.applied == plan+">" { // back
+		return c.Holds != r.state.Plan.Target
+	}
+	return r.applied == plan+">"+c.Holds
+}
+
+// obey has this copy change: once for each order, and once more if it came to what it was
+// told and a person has since given it something else.
 func (r *Rollout) obey(plan, target string, back bool) {
 	way := plan + ">" + target
-	if r.applied == way {
+	if r.applied == way && !(r.reached && !r.holds(plan)) {
 		return
 	}
-	r.applied = way
+	r.applied, r.reached = way, false
 	r.act(Action{Kind: Apply, Plan: plan, Target: target, Back: back, Text: r.state.Plan.Text})
 }
 
-// Again has an order be obeyed once more if it comes: the last one did not last.
-func (r *Rollout) Again() { r.applied = "" }
-
 // order puts copies in the order in which they are changed: zones in turn, and within
 // a zone by chance that the plan's name decides.
 func order(id string, copies []Copy) []Copy {
--- a/fleet/rollout/rollout_test.go
+++ b/fleet/rollout/rollout_test.go
@@ -27,6 +27,7 @@
 	err    error
 	rng    *rand.Rand
 	loss   float64
+	shut   time.Duration // when a cut ends
 	late   time.Duration
 }
 
@@ -339,6 +340,58 @@
 				}
 			}
 		}, BackDone, 0},
+		{"one is reloaded by hand in the middle", quick, 0, func(c *crew) func() {
+			done := false
+			return func() {
+				for _, h := range c.hands {
+					if s := h.r.State(); !done && h.r.Leads() && s.Phase == Soaking && s.Stage == 1 {
+						for _, k := range c.hands {
+							if !done && k.name == s.Chosen[len(s.Chosen)-1] {
+								done, k.holds = true, "by hand"
+							}
+						}
+					}
+				}
+			}
+		}, Done, 10},
+		{"the fleet grows on the way", quick, 0, func(c *crew) func() {
+			return func() {
+				if len(c.hands) < 14 && c.now > time.Duration(10+len(c.hands))*time.Second {
+					c.hands = append(c.hands, &hand{name: fmt.Sprintf("c%02d", len(c.hands)), holds: old, before: old})
+					c.start(len(c.hands) - 1)
+				}
+			}
+		}, Done, 14},
+		{"the first that changes is cut off at once, and heals", quick, 0, func(c *crew) func() {
+			return func() {
+				for i, h := range c.hands {
+					if h.holds == target && c.word == "" {
+						c.word = "cut"
+						c.hands[0], c.hands[i] = c.hands[i], c.hands[0]
+						c.way, c.cut = nil, 1
+						c.shut = c.now + 6*time.Second
+					}
+				}
+				if c.now > c.shut {
+					c.cut = 0
+				}
+			}
+		}, Done, 10},
+		{"most are gone until it has expired", Plan{Stages: quick.Stages, Expires: time.Minute}, 0, func(c *crew) func() {
+			for _, h := range c.hands[3:] {
+				h.up = false // nobody begins anything, and says why
+			}
+			return func() {
+				if words, _ := c.hands[0].r.Evidence(); c.now > 20*time.Second && c.now < 80*time.Second && !strings.Contains(words, "3 of 10") {
+					c.err = fmt.Errorf("it does not say what it waits for: %q", words)
+				}
+				for i, h := range c.hands {
+					if c.now > 80*time.Second && !h.up {
+						c.start(i)
+					}
+				}
+			}
+		}, Expired, 0},
 		{"expired", Plan{Stages: quick.Stages, Expires: 15 * time.Second}, 0, nil, Expired, -1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -556,7 +609,7 @@
 		t.Error("obeys who has no vote, a lower number, not the leader, or one order twice")
 	}
 	late := 2*after + 2*time.Second
-	if r.Again(); order(r, late, "a", 4) {
+	if r.applied = ""; order(r, late, "a", 4) {
 		t.Error("obeys when the vote is over")
 	}
 	if !ask(r, late, "b", 5) || ask(r, late, "a", 4) {
