--- /dev/null
+++ b/fleet/share/share_test.go
@@ -0,0 +1,183 @@
+package share
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"ryerill/fleet/allot"
+	"ryerill/fleet/tally"
+	"ryerill/fleet/verdict"
+)
+
+// crowd is a number of copies that hear each other, with a part of the packets lost.
+type crowd struct {
+	all   []*Share
+	peers [][]Peer
+	now   time.Duration
+	rng   *rand.Rand
+	loss  float64
+}
+
+func newCrowd(t testing.TB, n, zones int, budget int) *crowd {
+	t.Helper()
+	c := &crowd{rng: rand.New(rand.NewPCG(1, uint64(n)))}
+	for i := range n {
+		s, err := New(Config{Name: fmt.Sprintf("c%04d", i), Zone: fmt.Sprint("z", i%zones), Epoch: 1, Seed: uint64(i), Quotas: true, Counts: true, Verdicts: true, Budget: budget}, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.all = append(c.all, s)
+	}
+	for i := range n {
+		var peers []Peer
+		for j := range n {
+			if j != i {
+				peers = append(peers, Peer{fmt.Sprintf("c%04d", j), fmt.Sprint("z", j%zones)})
+			}
+		}
+		c.peers = append(c.peers, peers)
+	}
+	return c
+}
+
+func (c *crowd) deliver(from int, out []Out) {
+	for _, o := range out {
+		var to int
+		if fmt.Sscanf(o.To, "c%d", &to); c.rng.Float64() >= c.loss {
+			c.deliver(to, c.all[to].Hear(c.now, fmt.Sprintf("c%04d", from), o.Text))
+		}
+	}
+}
+
+// play plays a time; each is done by every copy at each look.
+func (c *crowd) play(d time.Duration, each func(i int, s *Share)) {
+	for end := c.now + d; c.now < end; c.now += Every {
+		for i, s := range c.all {
+			each(i, s)
+			c.deliver(i, s.Tick(c.now, c.peers[i]))
+		}
+	}
+}
+
+// What one copy counts and what several see reaches all, a fifth of the packets lost,
+// within the budget of bytes, at any size. Of a large zone a few counts take longer: the
+// value says of how many copies it is.
+func TestNewsReachesAllWithinItsBytes(t *testing.T) {
+	for _, n := range []int{3, 30, 120} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			c := newCrowd(t, n, 3, 0)
+			c.loss = 0.2
+			bad := verdict.Server{ID: 77, Since: 5}
+			key := tally.Key{Pool: "main", Class: "read"}
+			span := 20 * time.Second
+			c.play(span, func(i int, s *Share) {
+				s.Tally.Count(c.now, key, tally.Counts{Arrivals: 100})
+				for id := range uint64(8) {
+					s.Verdict.Saw(c.now, verdict.Server{ID: id, Since: 5}, verdict.Good, 1)
+				}
+				if i < 3 && c.now > 5*time.Second {
+					s.Verdict.Saw(c.now, bad, verdict.Hung, 0)
+				}
+			})
+			for i, s := range c.all {
+				if voices := s.Verdict.Voices(bad.ID); voices < 2 {
+					t.Errorf("copy %d of %d has heard %d on a server that three see hang", i, n, voices)
+				}
+				if v := s.Tally.Sum(c.now, nil, func(c tally.Counts) float64 { return float64(c.Arrivals) }); v.N < float64(95*n) || v.N != float64(100*v.Parts) {
+					t.Errorf("copy %d of %d counts %v arrivals of %d, of %d copies", i, n, v.N, 100*n, v.Parts)
+				}
+				if rate := float64(s.Figures.BytesOut) / span.Seconds(); rate > 1.1*DefaultBudget {
+					t.Errorf("copy %d of %d sends %.0f bytes a second", i, n, rate)
+				}
+			}
+		})
+	}
+}
+
+// What a thousand members say of ten thousand servers is held within a bound.
+func TestMemoryIsBounded(t *testing.T) {
+	const members, servers, most = 1000, 10_000, 96 << 20
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	s, err := New(Config{Name: "self", Zone: "z0", Epoch: 1, Quotas: true, Counts: true, Verdicts: true}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var budgets []allot.Budget
+	for i := range 16 {
+		budgets = append(budgets, allot.Budget{Name: fmt.Sprint("pool/", i), Whole: 1000})
+	}
+	s.Allot.Set(0, budgets)
+	for i := range members {
+		item := tally.Item{Name: fmt.Sprintf("c%04d", i), Epoch: 1, Version: 1, Counts: map[tally.Key]tally.Counts{}}
+		for k := range 20 {
+			item.Counts[tally.Key{Pool: "main", Class: fmt.Sprint("class", k%5), Tenant: fmt.Sprint("tenant", k)}] = tally.Counts{Arrivals: 5}
+		}
+		s.Tally.Merge(0, item)
+	}
+	for server := range uint64(servers) {
+		s.Verdict.Saw(0, verdict.Server{ID: server, Since: 1}, verdict.Failed, 1)
+		for voice := range 10 {
+			s.Verdict.Hear(0, verdict.Evidence{Reporter: fmt.Sprintf("c%04d", (int(server)*7+voice)%members), Epoch: 1, Version: 1, Zone: "z1", Server: server, Since: 1, Calls: 3, Errors: 3}, 0)
+		}
+	}
+	held := heap() - before
+	t.Logf("%d members, %d servers with 10 voices each: %.1f MB", members, servers, float64(held)/(1<<20))
+	if held > most {
+		t.Errorf("%d bytes are held", held)
+	}
+	runtime.KeepAlive(s)
+}
+
+// A packet of a later program is read as far as it is known; what is torn is counted.
+func TestStrangePacketsBreakNothing(t *testing.T) {
+	c := newCrowd(t, 2, 1, 0)
+	c.play(3*time.Second, func(_ int, s *Share) {
+		s.Tally.Count(c.now, tally.Key{Pool: "main"}, tally.Counts{Arrivals: 7})
+	})
+	text, err := cbor.Marshal(map[int]any{1: []any{}, 2: []any{map[int]any{1: 5, 99: "later", 2: map[int]any{1: "c0001", 2: 1, 3: 1 << 40, 6: []any{map[int]any{1: "main", 4: 9, 77: true}}}}}, 42: "later"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := c.all[0]
+	if s.Hear(c.now, "c0001", text); s.Figures.Bad != 0 {
+		t.Error("a later program's packet is taken for torn")
+	}
+	if v := s.Tally.Sum(c.now, nil, func(c tally.Counts) float64 { return float64(c.Arrivals) }); v.N != 16 {
+		t.Errorf("%v arrivals, want 16", v.N)
+	}
+	for i := range text {
+		s.Hear(c.now, "c0001", text[:i])
+	}
+	if s.Figures.Bad < uint64(len(text))-2 {
+		t.Errorf("%d of %d torn packets are counted", s.Figures.Bad, len(text))
+	}
+}
+
+func FuzzHear(f *testing.F) {
+	s, err := New(Config{Name: "a", Zone: "z", Epoch: 1, Quotas: true, Counts: true, Verdicts: true}, 0)
+	if err != nil {
+		f.Fatal(err)
+	}
+	s.Allot.Set(0, []allot.Budget{{Name: "b", Whole: 10}})
+	s.Allot.Among(0, 2, []string{"b"})
+	text, _ := cbor.Marshal(Packet{Budgets: []allot.Message{{Key: allot.AskKey{Name: "b", Epoch: 1, Seq: 1}, Budget: "b", Amount: 3}}})
+	f.Add(text)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s.Hear(s.now+time.Millisecond, "b", text)
+		if rate := s.Allot.Rate(s.now, "b"); !(rate >= 0 && rate <= 10) {
+			t.Errorf("rate %v", rate)
+		}
+	})
+}
--- a/lab/command/fleetcost.go
+++ b/lab/command/fleetcost.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"ryerill/config"
 	"ryerill/lab/copies"
 	"ryerill/lab/experiment"
 	"ryerill/lab/report"
@@ -23,14 +24,19 @@
 			if err != nil {
 				return err
 			}
-			var each, idle [2][]float64
+			var each, idle [3][]float64
 			for range rounds {
-				for arm, off := range []bool{true, false} {
+				for arm := range each {
 					dir, err := os.MkdirTemp("", "ryerill-cost")
 					if err != nil {
 						return err
 					}
-					cost, err := copies.MeasureCost(cmd.Context(), copies.Options{Command: []string{self, proxyProgram}, Dir: dir, Copies: size, Providers: 4, Off: off}, span, perSecond)
+					cost, err := copies.MeasureCost(cmd.Context(), copies.Options{Command: []string{self, proxyProgram}, Dir: dir, Copies: size, Providers: 4, Off: arm == 0, Change: func(_ int, f *config.File) {
+						f.Pools[0].Tenants = []config.TenantFile{{Name: "acme", Quota: 10_000}}
+						if arm == 2 {
+							f.Fleet.Share = &config.ShareFile{Quotas: true, Counts: true, Verdicts: true}
+						}
+					}}, span, perSecond)
 					os.RemoveAll(dir)
 					if err != nil {
 						return err
@@ -40,7 +46,7 @@
 				}
 			}
 			var rows [][]string
-			for arm, name := range []string{"off", "on"} {
+			for arm, name := range []string{"off", "on", "on, with all shared"} {
 				low, high := experiment.Interval(each[arm])
 				rows = append(rows, []string{name, fmt.Sprint(len(each[arm])), fmt.Sprintf("%.1f", experiment.Mean(each[arm])), fmt.Sprintf("%.1f to %.1f", low, high), fmt.Sprintf("%.2f", experiment.Mean(idle[arm]))})
 			}
