Have quiet copies pay calls back in full and apart, and measure whether copies move in step

Cause, by a trace of limits, calls and one copy's 'spare': with a ceiling below one call a copy is let in whenever it is not overdrawn; a slow call overdraws it by up to six seats but only one was owed, by every copy alike, so all call, choke the tier and wait together. Where the ceiling is one call or less, what is owed is paid in full, and each call is charged up to half a seat more or less by chance. Copies with more servers than that decide as before, to the last draw.

The night on processes waited without end for a copy that two kills had hit and the first had brought back; it looks whether it is up first.

--- a/balancer.go
+++ b/balancer.go
@@ -150,7 +150,7 @@
 // adjust ends a window. With too few samples the limit holds, and they are carried over.
 func (b *Balancer) adjust() {
 	b.spare += (b.maxIFR - float64(b.ifr+b.beside)) * float64(b.now-b.spareAt) / float64(b.aim) / spareSpan
-	b.spare, b.spareAt = min(max(b.spare, -1), bunching), b.now
+	b.spare, b.spareAt = min(max(b.spare, -max(1, 8*math.Floor(1/b.ceiling))), bunching), b.now
 	if b.now < b.windowEnd || b.seen < max(1, min(minRequests, int(b.ceiling))) {
 		return
 	}
@@ -197,8 +197,7 @@
 		slices.Sort(ages)
 		ages = ages[:min(len(ages), room)]
 	}
-	b.seen += copy(b.samples[b.seen:], ages)
-	b.ages = ages[:0]
+	b.seen, b.ages = b.seen+copy(b.samples[b.seen:], ages), ages[:0]
 }
 
 // age is how long the call of r is out, in aims of its class.
@@ -221,8 +220,7 @@
 	if b.cfg.Tier > 0 || tenant < 0 || tenant >= len(b.quota) || !(b.cfg.Tenants[tenant].Quota > 0) {
 		return false
 	}
-	rate := b.quotaRate(tenant)
-	saved := &b.quota[tenant]
+	rate, saved := b.quotaRate(tenant), &b.quota[tenant]
 	if saved.fill(b.now, rate, max(quotaBurst*rate, 1)) < 1 {
 		return true
 	}
@@ -689,6 +687,9 @@
 		b.busy++
 	}
 	s.out, b.ifr = s.out+1, b.ifr+1
+	if b.ceiling < 1 { // quiet copies pay back in full, and not in step
+		b.spare += b.random() - 0.5
+	}
 	if b.coldShare(s) < 1 {
 		s.budget.n--
 	}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"os"
+	"slices"
 	"testing"
 	"time"
 )
@@ -704,6 +705,36 @@
 	}
 }
 
+// Hundreds of copies that had one slow call each at one time pay it back in full, and not
+// all at one time: else they call in step, choke the tier together, and learn of it in step.
+func TestQuietCopiesPayBackApart(t *testing.T) {
+	cfg := testConfig()
+	cfg.GroupSize = 400
+	var waits []time.Duration
+	for seed := range uint64(40) {
+		n := &node{t: t, b: New(cfg, seed+1), now: time.Hour}
+		n.handle(Event{Kind: ServerList, List: ListCached, Servers: fleet(10)})
+		id, _ := n.arrive(0)
+		n.end(id, 0, OK, 500*ms)
+		ended := n.now
+		for {
+			n.now += 20 * ms
+			if _, acts := n.arrive(0); acts[0].Kind == Send {
+				break
+			}
+			if n.now > ended+time.Minute {
+				t.Fatal("it never calls again")
+			}
+		}
+		waits = append(waits, n.now-ended)
+	}
+	slices.Sort(waits)
+	// A limit of a quarter: half a second of one call takes at least a second and a half.
+	if least, most := waits[0], waits[len(waits)-1]; least < time.Second || most < least*5/4 {
+		t.Errorf("copies call again after %v to %v", least, most)
+	}
+}
+
 // A quiet copy must bear calls that chance bunches, and pays them back.
 func TestUnusedSeatsAreSaved(t *testing.T) {
 	cfg := testConfig()
--- a/lab/measure/measure.go
+++ b/lab/measure/measure.go
@@ -6,10 +6,13 @@
 import (
 	"fmt"
 	"math"
+	"math/cmplx"
 	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/gonum/dsp/fourier"
+	"gonum.org/v1/gonum/stat"
 
 	"ryerill/lab/load"
 	"ryerill/lab/rules"
@@ -223,6 +226,8 @@
 		s.Attempts = append(s.Attempts, w.attempts/Step.Seconds())
 	}
 	r.recovery(m)
+	m["beat"], m["beat_period"] = Beat(s.Limit[min(int(r.from/Step), len(s.Limit)):])
+	m["swing"] = swing(s.Limit[min(int(r.from/Step), len(s.Limit)):])
 	return res
 }
 
@@ -299,6 +304,60 @@
 	return first, last
 }
 
+// Beat tells whether a series has a common beat: the part of its variance that lies at one
+// period of at most a third of its length, with its neighbours, and that period in seconds.
+// Noise without a beat has about ln(n)/n at its highest, and copies that cut and regrow in
+// step most of it.
+func Beat(series []float64) (part, period float64) {
+	const leastBins = 3
+	if len(series) < 8*leastBins {
+		return 0, 0
+	}
+	xs := make([]float64, len(series))
+	for i := range xs {
+		xs[i] = float64(i)
+	}
+	from, slope := stat.LinearRegression(xs, series, nil, false)
+	flat := make([]float64, len(series))
+	for i, v := range series {
+		hann := 0.5 - 0.5*math.Cos(2*math.Pi*(float64(i)+0.5)/float64(len(series)))
+		flat[i] = (v - from - slope*xs[i]) * hann
+	}
+	coefficients := fourier.NewFFT(len(flat)).Coefficients(nil, flat)
+	power := make([]float64, len(coefficients))
+	total := 0.0
+	for i := leastBins; i < len(power); i++ {
+		a := cmplx.Abs(coefficients[i])
+		power[i] = a * a
+		total += power[i]
+	}
+	if total <= 1e-9*float64(len(flat)) {
+		return 0, 0
+	}
+	for i := leastBins; i < len(power); i++ {
+		here := power[i]
+		if i > leastBins {
+			here += power[i-1]
+		}
+		if i+1 < len(power) {
+			here += power[i+1]
+		}
+		if here/total > part {
+			part, period = here/total, float64(len(flat))/float64(i)*Step.Seconds()
+		}
+	}
+	return part, period
+}
+
+// swing is a series' standard deviation against its mean.
+func swing(series []float64) float64 {
+	if len(series) < 2 {
+		return 0
+	}
+	mean, deviation := stat.MeanStdDev(series, nil)
+	return ratio(deviation, mean)
+}
+
 func ratio(a, b float64) float64 {
 	if b == 0 {
 		return 0
--- a/lab/measure/measure_test.go
+++ b/lab/measure/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -70,3 +71,30 @@
 		t.Errorf("goodput %v of %v", r.Metrics["goodput"], r.Metrics["firsts"])
 	}
 }
+
+// A beat is found where all move in step, and not in noise, in a trend, or in a series
+// that stands still.
+func TestBeat(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	series := func(n int, at func(i float64) float64) (out []float64) {
+		for i := range n {
+			out = append(out, at(float64(i)))
+		}
+		return out
+	}
+	for name, tc := range map[string]struct {
+		series       []float64
+		least, most  float64
+		period, near float64
+	}{
+		"saw teeth of 4 s": {series(90, func(i float64) float64 { return 100 + math.Mod(i, 8) + rng.NormFloat64() }), 0.4, 1, 4, 0.7},
+		"noise":            {series(90, func(float64) float64 { return 100 + rng.NormFloat64() }), 0, 0.3, 0, 1e9},
+		"a trend in noise": {series(90, func(i float64) float64 { return i + rng.NormFloat64() }), 0, 0.3, 0, 1e9},
+		"still":            {series(90, func(float64) float64 { return 7 }), 0, 0, 0, 0},
+		"too short":        {series(9, func(i float64) float64 { return i }), 0, 0, 0, 0},
+	} {
+		if part, period := Beat(tc.series); part < tc.least || part > tc.most || math.Abs(period-tc.period) > tc.near {
+			t.Errorf("%s: %.2f at %.1f s", name, part, period)
+		}
+	}
+}
--- a/lab/night/processes.go
+++ b/lab/night/processes.go
@@ -224,7 +224,8 @@
 	net := func(change func(*badnet.Net)) { n.f.Relays.Do(change) }
 	back := func() {
 		for _, i := range st.Whom {
-			if c := n.f.Copies[i]; c.Await() != context.Canceled && !c.Up() && ctx.Err() == nil {
+			// Another trouble that hit the same copy may have brought it back: then there is nothing to wait for.
+			if c := n.f.Copies[i]; !c.Up() && c.Await() != context.Canceled && !c.Up() && ctx.Err() == nil {
 				if err := n.f.Launch(ctx, i); err != nil && !strings.Contains(err.Error(), "in use") {
 					n.fail("a copy starts", "%v", err)
 				}
