--- a/lab/measure/measure.go
+++ b/lab/measure/measure.go
@@ -226,8 +226,9 @@
 		s.Attempts = append(s.Attempts, w.attempts/Step.Seconds())
 	}
 	r.recovery(m)
-	m["beat"], m["beat_period"] = Beat(s.Limit[min(int(r.from/Step), len(s.Limit)):])
-	m["swing"] = swing(s.Limit[min(int(r.from/Step), len(s.Limit)):])
+	from := min(int(r.from/Step), len(s.InFlight))
+	m["beat"], m["beat_period"] = Beat(s.InFlight[from:])
+	m["swing"] = swing(s.InFlight[from:])
 	return res
 }
 
@@ -305,14 +306,15 @@
 }
 
 // Beat tells whether a series has a common beat: the part of its variance that lies at one
-// period of at most a third of its length, with its neighbours, and that period in seconds.
+// period, with its neighbours, and that period in seconds. Periods over 8 s, or a third of
+// the series, are a trend.
 // Noise without a beat has about ln(n)/n at its highest, and copies that cut and regrow in
 // step most of it.
 func Beat(series []float64) (part, period float64) {
-	const leastBins = 3
-	if len(series) < 8*leastBins {
+	if len(series) < 24 {
 		return 0, 0
 	}
+	leastBins := max(3, int(math.Ceil(float64(len(series))*Step.Seconds()/8)))
 	xs := make([]float64, len(series))
 	for i := range xs {
 		xs[i] = float64(i)
