Explore the real Balancer's requests, and know a server that was forgotten meanwhile

Every order of what may happen to one or two requests before two or three servers is visited in seven configurations (up to 33,000 states, exact keys), and walks go beyond; thirteen properties are checked by name (docs/design/properties.md). Found on the way: a keyed request went twice to one server. Trace: it comes, an error, the server is told as gone and forgotten, told as ready, an error, and out it goes to the same one. Attempts were compared by pointer; they are by the server's name. No rule was broken by it (its group drops the repeat), an attempt was wasted.

--- a/balancer.go
+++ b/balancer.go
@@ -573,7 +573,7 @@
 // mayUse tells whether another attempt may go to s: never to one already tried and, for keyed work that
 // may have run, only within its group and memory span. Unsafe work that may have run never gets here.
 func (r *request) mayUse(s *server, now time.Duration) bool {
-	if slices.Contains(r.attempts, s) {
+	if slices.ContainsFunc(r.attempts, func(o *server) bool { return o.ID == s.ID }) { // it may have been forgotten since
 		return false
 	}
 	if r.ran == nil || r.c.Effect == Safe {
