--- a/balancer.go
+++ b/balancer.go
@@ -15,7 +15,8 @@
 	maxSamples   = 256   // buffered latencies; the oldest are overwritten
 	overdueAt    = 0.6   // part of the servers with calls out that must have one beyond Lmax out
 	percentile   = 60    // above the median, yet slow or hung servers and chance hardly move it
-	lmaxShare    = 0.6   // Lmax in aims at the front: the rest is kept for what queues next
+	lmaxShare    = 0.6   // Lmax in aims at the front: the rest is kept for what queues next,
+	lmaxInTime   = 0.55  // and more of it where late answers are worth nothing: jams cost all then
 	backoffRatio = 0.9   // a cut; windows are short, and several in one aim still fall fast
 	leastRatio   = 0.5   // of the cuts of several windows at once, as backoffRatio may be at least
 	maxSeats     = 10.0  // maxConcurrencyLimit for each server: on calm days it must not bind
@@ -92,7 +93,9 @@
 	cfg.complete()
 	b := &Balancer{rng: seed, began: -1, byID: map[ServerID]*server{}, requests: map[RequestID]*request{},
 		sharers: 1, parts: cfg.GroupSize, turns: map[uint64]*turn{}, timers: map[uint32]uint64{}}
-	b.lmax = lmaxShare * float64(cfg.Tiers-cfg.Tier) / float64(cfg.Tiers)
+	late := slices.MaxFunc(cfg.Classes, func(x, y Class) int { return cmp.Compare(x.LateWorth, y.LateWorth) })
+	b.lmax = lmaxInTime + (lmaxShare-lmaxInTime)*math.Ceil(min(late.LateWorth, 1))
+	b.lmax *= float64(cfg.Tiers-cfg.Tier) / float64(cfg.Tiers)
 	for i := range cfg.Classes {
 		c := &cfg.Classes[i]
 		b.topWorth = max(b.topWorth, c.Worth)
@@ -102,8 +105,7 @@
 			b.aim = c.Aim
 		}
 	}
-	b.cfg = cfg
-	b.quota = make([]credit, len(cfg.Tenants))
+	b.cfg, b.quota = cfg, make([]credit, len(cfg.Tenants))
 	return b
 }
 
@@ -425,8 +427,7 @@
 // served adds n to the calls served, a count that decays over one WarmUp, and returns their rate.
 func (b *Balancer) served(n float64) float64 {
 	span := b.cfg.Contract.WarmUp.Seconds()
-	b.rate = b.rate*math.Exp(-(b.now-b.rateAt).Seconds()/span) + n
-	b.rateAt = b.now
+	b.rate, b.rateAt = b.rate*math.Exp(-(b.now-b.rateAt).Seconds()/span)+n, b.now
 	return b.rate / span / max(1-math.Exp(-(b.now-b.began).Seconds()/span), 0.01)
 }
 
@@ -513,12 +514,11 @@
 		b.maxIFR = startSeats * part
 	}
 	b.maxIFR = min(max(b.maxIFR, b.floor), b.ceiling)
-	near := max(nearSeats*startSeats*part, leastNear)
 	b.keeps = float64(len(own)) >= max(leastNear, leastOwn*float64(b.ready)) // few must not get all
 	if !b.keeps {
 		own = fleet
 	}
-	b.near = int(math.Ceil(min(near, float64(len(own)))))
+	b.near = int(math.Ceil(min(max(nearSeats*startSeats*part, leastNear), float64(len(own)))))
 	// From this copy's place on the ring up to the next copy's, and as many as are near at the least.
 	place := float64(len(own)) / float64(b.cfg.GroupSize)
 	from, to := int(float64(b.cfg.Self)*place), int(float64(b.cfg.Self+1)*place)
@@ -573,7 +573,7 @@
 // mayUse tells whether another attempt may go to s: never to one already tried and, for keyed work that
 // may have run, only within its group and memory span. Unsafe work that may have run never gets here.
 func (r *request) mayUse(s *server, now time.Duration) bool {
-	if slices.ContainsFunc(r.attempts, func(o *server) bool { return o.ID == s.ID }) { // it may have been forgotten since
+	if slices.ContainsFunc(r.attempts, func(o *server) bool { return o.ID == s.ID }) { // or forgotten since
 		return false
 	}
 	if r.ran == nil || r.c.Effect == Safe {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -705,6 +705,24 @@
 	}
 }
 
+// Where late answers are worth nothing, a crowd costs all: less of the aim may go into waiting.
+func TestLmaxWhereLateIsWorthNothing(t *testing.T) {
+	for _, tc := range []struct {
+		late  []float64
+		tier  int
+		tiers int
+		want  float64
+	}{{[]float64{0, 0}, 0, 1, lmaxInTime}, {[]float64{0, 0.1}, 0, 1, lmaxShare}, {[]float64{1}, 0, 2, lmaxShare}, {[]float64{0}, 1, 2, lmaxInTime / 2}, {[]float64{7}, 0, 1, lmaxShare}} {
+		cfg := Config{Tier: tc.tier, Tiers: tc.tiers}
+		for _, late := range tc.late {
+			cfg.Classes = append(cfg.Classes, Class{LateWorth: late})
+		}
+		if got := New(cfg, 1).lmax; math.Abs(got-tc.want) > 1e-9 {
+			t.Errorf("%+v: %v", tc, got)
+		}
+	}
+}
+
 // Hundreds of copies that had one slow call each at one time pay it back in full, and not
 // all at one time: else they call in step, choke the tier together, and learn of it in step.
 func TestQuietCopiesPayBackApart(t *testing.T) {
