Have a new leader know nothing of how copies differed under an earlier plan

A copy that had led one plan kept its measure of how copies differ and would have judged the next by it. By reading; the hard cases and planted faults of the package hold.

--- a/fleet/rollout/lead.go
+++ b/fleet/rollout/lead.go
@@ -462,7 +462,7 @@
 	if r.state.Fence != r.fence { // what is known of the plan goes on under this number
 		r.state.Fence, r.state.Version, r.state.Leader = r.fence, r.state.Version+1, r.name
 		r.state.History = append(r.state.History, "led by "+r.name)
-		r.judge = nil
+		r.judge, r.before = nil, NewBefore() // what it may know is of another plan
 	}
 	before := r.state.Version
 	if r.now >= r.orders {
