Ask doors and lay out tables in one place, and order copies only when one is to be chosen

The fleet's and the rollout's commands each asked the door, read its JSON and laid out a table in lines of their own, three times; askDoor and tabbed serve all. The copy that leads put all copies in order at every look while it changed any, for a figure used before the first alone; it does so then. Before.Of asked twice whether it knows anything. Behaviour is as it was.

--- a/fleet/rollout/drive.go
+++ b/fleet/rollout/drive.go
@@ -48,7 +48,7 @@
 // than the plan allows.
 func (r *Rollout) change() {
 	s, p := &r.state, &r.state.Plan
-	if first := r.next(); len(s.Chosen) == 0 && (r.now < r.orders+p.Watch || r.now < r.orders+p.Watch+p.Unknown && !r.before.Enough(p.Guards, first)) {
+	if len(s.Chosen) == 0 && (r.now < r.orders+p.Watch || r.now < r.orders+p.Watch+p.Unknown && !r.before.Enough(p.Guards, r.next())) {
 		return // it is found how copies differ while all are alike
 	}
 	zones := map[string]bool{}
--- a/fleet/rollout/judge.go
+++ b/fleet/rollout/judge.go
@@ -193,14 +193,10 @@
 // was asked for, and the variance of that. How far copies differ at all is drawn from all
 // of them: what one shows is believed the more, the more that is.
 func (b *Before) Of(name string) (by, variance float64) {
-	own := leastOwn
-	if b != nil {
-		own = b.differ()
-	}
-	d := (*differs)(nil)
-	if b != nil {
-		d = b.copies[name]
+	if b == nil {
+		return 0, leastOwn
 	}
+	own, d := b.differ(), b.copies[name]
 	if d == nil || d.asked < leastBefore {
 		return 0, own
 	}
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -39,11 +39,7 @@
 	c.PersistentFlags().StringVar(&door, "door", "", "the door's IP and port; default that of the configuration in "+config.EnvFile)
 	c.PersistentFlags().BoolVar(&inJSON, "json", false, "print what the door says, for programs")
 	ask := func() (fleet.Status, error) {
-		var s fleet.Status
-		text, err := call(doorOf(door, getenv), "GET", "/ops/fleet", "")
-		if err == nil {
-			err = json.Unmarshal(text, &s)
-		}
+		s, _, err := askDoor[fleet.Status](doorOf(door, getenv), "/ops/fleet")
 		return s, err
 	}
 	print := func(table func(io.Writer, *fleet.Status)) func(*cobra.Command, []string) error {
@@ -57,18 +53,12 @@
 				e.SetIndent("", "  ")
 				return e.Encode(s)
 			}
-			w := tabwriter.NewWriter(stdout, 0, 4, 2, ' ', 0)
-			table(w, &s)
-			return w.Flush()
+			return tabbed(stdout, func(w io.Writer) { table(w, &s) })
 		}
 	}
 	shared := func(use, short string, table func(io.Writer, *fleet.SharedStatus)) *cobra.Command {
 		return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
-			text, err := call(doorOf(door, getenv), "GET", "/ops/fleet/shared", "")
-			var s fleet.SharedStatus
-			if err == nil {
-				err = json.Unmarshal(text, &s)
-			}
+			s, text, err := askDoor[fleet.SharedStatus](doorOf(door, getenv), "/ops/fleet/shared")
 			if err != nil {
 				return runError{err}
 			}
@@ -76,9 +66,7 @@
 				_, err := fmt.Fprintf(stdout, "%s\n", text)
 				return err
 			}
-			w := tabwriter.NewWriter(stdout, 0, 4, 2, ' ', 0)
-			table(w, &s)
-			return w.Flush()
+			return tabbed(stdout, func(w io.Writer) { table(w, &s) })
 		}}
 	}
 	every := time.Second
@@ -115,6 +103,21 @@
 	return c
 }
 
+// askDoor asks a door for what it tells at a path, which it also returns as it came.
+func askDoor[T any](door, path string) (s T, text []byte, err error) {
+	if text, err = call(door, "GET", path, ""); err == nil {
+		err = json.Unmarshal(text, &s)
+	}
+	return s, text, err
+}
+
+// tabbed writes a table whose columns line up.
+func tabbed(out io.Writer, table func(io.Writer)) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
 // doorOf is the door that is named, or that of the configuration.
 func doorOf(named string, getenv func(string) string) string {
 	if named != "" {
--- a/internal/command/rollout.go
+++ b/internal/command/rollout.go
@@ -10,7 +10,6 @@
 	"os/signal"
 	"strings"
 	"syscall"
-	"text/tabwriter"
 	"time"
 
 	"github.com/google/renameio/v2"
@@ -123,9 +122,7 @@
 			if inJSON {
 				return json.NewEncoder(stdout).Encode(s)
 			}
-			w := tabwriter.NewWriter(stdout, 0, 4, 2, ' ', 0)
-			table(w, &s)
-			return w.Flush()
+			return tabbed(stdout, func(w io.Writer) { table(w, &s) })
 		}
 	}
 	var own string
@@ -224,11 +221,8 @@
 	return c
 }
 
-func askRollout(door string) (s fleet.RolloutStatus, err error) {
-	text, err := call(door, "GET", "/ops/rollout", "")
-	if err == nil {
-		err = json.Unmarshal(text, &s)
-	}
+func askRollout(door string) (fleet.RolloutStatus, error) {
+	s, _, err := askDoor[fleet.RolloutStatus](door, "/ops/rollout")
 	return s, err
 }
 
