Have a reset end every read of a provider's connection, so no cut answer looks whole

Cause: the system tells a reset once, to the first read or look, and a plain end from then on. ReadPart asks the look for more (served in provider/stream.go, conn.r.Peek) whether the answer goes on; it took the reset and threw it away, bufio forgets an error it has told, and the next read met a plain end: the answer passed as whole. A look at an idle connection (socket.Peek, MSG_PEEK) takes a reset the same way.

Now the connection itself remembers what ended its receiving side and tells every later read; looks go through it.

--- a/internal/socket/peek.go
+++ b/internal/socket/peek.go
@@ -25,16 +25,18 @@
 const (
 	Quiet   State = iota // open, and nothing has come in
 	Waiting              // bytes have come in that nobody has read
-	Ended                // closed or broken by the other side
+	Ended                // closed by the other side
+	Broken               // reset, or unreadable for another reason
 )
 
-// Peek looks at a connection. It does not wait and takes nothing from it.
+// Peek looks at a connection. It does not wait and takes nothing from it but a
+// reset: the system tells that once, and a plain end from then on.
 func Peek(c syscall.Conn) State {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return Ended
+		return Broken
 	}
-	state := Ended
+	state := Broken
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
@@ -43,10 +45,12 @@
 			state = Quiet
 		case err == nil && n > 0:
 			state = Waiting
+		case err == nil:
+			state = Ended
 		}
 	})
 	if err != nil {
-		return Ended
+		return Broken
 	}
 	return state
 }
--- a/provider/pool.go
+++ b/provider/pool.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"ryerill/internal/buffer"
@@ -58,6 +60,30 @@
 	limit io.LimitedReader
 	r     *bufio.Reader
 	since time.Time // idle since
+	over  error     // what ended its receiving side; nil while it goes on
+}
+
+// Read reads what comes in. The system tells a reset once, to whoever reads or
+// looks first, and a plain end from then on, which would make a cut answer that
+// states no length look whole: what ended the connection first ends every read.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.over != nil {
+		return 0, c.over
+	}
+	n, err := c.TCPConn.Read(b)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.over = err
+	}
+	return n, err
+}
+
+// peek looks at what has come in.
+func (c *conn) peek() socket.State {
+	state := socket.Peek(c)
+	if state == socket.Broken && c.over == nil {
+		c.over = syscall.ECONNRESET
+	}
+	return state
 }
 
 // NewPool returns a pool that holds as many connections as it finds room for,
@@ -96,7 +122,7 @@
 		c := list[len(list)-1]
 		p.idle[at] = list[:len(list)-1]
 		// Sound is a connection on which nothing has come in, neither bytes that no request asked for nor its end.
-		if time.Since(c.since) < p.keep && socket.Peek(c) == socket.Quiet {
+		if time.Since(c.since) < p.keep && c.peek() == socket.Quiet {
 			p.mu.Unlock()
 			return c, nil
 		}
@@ -118,7 +144,7 @@
 		return nil, err
 	}
 	c := &conn{TCPConn: raw.(*net.TCPConn), place: at}
-	c.limit.R = raw
+	c.limit.R = c
 	c.r = p.buffers.Reader(&c.limit)
 	return c, nil
 }
--- a/provider/stream.go
+++ b/provider/stream.go
@@ -80,7 +80,7 @@
 
 // answered tells whether something has come in.
 func (p *Pool) answered(conn *conn) bool {
-	return conn.r.Buffered() > 0 || socket.Peek(conn) == socket.Waiting
+	return conn.r.Buffered() > 0 || conn.peek() == socket.Waiting
 }
 
 // served reads the body of an answer that served: whole if it is short, else its
