Give a consumer's connection one owner of its end, which shuts before it closes

- An idle connection that was given up, an answer with Connection: close, /ready and a 503 beyond all room were closed at once (end and answer in server.go): bytes that came in between reset the connection, and the answer with it.
Now serve alone ends a connection: the sending side first, then what comes is read and thrown away until the consumer's end, for 0.5 s, for 5 ms where another wants its place, and never past the kill.
What is read then is not sent on.
- A consumer that had sent a byte beyond its request and left was not noticed until the answer (serve waited for answered alone); nor was one whose long body nobody read yet.
Both are looked at every 0.1 s now, by poll.
- An answer that was through only after its connection had ended brought it back to idle (rest, then wane in a drain): it counted as leaving for ever, and add could wait for it for good.
There is a state ended, and nothing leads back.
- What was taken before SIGTERM and runs past the kill was never answered.
It is now, 0.4 s before; not where only a listener goes with a reload: there nobody is killed, and nothing is cut short any more.

Ruled out: requests that reach the machine before the shutdown (they are read and served as before, by an older test).

--- a/consumer/conn.go
+++ b/consumer/conn.go
@@ -23,11 +23,13 @@
 	idle      state = iota // between requests
 	reading                // a request has begun to come in
 	busy                   // a request is open
-	lingering              // its last answer is out
+	lingering              // its sending side is shut: what still comes in is thrown away
+	ended                  // closed
 )
 
-// conn is a consumer's connection. One goroutine reads it; while an invocation
-// is out this read tells when the consumer leaves.
+// conn is a consumer's connection. One goroutine, serve, reads it and ends it; while
+// an invocation is out this read tells when the consumer leaves. Another goroutine
+// writes each answer.
 type conn struct {
 	server  *Server
 	nc      *net.TCPConn
@@ -48,6 +50,10 @@
 	asked     bool      // it has brought a request
 	abandoned bool      // the body that comes in is not wanted any more
 	gone      bool      // given up: its place is given away once
+
+	// The request that is open, or was last:
+	service Service
+	ticket  uint64
 }
 
 func newConn(s *Server, nc *net.TCPConn) *conn {
@@ -57,11 +63,14 @@
 	return c
 }
 
-// enter notes what the connection is at, and until when it may be.
-// The server's mutex is held.
+// enter notes what the connection is at, and until when it may be. From its end
+// nothing leads back. The server's mutex is held.
 func (c *conn) enter(now state, until time.Time) {
+	if c.state == ended {
+		return
+	}
 	c.state, c.since, c.until = now, time.Now(), until
-	if c.gone {
+	if c.gone && now != lingering { // it goes on after all
 		c.gone = false
 		c.server.leaving--
 		c.server.room.Broadcast()
@@ -123,7 +132,7 @@
 // that has reached this machine counts as taken, so closing over it loses it.
 // The server's mutex is held.
 func (c *conn) giveUp() {
-	if c.state != busy && !c.gone {
+	if c.state != busy && c.state != ended && !c.gone {
 		c.gone = true
 		c.server.leaving++
 		c.nc.SetReadDeadline(past)
@@ -181,90 +190,126 @@
 func (c *conn) serve() {
 	defer c.end()
 	answered := make(chan bool, 1)
-	for {
-		c.N, c.class = maxHead, ""
-		if !c.begin() {
-			return
-		}
-		req, frame, err := c.readHead()
-		if err != nil {
-			c.reject(err)
-			return
-		}
-		if req.Method == http.MethodGet && req.RequestURI == readyPath {
-			body, rest, err := c.readBody(req, frame)
-			if err == nil && rest != nil {
-				err = &httpError{http.StatusRequestEntityTooLarge, "a body where none belongs"}
-			}
-			body.Free()
-			if err != nil {
-				c.reject(err)
-				return
-			}
-			c.taken()
-			if !c.ready(req.Close) {
-				return
-			}
-			continue
+	for c.next(answered) {
+	}
+	c.shut()
+}
+
+// next takes one request and sees it answered. It reports whether the connection
+// goes on.
+func (c *conn) next(answered chan bool) bool {
+	c.N, c.class = maxHead, ""
+	if !c.begin() {
+		return false
+	}
+	req, frame, err := c.readHead()
+	if err != nil {
+		c.reject(err)
+		return false
+	}
+	if req.Method == http.MethodGet && req.RequestURI == readyPath {
+		body, rest, err := c.readBody(req, frame)
+		if err == nil && rest != nil {
+			err = &httpError{http.StatusRequestEntityTooLarge, "a body where none belongs"}
 		}
-		c.old = !req.ProtoAtLeast(1, 1)
-		way, inv, err := c.invocation(req, frame)
+		body.Free()
 		if err != nil {
 			c.reject(err)
-			return
-		}
-		if c.refused || c.server.present().Refusing {
-			c.server.services.Turned(c.class, true)
-			inv.Request.Free()
-			c.write(head(http.StatusServiceUnavailable, 0, false, nil, time.Second, true), nil)
-			c.lingerClose()
-			return
-		}
-		id := req.Header.Get(http1.HeaderID)
-		if !c.server.hold(id, c) {
-			inv.Request.Free()
-			c.reject(&httpError{http.StatusConflict, http1.HeaderID + " is open already"})
-			return
+			return false
 		}
-		inv.Left = c.server.left(inv.Left)
-		rest, _ := inv.Request.Rest.(*upload)
-		closes := req.Close || c.old
-		inv.Reply = func(a invocation.Answer) { go c.answer(a, id, closes, rest, answered) }
-		left := inv.Left
-		if rest == nil {
-			c.nc.SetReadDeadline(inv.Taken.Add(left + leaveMargin))
-			c.N = maxHead
-		}
-		ticket := way.Service.Take(inv)
-		if rest != nil {
-			<-rest.over // until then the connection is the upload's to read
-			if err := rest.err; !errors.Is(err, io.EOF) {
-				if !errors.Is(err, errAbandoned) && way.Service.Leave(ticket) {
-					c.class = "" // its end is booked by now
-					c.server.release(id, c)
-					c.reject(err)
-					return
+		c.taken()
+		return c.ready(req.Close)
+	}
+	c.old = !req.ProtoAtLeast(1, 1)
+	way, inv, err := c.invocation(req, frame)
+	if err != nil {
+		c.reject(err)
+		return false
+	}
+	if c.refused || c.server.present().Refusing {
+		c.server.services.Turned(c.class, true)
+		inv.Request.Free()
+		c.write(head(http.StatusServiceUnavailable, 0, false, nil, time.Second, true), nil)
+		return false
+	}
+	id := req.Header.Get(http1.HeaderID)
+	if !c.server.hold(id, c) {
+		inv.Request.Free()
+		c.reject(&httpError{http.StatusConflict, http1.HeaderID + " is open already"})
+		return false
+	}
+	inv.Left = c.server.left(inv.Left)
+	rest, _ := inv.Request.Rest.(*upload)
+	closes := req.Close || c.old
+	inv.Reply = func(a invocation.Answer) { go c.answer(a, id, closes, rest, answered) }
+	left := inv.Left
+	if rest == nil {
+		c.nc.SetReadDeadline(inv.Taken.Add(left + leaveMargin))
+		c.N = maxHead
+	}
+	ticket := way.Service.Take(inv)
+	c.server.mu.Lock()
+	c.service, c.ticket = way.Service, ticket
+	c.server.mu.Unlock()
+	if rest != nil {
+		for whole := false; !whole; { // until it is over the connection is the upload's to read
+			select {
+			case <-rest.over:
+				whole = true
+			case <-time.After(lookAgain):
+				if !rest.waits() || !socket.Left(c.nc) {
+					continue
 				}
-				<-answered // with a close
-				return
+				way.Service.Leave(ticket)
+				rest.abandon()
+				c.failed = true // nobody else reads it any more
+				c.server.release(id, c)
+				return false
 			}
-			c.pace = pace{}
-			c.N = maxHead
-			c.nc.SetReadDeadline(time.Now().Add(left + leaveMargin))
 		}
-		_, err = c.r.Peek(1) // the next request, which comes after the answer, or the consumer's end
-		if err != nil {
-			c.server.mu.Lock() // an answer that is through lets go of it after all is booked
-			settled := len(answered) > 0
-			c.server.mu.Unlock()
-			if !settled {
-				way.Service.Leave(ticket)
+		if err := rest.err; !errors.Is(err, io.EOF) {
+			if !errors.Is(err, errAbandoned) && way.Service.Leave(ticket) {
+				c.class = "" // its end is booked by now
 				c.server.release(id, c)
-				return
+				c.reject(err)
+				return false
 			}
+			<-answered // with a close
+			return false
 		}
-		if !<-answered {
-			return
+		c.pace = pace{}
+		c.N = maxHead
+		c.nc.SetReadDeadline(time.Now().Add(left + leaveMargin))
+	}
+	goesOn, gone := c.watch(answered)
+	if gone {
+		c.failed = true
+		way.Service.Leave(ticket)
+		c.server.release(id, c)
+	}
+	return goesOn
+}
+
+// watch waits until the answer is through and tells whether the connection goes on,
+// or that the consumer has left, which may come behind the beginning of a next request.
+func (c *conn) watch(answered <-chan bool) (goesOn, gone bool) {
+	if _, err := c.r.Peek(1); err != nil {
+		c.server.mu.Lock()
+		settled := len(answered) > 0 // an answer that is through lets go of the connection after all is booked
+		c.server.mu.Unlock()
+		if !settled {
+			return false, true
+		}
+		return <-answered, false
+	}
+	for {
+		select {
+		case goesOn := <-answered:
+			return goesOn, false
+		case <-time.After(lookAgain):
+			if socket.Left(c.nc) {
+				return false, true
+			}
 		}
 	}
 }
@@ -325,18 +370,21 @@
 	} else {
 		whole = c.write(head(status(a.Verdict), int64(body.Len()), c.old, header, a.RetryAfter, closes), body)
 	}
-	goesOn := whole && !closes
-	if whole && early {
-		c.discard()
-	}
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	answered <- goesOn
-	if goesOn {
+	switch {
+	case !whole: // what is cut must not look whole
+		c.nc.Close()
+	case closes:
+		span := linger
+		if early {
+			span = progress
+		}
+		c.shutLocked(span)
+	default:
 		c.rest()
-	} else {
-		c.nc.Close() // also ends the read that waits for the next request
 	}
+	answered <- whole && !closes
 }
 
 func (c *conn) write(head []byte, body *buffer.Body) bool {
@@ -372,30 +420,68 @@
 	if c.class != "" {
 		c.server.services.Turned(c.class, e.status == http.StatusServiceUnavailable)
 	}
-	if c.write(head(e.status, 0, false, nil, e.retryAfter(), true), nil) {
-		c.lingerClose()
+	c.write(head(e.status, 0, false, nil, e.retryAfter(), true), nil)
+}
+
+// shutLocked ends the sending side, and says how long what still comes in is read.
+// Nothing of it is acted upon: its consumer has been told that this connection is
+// over, and asks again on another. The server's mutex is held.
+func (c *conn) shutLocked(span time.Duration) {
+	if c.state == lingering || c.state == ended {
+		return
+	}
+	if c.gone {
+		span = hurried
 	}
+	c.enter(lingering, c.server.beforeKill(time.Now().Add(span)))
+	c.nc.CloseWrite()
 }
 
-// lingerClose ends the sending first and reads on for a moment: closing with
-// unread bytes would reset the connection, and the answer with it.
-func (c *conn) lingerClose() {
-	if c.nc.CloseWrite() == nil {
+// shut ends a connection whose consumer is still there: the sending side first, and
+// the rest once the consumer has ended, or in a while. Closing over bytes that have
+// not been read would reset it, and the last answer with it.
+func (c *conn) shut() {
+	if c.failed {
+		return
+	}
+	c.server.mu.Lock()
+	c.shutLocked(linger)
+	until := c.until
+	c.server.mu.Unlock()
+	block := c.server.buffers.Block()
+	defer c.server.buffers.PutBlock(block)
+	for left := int64(invocation.MaxBody); left > 0; {
 		c.server.mu.Lock()
-		c.enter(lingering, time.Now().Add(linger))
+		now := time.Now()
+		if !c.gone {
+			c.nc.SetReadDeadline(earlier(until, now.Add(linger)))
+		}
 		c.server.mu.Unlock()
-		io.Copy(io.Discard, io.LimitReader(c.nc, invocation.MaxBody))
+		n, err := c.nc.Read(block[:])
+		if left -= int64(n); err != nil || !now.Before(until) {
+			return
+		}
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// end closes the connection, once, and gives its place back.
 func (c *conn) end() {
 	c.nc.Close()
 	c.server.buffers.PutReader(c.r)
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	if c.gone {
+		c.gone = false
 		c.server.leaving--
 	}
+	c.state = ended
 	delete(c.server.conns, c)
 	c.server.reserve.Fill()
 	c.server.room.Broadcast()
--- a/consumer/server.go
+++ b/consumer/server.go
@@ -30,6 +30,8 @@
 	fresh        = 50 * time.Millisecond   // a new connection is about to ask, and a request to be whole, for so long
 	settled      = 2 * time.Second         // one idle for longer may be closed at any time
 	linger       = 500 * time.Millisecond  // what comes in after a last answer is read for so long, lest it be reset
+	hurried      = 5 * time.Millisecond    // or for so long where another wants its place
+	lookAgain    = 100 * time.Millisecond  // a consumer that can't be read is looked at so often: 0.3 s after it has left nothing is sent on
 	reserve      = 8                       // connections beyond the limit that are told so
 	grace        = 500 * time.Millisecond  // while all connections go, a new one may still ask for so long
 	spare        = 2                       // descriptors kept aside for when there are no others
@@ -54,6 +56,7 @@
 	ending  drain.Plan       // from then on
 	byHand  time.Time        // when the drain began that staff have ordered; zero if there is none
 	sweep   *time.Timer      // ends idle connections when that drain has come so far
+	last    *time.Timer      // has what is still open answered; nil before the word to stop
 }
 
 // Listen opens the address for consumers. Of the most connections that it may
@@ -135,6 +138,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	defer time.AfterFunc(time.Until(s.stopped.Add(s.ending.Close)), s.close).Stop()
+	if s.last != nil {
+		defer s.last.Stop()
+	}
 	for len(s.conns) > 0 {
 		s.room.Wait()
 	}
@@ -196,6 +202,36 @@
 	defer s.mu.Unlock()
 	s.stopped, s.killed, s.ending = time.Now(), killed, plan
 	s.listener.SetDeadline(s.stopped.Add(s.ending.Deaf))
+	if killed > 0 && !plan.Stays {
+		s.last = time.AfterFunc(killed-killMargin, s.expire)
+	}
+}
+
+// expire has all that is still open answered: the process will be killed.
+func (s *Server) expire() {
+	type open struct {
+		service Service
+		ticket  uint64
+	}
+	var all []open
+	s.mu.Lock()
+	for c := range s.conns {
+		if c.state == busy && c.service != nil {
+			all = append(all, open{c.service, c.ticket})
+		}
+	}
+	s.mu.Unlock()
+	for _, o := range all {
+		o.service.Expire(o.ticket)
+	}
+}
+
+// beforeKill is t, or shortly before this process may be killed. The mutex is held.
+func (s *Server) beforeKill(t time.Time) time.Time {
+	if s.stopped.IsZero() || s.killed == 0 || s.ending.Stays {
+		return t
+	}
+	return earlier(t, s.stopped.Add(s.killed-killMargin/4))
 }
 
 // Drain empties the server as staff have ordered, counted from since, or serves
@@ -249,7 +285,7 @@
 func (s *Server) left(d time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopped.IsZero() || time.Since(s.stopped) < killedLater-killMargin/2 {
+	if s.stopped.IsZero() || s.ending.Stays || time.Since(s.stopped) < killedLater-killMargin/2 {
 		return d
 	}
 	return min(d, max(time.Until(s.stopped.Add(s.killed-killMargin)), 0))
@@ -268,6 +304,8 @@
 	if len(s.conns) >= s.most+reserve {
 		nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 		nc.Write(head(http.StatusServiceUnavailable, 0, false, nil, time.Second, true))
+		nc.CloseWrite()
+		socket.Discard(nc, maxHead) // what lies there unread would have the answer reset
 		nc.Close()
 		return
 	}
--- a/consumer/server_test.go
+++ b/consumer/server_test.go
@@ -150,6 +150,7 @@
 	return 0
 }
 func (prompt) Leave(uint64) bool { return false }
+func (prompt) Expire(uint64)     {}
 
 // After the word to stop, consumers go on with the connections that they have:
 // until another proxy is back there may be nobody else. Then they are told.
--- a/consumer/stream.go
+++ b/consumer/stream.go
@@ -84,6 +84,13 @@
 	return u.spent
 }
 
+// waits tells whether nobody reads it now: its end would go unnoticed.
+func (u *upload) waits() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return !u.reading && u.err == nil
+}
+
 // end closes it. The mutex is held.
 func (u *upload) end(err error) {
 	u.err = err
@@ -145,20 +152,3 @@
 	}
 	return whole
 }
-
-// discard reads on for a while behind an answer that came before the end of its
-// request: closing over it would reset the connection, and the answer with it.
-func (c *conn) discard() {
-	if c.nc.CloseWrite() != nil {
-		return
-	}
-	block := c.server.buffers.Block()
-	defer c.server.buffers.PutBlock(block)
-	for left, end := int64(invocation.MaxBody), time.Now().Add(progress); left > 0 && time.Now().Before(end); {
-		c.nc.SetReadDeadline(time.Now().Add(linger))
-		n, err := c.nc.Read(block[:])
-		if left -= int64(n); err != nil {
-			return
-		}
-	}
-}
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -9,6 +9,7 @@
 
 // Plan says when each phase of an emptying begins, counted from its word.
 type Plan struct {
+	Stays  bool          // only this door closes, the process stays: nobody is killed
 	Ready  bool          // "/ready" goes on saying yes: another process of this proxy serves on
 	Last   time.Duration // answers close their connections
 	Close  time.Duration // and idle ones go
--- a/internal/socket/peek.go
+++ b/internal/socket/peek.go
@@ -54,3 +54,34 @@
 	}
 	return state
 }
+
+// Left reports whether the other side has closed or reset a connection, also behind
+// bytes that nobody has read. It does not wait and takes nothing from it.
+func Left(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) {
+		look := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(look, 0)
+		left = err == nil && n > 0 && look[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return left || err != nil
+}
+
+// Discard throws away what has come in of a connection, most bytes about, without
+// waiting for more.
+func Discard(c syscall.Conn, most int) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	raw.Control(func(fd uintptr) {
+		var b [4 << 10]byte
+		for n := 1; n > 0 && most > 0; most -= n {
+			n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_DONTWAIT)
+		}
+	})
+}
--- a/invocation/invocation.go
+++ b/invocation/invocation.go
@@ -123,4 +123,5 @@
 type Intake interface {
 	Take(*Invocation) (ticket uint64)
 	Leave(ticket uint64) (owed bool) // the consumer has gone away; whether it was owed an answer
+	Expire(ticket uint64)            // its time is over: it is answered now, unless it has been
 }
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -51,12 +51,22 @@
 	return owed
 }
 
+// Expire answers an invocation before its time is over: this process ends.
+func (c *core) Expire(ticket uint64) {
+	c.mu.Lock()
+	e := c.open[ryerill.RequestID(ticket)]
+	c.mu.Unlock()
+	if e != nil {
+		c.overdue(e)
+	}
+}
+
 // overdue answers an invocation whose time is over.
 func (c *core) overdue(e *entry) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !e.done {
-		c.log.Warn("no decision in time")
+		c.log.Warn("an invocation's time is over with its call out")
 		e.inv.Reply(invocation.Answer{Verdict: invocation.Overdue})
 		c.depart(e)
 	}
--- a/proxy/upgrade.go
+++ b/proxy/upgrade.go
@@ -141,6 +141,13 @@
 	c.balancer.Adopt(l)
 }
 
+// ends tells whether the whole process does.
+func (p *Proxy) ends() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.life.Err() != nil
+}
+
 // Ending is the plan by which a front ends: its consumers are led over to a
 // process that serves beside this one, if there is one.
 func (p *Proxy) Ending(killed time.Duration) drain.Plan {
@@ -150,5 +157,7 @@
 			return drain.Handover()
 		}
 	}
-	return drain.Ending(killed)
+	plan := drain.Ending(killed)
+	plan.Stays = !p.ends()
+	return plan
 }
