Have a repeat of keyed work out before its memory lapses, however late a connection

- mayUse (balancer.go) looked at the window when it chose.
The connection may come up 0.1 to 1.5 s later, or the body may stand still half way: with a window of a second the repeat then arrives when nobody drops it any more.
Send now says within what time the last byte has to be out (Action.Within), and the call keeps to it: at the dial, right before the first byte, and while it writes.
Cut before its last byte it never ran.
- The group in which a repeat is dropped was read from the server at the time of the repeat; a list may have moved it since the first attempt.
The server is kept as it was listed then.
- A call called off between its connection and its first byte was booked as one that may have run.
It never ran: the older test asked for Cancelled there and asks for Moot now, by the rule that what was written alone decides.
- A call withdrawn (Call.Withdraw) ends unless its first byte may be out; what runs is left alone.

Tests: what comes between choice, first byte and last byte is done in the very hooks that are asked there, on new and on idle connections; late connections by a listener whose queue is full until the test has ended the call.

--- a/balancer.go
+++ b/balancer.go
@@ -556,12 +556,13 @@
 	end      time.Duration // an answer after this is worth nothing
 	attempts []*server
 	sent     time.Duration // when the latest attempt was sent
+	to, at   Server        // where to, as listed then: lists move servers; and where the first went that may have run
 
 	open, done bool          // the latest attempt is out; answered
 	key        uint64        // where order is kept
 	due        time.Duration // a turn after this comes too late
-	ran        *server       // got the first attempt that may have run: keyed work may go near it again
-	ranAt      time.Duration // and when
+	ran        *Server       // at, once an attempt may have run: keyed work may go near it again,
+	lapse      time.Duration // if all of that is out by then
 
 	prev, next *request // in the flight of its class
 	late       bool     // its call is counted late
@@ -579,7 +580,7 @@
 	if r.ran == nil || r.c.Effect == Safe {
 		return true
 	}
-	if r.c.Effect == Unsafe || float64(now-r.ranAt) >= memoryPart*float64(r.c.Memory) {
+	if r.c.Effect == Unsafe || now >= r.lapse {
 		return false
 	}
 	return r.c.Group == GroupAll || r.c.Group == GroupZone && s.Zone == r.ran.Zone ||
@@ -626,15 +627,9 @@
 	}
 }
 
-// turn is the queue of a key whose requests run one at a time, as they came. They wait outside the limit
+// advance gives the turn of a key on. Its requests run one at a time, as they came. They wait outside the limit
 // until the head is over, has no attempt out and, if one may still run, the key has rested. What can't be in
 // time by what is known is refused at once: a head may hang. Harm: a popular key is refused, servers idle.
-type turn struct {
-	queue []*request
-	rest  time.Duration // nothing is sent for the next request before
-}
-
-// advance gives the turn of a key on, and refuses what waits in vain.
 func (b *Balancer) advance(key uint64) {
 	t := b.turns[key]
 	if t == nil {
@@ -682,7 +677,7 @@
 	if s == nil {
 		return false
 	}
-	r.attempts, r.sent, r.open = append(r.attempts, s), b.now, true
+	r.attempts, r.sent, r.to, r.open = append(r.attempts, s), b.now, s.Server, true
 	if b.flights[r.class].add(r); s.out == 0 {
 		b.busy++
 	}
@@ -694,7 +689,11 @@
 		s.budget.n--
 	}
 	b.place(s)
-	b.out = append(b.out, Action{Kind: Send, Request: r.id, Server: s.ID, Wait: left})
+	a := Action{Kind: Send, Request: r.id, Server: s.ID, Wait: left, Within: left}
+	if r.ran != nil && r.c.Effect == Keyed { // a connection may come up late
+		a.Within = min(left, r.lapse-b.now)
+	}
+	b.out = append(b.out, a)
 	return true
 }
 
@@ -728,7 +727,7 @@
 		b.fails[r.class] += meanGain
 	}
 	if !o.NeverRan() && r.ran == nil {
-		r.ran, r.ranAt = s, r.sent
+		r.ran, r.at, r.lapse = &r.at, r.to, r.sent+time.Duration(memoryPart*float64(r.c.Memory))
 	}
 	if t := b.turns[r.key]; t != nil && (o == Timeout || o == Reset || o == Cancelled) {
 		t.rest = b.now + b.cfg.Contract.KeyRest
@@ -776,8 +775,6 @@
 	if r.done && !r.open && b.requests[r.id] == r {
 		delete(b.requests, r.id)
 		b.spares.put(r)
-		if t := b.turns[r.key]; t != nil {
-			t.queue = slices.DeleteFunc(t.queue, func(other *request) bool { return other == r })
-		}
+		b.turns[r.key].drop(r)
 	}
 }
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -911,7 +911,29 @@
 	}{{250 * ms, Send}, {280 * ms, Refuse}} { // of 300 ms
 		n := newNode(t, testConfig(), fleet(3)...)
 		id, _ := n.arrive(1)
-		only(t, n.end(id, 0, Error, c.after), c.want)
+		a := only(t, n.end(id, 0, Error, c.after), c.want)
+		if a.Kind == Send && c.after+a.Within != 270*ms {
+			t.Errorf("sent again after %v, to be out within %v", c.after, a.Within)
+		}
+	}
+}
+
+// What never ran, or is safe, goes again at any time while an answer is wanted.
+func TestOnlyKeyedRepeatsHaveToBeOutSoon(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		class int
+		o     Outcome
+		soon  bool
+	}{{"safe", 0, Reset, false}, {"keyed, never ran", 1, ConnectFailed, false}, {"keyed", 1, Reset, true}, {"unsafe, never ran", 4, Full, false}} {
+		n := newNode(t, testConfig(), fleet(3)...)
+		id, first := n.arrive(c.class)
+		if a := only(t, first, Send); a.Within != a.Wait {
+			t.Errorf("%s: first sent within %v of %v", c.name, a.Within, a.Wait)
+		}
+		if a := only(t, n.end(id, 0, c.o, 10*ms), Send); a.Within < a.Wait != c.soon {
+			t.Errorf("%s: sent again within %v of %v", c.name, a.Within, a.Wait)
+		}
 	}
 }
 
@@ -941,6 +963,19 @@
 	only(t, n.end(id, 0, Error, 10*ms), Fail) // server 2 is in cell 0
 }
 
+// A list may move the server to another group while its call is out, and bring others into the old group.
+func TestGroupOfKeyedWorkIsThatOfTheMomentItWasSent(t *testing.T) {
+	for _, c := range []struct {
+		cell int // of the only other server
+		want ActionKind
+	}{{5, Send}, {6, Fail}} {
+		n := newNode(t, testConfig(), Server{ID: 1, State: Ready, Zone: 1, Cell: 5})
+		id, _ := n.arrive(3)
+		n.handle(Event{Kind: ServerList, List: ListChanges, Servers: []Server{{ID: 1, State: Ready, Cell: 6}, {ID: 2, State: Ready, Cell: c.cell}}})
+		only(t, n.end(id, 0, Error, 10*ms), c.want)
+	}
+}
+
 func orderConfig() Config {
 	cfg := testConfig()
 	cfg.Classes[0].KeepOrder, cfg.Classes[4].KeepOrder = true, true
--- a/explore_test.go
+++ b/explore_test.go
@@ -165,9 +165,11 @@
 			w.fail("no-repeat-against-its-class", "keyed request %d may have run in cell %d and goes to cell %d", r.id, first.Cell, s.Cell)
 		case c.Effect == Keyed && w.now-r.ranAt >= c.Memory:
 			w.fail("no-repeat-against-its-class", "keyed request %d goes out %v after it may have run", r.id, w.now-r.ranAt)
+		case c.Effect == Keyed && w.now+a.Within-r.ranAt >= c.Memory:
+			w.fail("no-repeat-against-its-class", "keyed request %d may be out %v after it may have run", r.id, w.now+a.Within-r.ranAt)
 		}
 	}
-	if a.Wait <= 0 || a.Wait > patience {
+	if a.Wait <= 0 || a.Wait > patience || a.Within <= 0 || a.Within > a.Wait {
 		w.fail("every-attempt-has-a-deadline", "%v", a.Wait)
 	}
 	r.sent = append(r.sent, a.Server)
@@ -394,8 +396,9 @@
 		one("an attempt goes to a server tried already", "if slices.ContainsFunc(r.attempts, func(o *server) bool { return o.ID == s.ID }) {", "if false {"),
 		one("a full answer counts as having run", "if !o.NeverRan() && r.ran == nil {", "if r.ran == nil && !o.NeverRan() && o != Timeout {"),
 		one("keyed work leaves its group", "r.c.Group == GroupCell && s.Cell == r.ran.Cell", "r.c.Group == GroupCell"),
-		one("the memory of a group is not looked at", "if r.c.Effect == Unsafe || float64(now-r.ranAt) >= memoryPart*float64(r.c.Memory) {", "if r.c.Effect == Unsafe {"),
-		one("memory counts from the answer", "r.ran, r.ranAt = s, r.sent", "r.ran, r.ranAt = s, b.now+600*time.Millisecond"),
+		one("the memory of a group is not looked at", "if r.c.Effect == Unsafe || now >= r.lapse {", "if r.c.Effect == Unsafe {"),
+		one("a repeat may be out at any time", "a.Within = min(left, r.lapse-b.now)", "a.Within = left"),
+		one("memory counts from the answer", "&r.at, r.to, r.sent+time", "&r.at, r.to, b.now+600*time.Millisecond+time"),
 		one("who left is answered", "	if !r.done && !(again && b.send(r)) {", "	if !(again && b.send(r)) {"),
 		one("a served one is answered once more", "	r.done = r.done || ev.Closed\n", "	r.done = r.done || ev.Closed && o != OK\n"),
 		one("an ended attempt holds its seat", "r.open, s.out, b.ifr = false, s.out-1, b.ifr-1", "r.open, s.out, b.ifr = false, s.out-1, b.ifr"),
--- a/parts.go
+++ b/parts.go
@@ -1,6 +1,9 @@
 package ryerill
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The parts that decisions are made with: chance, allowances, and what is kept in
 // order so that no decision needs a scan. Nothing is decided here.
@@ -107,6 +110,19 @@
 	return c.n
 }
 
+// turn is the queue of a key whose requests run one at a time: see Balancer.advance.
+type turn struct {
+	queue []*request
+	rest  time.Duration // nothing is sent for the next request before
+}
+
+// drop takes a request out.
+func (t *turn) drop(r *request) {
+	if t != nil {
+		t.queue = slices.DeleteFunc(t.queue, func(other *request) bool { return other == r })
+	}
+}
+
 // mostSpare bounds the requests that are kept to be used again.
 const mostSpare = 1024
 
--- a/provider/call.go
+++ b/provider/call.go
@@ -29,6 +29,7 @@
 	Provider uint64 // who is called: an address may pass to another
 	Address  string
 	Until    time.Time   // the proxy stops waiting
+	OutBy    time.Time   // its last byte has to be out by then; zero is no bound. One of whose body part is still to come may take longer
 	MayStart func() bool // asked right before the first byte is written
 
 	// Written is told once the last byte is, and returns until when to wait from
@@ -38,6 +39,7 @@
 	mu        sync.Mutex
 	conn      *conn // nil unless the call holds one
 	cancelled bool
+	writing   bool               // its first byte may be out
 	dialling  context.CancelFunc // nil unless a connection is being opened for it
 }
 
@@ -46,6 +48,11 @@
 func (c *Call) Cancel() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.cancel()
+}
+
+// cancel does so. The mutex is held.
+func (c *Call) cancel() {
 	c.cancelled = true
 	if c.dialling != nil {
 		c.dialling()
@@ -55,6 +62,38 @@
 	}
 }
 
+// Withdraw calls the attempt off if nothing of it has been written yet. It does not
+// block, and other than Cancel it leaves alone what may be running.
+func (c *Call) Withdraw() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.writing {
+		c.cancel()
+	}
+}
+
+// outBy is until when its last byte may be written.
+func (c *Call) outBy() time.Time {
+	if !c.OutBy.IsZero() && c.OutBy.Before(c.Until) {
+		return c.OutBy
+	}
+	return c.Until
+}
+
+// late tells whether it can't be out in time any more.
+func (c *Call) late() bool { return !c.OutBy.IsZero() && !time.Now().Before(c.OutBy) }
+
+// begin tells whether it may be written, and from then on it is being.
+func (c *Call) begin() bool {
+	if !c.MayStart() || c.late() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = !c.cancelled
+	return c.writing
+}
+
 // within sets the deadline of the connection, unless the call is called off.
 func (c *Call) within(conn *conn, until time.Time) {
 	c.mu.Lock()
@@ -66,7 +105,7 @@
 
 // dial opens a connection, unless the call is called off or its time is over.
 func (c *Call) dial(within time.Duration) (net.Conn, error) {
-	ctx, end := context.WithDeadline(context.Background(), c.Until)
+	ctx, end := context.WithDeadline(context.Background(), c.outBy())
 	defer end()
 	c.mu.Lock()
 	if c.dialling = end; c.cancelled {
@@ -104,20 +143,20 @@
 	switch {
 	case err != nil && c.release():
 		return ryerill.Moot, nil // nothing of it was sent
-	case ownFault(err):
+	case ownFault(err) || err != nil && c.late(): // or it was given less time than a connection may take
 		return ryerill.Moot, nil
 	case err != nil:
 		return ryerill.ConnectFailed, nil
 	}
 	// A dial takes its time: what the directory has told meanwhile is looked at again, since the rule on
-	// drains counts from a request's first byte.
-	if held := c.hold(conn); !held || !c.MayStart() {
+	// drains counts from a request's first byte; and so is whether somebody still waits.
+	if !c.hold(conn) || !c.begin() {
 		if c.release() {
-			p.drop(conn)
-			return ryerill.Cancelled, nil
+			p.drop(conn) // its deadline is over
+		} else {
+			p.put(conn)
 		}
-		p.put(conn)
-		return ryerill.Moot, nil
+		return ryerill.Moot, nil // nothing of it was written
 	}
 	outcome, response, again := p.exchange(conn, c)
 	if c.release() {
--- /dev/null
+++ b/provider/crossings_test.go
@@ -0,0 +1,251 @@
+package provider
+
+import (
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"ryerill"
+	"ryerill/internal/buffer"
+	"ryerill/invocation"
+)
+
+// Whatever comes between the choice of a provider and the first byte is looked at right
+// before that byte: a call that is not wanted any more, or comes too late to be harmless,
+// is not written, never ran, and leaves the connection to others or closed.
+func TestBetweenTheChoiceAndTheFirstByte(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		between func(*Call) (may bool)
+		want    ryerill.Outcome
+		kept    int // connections, with nothing out
+	}{
+		{"nothing", func(*Call) bool { return true }, ryerill.OK, 1},
+		{"the provider drains", func(*Call) bool { return false }, ryerill.Moot, 1},
+		{"called off", func(c *Call) bool { c.Cancel(); return true }, ryerill.Moot, 0},
+		{"withdrawn", func(c *Call) bool { c.Withdraw(); return true }, ryerill.Moot, 0},
+		{"its time is over", func(c *Call) bool { c.OutBy = time.Now(); return true }, ryerill.Moot, 1},
+		{"called off and the provider drains", func(c *Call) bool { c.Cancel(); return false }, ryerill.Moot, 0},
+	} {
+		for _, idle := range []bool{false, true} {
+			address, conns, requests := serve(t, okay, nil)
+			room := newRoom(1)
+			p := NewPool(room, time.Hour, 5*time.Second, new(buffer.Pool))
+			if idle { // the connection is there already
+				p.Do(newCall(address))
+				<-requests
+			}
+			c := newCall(address)
+			c.MayStart = func() bool { return tc.between(c) }
+			outcome, response := p.Do(c)
+			response.Free()
+			if outcome != tc.want || room.used() != tc.kept {
+				t.Errorf("%s, on an idle connection %v: %v, %d connections kept", tc.name, idle, outcome, room.used())
+			}
+			// The next call finds all in order, and the provider has had no more than what was wanted.
+			if outcome, _ := p.Do(newCall(address)); outcome != ryerill.OK {
+				t.Errorf("%s, on an idle connection %v, then: %v", tc.name, idle, outcome)
+			}
+			want := 1
+			if tc.want == ryerill.OK {
+				want++
+			}
+			for range want {
+				<-requests
+			}
+			if len(requests) > 0 || len(conns) > 2-tc.kept {
+				t.Errorf("%s, on an idle connection %v: %d requests too many, %d connections", tc.name, idle, len(requests), len(conns))
+			}
+			p.Close()
+		}
+	}
+}
+
+// From the last byte on a call may run: withdrawing it leaves it alone, and calling it
+// off says that it may have.
+func TestRightAfterTheLastByte(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		after func(*Call)
+		want  ryerill.Outcome
+	}{
+		{"withdrawn", (*Call).Withdraw, ryerill.OK},
+		{"called off", (*Call).Cancel, ryerill.Cancelled},
+		{"no repeat would be harmless now", func(c *Call) { c.OutBy = time.Now() }, ryerill.OK},
+	} {
+		answer := make(chan struct{})
+		address, _, _ := serve(t, "", func(c net.Conn) { <-answer; io.WriteString(c, okay) })
+		room := newRoom(1)
+		p := NewPool(room, time.Hour, 5*time.Second, new(buffer.Pool))
+		c := newCall(address)
+		c.Written = func() time.Time { tc.after(c); close(answer); return time.Time{} }
+		outcome, response := p.Do(c)
+		response.Free()
+		if outcome != tc.want {
+			t.Errorf("%s: %v", tc.name, outcome)
+		}
+		if p.Close(); room.used() != 0 {
+			t.Errorf("%s: %d connections held", tc.name, room.used())
+		}
+	}
+}
+
+// deafListener is a machine that takes no connection until it hears: its queue is full.
+type deafListener struct {
+	net.Listener
+	filled []net.Conn
+}
+
+func newDeaf(t *testing.T) *deafListener {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err == nil {
+		err = syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	}
+	if err == nil {
+		err = syscall.Listen(fd, 0)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := os.NewFile(uintptr(fd), "deaf")
+	d := &deafListener{}
+	if d.Listener, err = net.FileListener(f); err != nil {
+		t.Fatal(err)
+	}
+	f.Close()
+	for range 2 {
+		if c, err := net.DialTimeout("tcp", d.Addr().String(), 50*time.Millisecond); err == nil {
+			d.filled = append(d.filled, c)
+		}
+	}
+	t.Cleanup(func() {
+		d.Close()
+		for _, c := range d.filled {
+			c.Close()
+		}
+	})
+	return d
+}
+
+// hear takes what stands in the queue and what comes then, and returns the first connection on which bytes come.
+func (d *deafListener) hear() <-chan string {
+	got := make(chan string, 8)
+	go func() {
+		for {
+			c, err := d.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				b := make([]byte, 1<<10)
+				if n, _ := c.Read(b); n > 0 {
+					got <- string(b[:n])
+					io.WriteString(c, okay)
+				}
+			}()
+		}
+	}()
+	return got
+}
+
+// A connection that comes up late, after its call has ended, brings no request.
+func TestConnectionsThatComeUpLate(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		set  func(*Call)
+		end  func(*Call)
+		want ryerill.Outcome
+	}{
+		{"still wanted", func(*Call) {}, func(*Call) {}, ryerill.OK},
+		{"called off", func(*Call) {}, (*Call).Cancel, ryerill.Moot},
+		{"withdrawn", func(*Call) {}, (*Call).Withdraw, ryerill.Moot},
+		{"no repeat is harmless any more", func(c *Call) { c.OutBy = time.Now().Add(50 * time.Millisecond) }, nil, ryerill.Moot},
+		{"timed out", func(c *Call) { c.Until = time.Now().Add(50 * time.Millisecond) }, nil, ryerill.ConnectFailed},
+		{"on its way, the provider begins to drain", func(c *Call) { c.MayStart = func() bool { return false } }, func(*Call) {}, ryerill.Moot},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			d := newDeaf(t)
+			room := newRoom(1)
+			p := NewPool(room, time.Hour, 20*time.Second, new(buffer.Pool))
+			c := newCall(d.Addr().String())
+			tc.set(c)
+			over, began := make(chan ryerill.Outcome, 1), time.Now()
+			go func() {
+				outcome, response := p.Do(c)
+				response.Free()
+				over <- outcome
+			}()
+			for dialling := false; !dialling && tc.end != nil; { // the call is out
+				c.mu.Lock()
+				dialling = c.dialling != nil
+				c.mu.Unlock()
+			}
+			if tc.end == nil { // by its own time, before the machine hears
+				if got, took := <-over, time.Since(began); got != tc.want || took > 10*time.Second {
+					t.Errorf("%v after %v, want %v", got, took, tc.want)
+				}
+			} else {
+				tc.end(c)
+			}
+			heard := d.hear()
+			if tc.end != nil {
+				if got := <-over; got != tc.want {
+					t.Errorf("%v, want %v", got, tc.want)
+				}
+			}
+			// Another connection is through, and all that came before it has been heard out.
+			after, err := net.Dial("tcp", d.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.WriteString(after, "after")
+			first := <-heard
+			if sent := first != "after"; sent != (tc.want == ryerill.OK) {
+				t.Errorf("%q arrived", first)
+			}
+			after.Close()
+			if p.Close(); room.used() != 0 {
+				t.Errorf("%d connections held", room.used())
+			}
+		})
+	}
+}
+
+// A request that can't be out whole in time is broken off: its last byte was never
+// written, so it never ran, however long its answer would have been waited for.
+func TestWritingEndsWhenARepeatIsNoLongerHarmless(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	held := make(chan net.Conn, 1)
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			held <- c // and reads nothing of it
+		}
+	}()
+	buffers := new(buffer.Pool)
+	body, err := buffers.ReadBody(io.LimitReader(zeros{}, 32<<20), 32<<20) // more than sockets hold
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := NewPool(newRoom(8), time.Hour, 5*time.Second, buffers)
+	defer p.Close()
+	c := newCall(l.Addr().String())
+	c.Request = &invocation.Request{Method: "POST", Target: "/x", Host: "h", Body: body}
+	c.OutBy = time.Now().Add(100 * time.Millisecond)
+	if outcome, _ := p.Do(c); !outcome.NeverRan() {
+		t.Errorf("booked as: %v", outcome)
+	}
+	if !time.Now().Before(c.Until) {
+		t.Error("it was waited for until its answer was due")
+	}
+	(<-held).Close()
+}
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -126,7 +126,7 @@
 	}
 	cancelled := newCall(address)
 	cancelled.Cancel()
-	if outcome, _ := p.Do(cancelled); outcome != ryerill.Cancelled {
+	if outcome, _ := p.Do(cancelled); outcome != ryerill.Moot {
 		t.Errorf("cancelled: %v", outcome)
 	}
 	if outcome, _ := p.Do(newCall(address)); outcome != ryerill.OK || len(requests) > 1 {
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -60,7 +60,7 @@
 	if k.patience = time.Until(until); e.inv.Request.Rest != nil {
 		until = e.until // its time counts from its last byte
 	}
-	k.Call = provider.Call{Request: e.inv.Request, Provider: uint64(t.id), Address: t.address, Until: until, MayStart: t.ready.Load,
+	k.Call = provider.Call{Request: e.inv.Request, Provider: uint64(t.id), Address: t.address, Until: until, OutBy: time.Now().Add(a.Within), MayStart: t.ready.Load,
 		Written: func() time.Time { return c.wrote(k) }}
 	go c.send(k)
 }
--- a/random_test.go
+++ b/random_test.go
@@ -105,6 +105,8 @@
 		w.fail("sent to a server in state %d: %+v", s.State, a)
 	case len(r.attempts) >= w.cfg.Limits.Attempts:
 		w.fail("attempt %d", len(r.attempts))
+	case a.Within <= 0 || a.Within > a.Wait:
+		w.fail("to be out in %v, time-out %v", a.Within, a.Wait)
 	case a.Wait <= 0 || w.now+a.Wait > r.until:
 		w.fail("time-out %v, request ends at %v", a.Wait, r.until)
 	}
@@ -121,6 +123,9 @@
 		if c.Effect == Unsafe || !inGroup || w.now-r.ranAt >= c.Memory {
 			w.fail("resent what may have run: %+v", a)
 		}
+		if w.now+a.Within >= r.ranAt+c.Memory {
+			w.fail("what may have run may be resent up to its memory's end: %+v", a)
+		}
 	}
 	r.attempts = append(r.attempts, s)
 	r.out++
--- a/ryerill.go
+++ b/ryerill.go
@@ -254,7 +254,7 @@
 
 // The kinds of action, each with the fields it sets.
 const (
-	Send      ActionKind = iota + 1 // Request, Server, Wait: the attempt's time-out
+	Send      ActionKind = iota + 1 // Request, Server, Within, Wait: the attempt's time-out
 	Refuse                          // Request, Wait: retry-after. Tells that a retry is harmless
 	Fail                            // Request: final, with no promise
 	Cancel                          // Request, Attempt
@@ -277,6 +277,7 @@
 	Request RequestID
 	Server  ServerID
 	Wait    time.Duration
+	Within  time.Duration // Send: its last byte has to be out in this time
 	Payload []byte
 	Text    string
 }
