Send nothing on for a client that has left, whatever it waits for

- Where the settings forbid cancelling, a client's leaving changed nothing for a call that was still connecting: it was sent up to the connect time-out later (depart in proxy/takein.go; 15 s in the test).
It is withdrawn now; what may run is left alone as before.
- A request was taken though its client had left while it lay in the listener's queue or behind another request (next in consumer/conn.go): it went out at once and was called off only then.
The connection is looked at before.
- An address may pass to another provider while a call is on its way there: the request reached whoever has it now (list in proxy/route.go changed the target in place).
A provider at another address is a new target now, and calls to the old one are not sent.

Each test was seen to fail with its mend taken out. go test -race ./consumer ./provider ./proxy -run of the new ones hold.

--- a/consumer/conn.go
+++ b/consumer/conn.go
@@ -232,6 +232,11 @@
 		c.write(head(http.StatusServiceUnavailable, 0, false, nil, time.Second, true), nil)
 		return false
 	}
+	if socket.Left(c.nc) { // while its request lay here: in the listener's queue, or behind another
+		inv.Request.Free()
+		c.failed = true
+		return false
+	}
 	id := req.Header.Get(http1.HeaderID)
 	if !c.server.hold(id, c) {
 		inv.Request.Free()
--- a/consumer/crossings_test.go
+++ b/consumer/crossings_test.go
@@ -435,3 +435,62 @@
 		}
 	}
 }
+
+// A consumer may have left before its request is read: it lay in the listener's queue, or
+// behind another request. Nobody waits for an answer any more, so it isn't taken.
+func TestWhoLeftBeforeBeingReadIsNotTaken(t *testing.T) {
+	for name, leave := range map[string]func(*net.TCPConn){
+		"closes": func(c *net.TCPConn) { c.Close() }, "ends its side": func(c *net.TCPConn) { c.CloseWrite() }} {
+		for _, text := range []string{get(1, ""), "POST /burn HTTP/1.1\r\nHost: x\r\nReq-Id: 1\r\nContent-Length: 90000\r\n\r\n" + strings.Repeat("y", 90000)} {
+			t.Run(fmt.Sprint("in the queue, ", name, ", ", len(text), " bytes"), func(t *testing.T) {
+				h := newHolding(time.Minute)
+				s, err := Listen("127.0.0.1:0", 64, false, new(buffer.Pool))
+				if err != nil {
+					t.Fatal(err)
+				}
+				c, _ := connect(t, s.Address())
+				send(t, c, text)
+				leave(c)
+				ctx, cancel := context.WithCancel(context.Background())
+				over := make(chan error, 1)
+				go func() { over <- s.Serve(ctx, h) }()
+				other, r := connect(t, s.Address()) // whose request comes behind it
+				send(t, other, get(2, ""))
+				if inv := came(t, h.taken, "the other request"); inv.Request.Header.Get("Req-Id") == "1" {
+					t.Error("sent on though its consumer had left")
+				} else {
+					h.serve(1)
+					status200(t, r)
+				}
+				other.Close()
+				c.Close()
+				cancel()
+				if err := <-over; err != nil {
+					t.Error(err)
+				}
+				if len(h.taken) > 0 || len(s.conns) != 0 || len(s.ids) != 0 {
+					t.Errorf("%d more taken, %d connections, %d ids", len(h.taken), len(s.conns), len(s.ids))
+				}
+			})
+		}
+		t.Run("behind another, "+name, func(t *testing.T) {
+			h := newHolding(time.Minute)
+			s, _ := serving(t, h, 64)
+			c, _ := connect(t, s.Address())
+			send(t, c, get(1, ""))
+			came(t, h.taken, "the first request")
+			send(t, c, get(2, ""))
+			leave(c)
+			h.serve(1)
+			for open := 1; open > 0; { // until its connection has ended
+				s.mu.Lock()
+				open = len(s.conns)
+				s.mu.Unlock()
+				time.Sleep(time.Millisecond)
+			}
+			if len(h.taken) > 0 {
+				t.Error("the second was sent on though its consumer had left")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/proxy/crossings_test.go
@@ -0,0 +1,172 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"ryerill/config"
+	"ryerill/directory"
+)
+
+// leavesAfter is how long after its client has left a request may still be sent on.
+const leavesAfter = 300 * time.Millisecond
+
+// hearOut has the machine that heard nobody take what stands in its queue and what
+// comes then. It returns the bytes that came on each connection.
+func (s *scene) hearOut() <-chan string {
+	got := make(chan string, 64)
+	go func() {
+		for {
+			c, err := s.deaf.Accept()
+			if err != nil {
+				return
+			}
+			s.t.Cleanup(func() { c.Close() })
+			go func() {
+				b := make([]byte, 4<<10)
+				if n, _ := c.Read(b); n > 0 {
+					got <- string(b[:n])
+				}
+			}()
+		}
+	}()
+	return got
+}
+
+// A client that leaves while its request waits for its first attempt: the request is
+// not sent on, whether or not what runs may be cancelled, and all that it held is free.
+func TestWhoLeavesWhileItWaitsIsNotSentOn(t *testing.T) {
+	leaks := goleak.IgnoreCurrent()
+	t.Run("all", func(t *testing.T) {
+		for name, leave := range map[string]func(net.Conn){
+			"closes":        func(c net.Conn) { c.Close() },
+			"resets":        func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+			"ends its side": func(c net.Conn) { c.(*net.TCPConn).CloseWrite() },
+		} {
+			for _, cancel := range []bool{true, false} {
+				for _, more := range []int{0, 5 << 10} { // bytes behind the request
+					for _, class := range []string{"read", "burn"} {
+						t.Run(fmt.Sprint(name, ", cancel ", cancel, ", ", more, " more, ", class), func(t *testing.T) {
+							t.Parallel()
+							leaveWaiting(t, class, leave, cancel, more)
+						})
+					}
+				}
+			}
+		}
+	})
+	if err := goleak.Find(leaks); err != nil {
+		t.Error(err)
+	}
+}
+
+func leaveWaiting(t *testing.T, class string, leave func(net.Conn), cancel bool, more int) {
+	s := newScene(t, class, func(cfg *config.Config) {
+		l := &cfg.Pools[0].Settings.Balancer.Limits
+		l.Cancel, l.ConnectTimeout = cancel, patience
+	})
+	s.deafen()
+	s.write(s.text("serve", "") + strings.Repeat("x", more))
+	until(t, "a call out", func() bool { return s.inFlight() == 1 })
+	left := time.Now()
+	leave(s.c.Conn)
+	until(t, "its end", func() bool { return s.inFlight() == 0 })
+	if took := time.Since(left); took > leavesAfter {
+		t.Errorf("it could be sent on for %v", took)
+	}
+	heard := s.hearOut()
+	after, err := net.Dial("tcp", s.deaf.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(after, "after")
+	if first := <-heard; first != "after" {
+		t.Errorf("sent on: %q", first)
+	}
+	after.Close()
+	s.c.Close()
+	s.quiet(s.core(), 1)
+	s.rules()
+	s.end()
+}
+
+// A client that leaves between an attempt's end and its repeat gets none: the answer of
+// the first and the client's end are brought in both orders.
+func TestWhoLeavesBeforeARepeat(t *testing.T) {
+	for _, class := range []string{"read", "pay"} {
+		for _, leavesFirst := range []bool{true, false} {
+			t.Run(fmt.Sprint(class, ", leaves first ", leavesFirst), func(t *testing.T) {
+				var s *scene
+				s = newScene(t, class, func(cfg *config.Config) { cfg.Pools[0].Settings.Balancer.Limits.Cancel = false })
+				defer s.end()
+				s.write(s.text("hang", ""))
+				s.await()
+				c := s.core()
+				if leavesFirst {
+					s.c.Close()
+					until(t, "it has left", func() bool { return s.p.figures.inflight.Load() == 0 })
+				}
+				for _, b := range s.peers {
+					b.CloseAll() // the attempt ends, and no other can be made
+				}
+				if !leavesFirst {
+					if got := s.answer(); got == http.StatusOK {
+						t.Errorf("answered %d", got)
+					}
+					s.c.Close()
+				}
+				s.quiet(c, 1)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				for id, all := range s.ledger {
+					if len(all) != 1 {
+						t.Errorf("%s went out %d times", id, len(all))
+					}
+				}
+			})
+		}
+	}
+}
+
+// An address may pass to another provider while a call is on its way to it: the call is
+// not made there, but goes to where its provider is now, or to another.
+func TestAnAddressThatPassesOnDuringADial(t *testing.T) {
+	for _, class := range []string{"read", "pay", "burn"} {
+		t.Run(class, func(t *testing.T) {
+			s := newScene(t, class, func(cfg *config.Config) { cfg.Pools[0].Settings.Balancer.Limits.ConnectTimeout = patience })
+			defer s.end()
+			var list []directory.Endpoint
+			for i, name := range []string{"s1", "s2", "t1", "cold"} {
+				list = append(list, s.peers[i].endpoint(name, []int{1, 1, 2, 1}[i]))
+			}
+			s.deafen()
+			c := s.core()
+			for _, e := range list { // as a list would have told it
+				e.Address = s.deaf.Addr().String()
+				c.Listed(directory.List{Index: 1, Endpoints: []directory.Endpoint{e}})
+			}
+			s.write(s.text("serve", ""))
+			until(t, "a call out", func() bool { return s.inFlight() == 1 })
+			c.Listed(directory.List{Index: 2, Snapshot: true, Endpoints: list})
+			heard := s.hearOut() // whoever has the address now
+			if got := s.answer(); got != http.StatusOK {
+				t.Errorf("answered %d", got)
+			}
+			select {
+			case text := <-heard:
+				t.Errorf("sent to who has the address now: %q", text)
+			default:
+			}
+			s.c.Close()
+			s.quiet(c, 1)
+			s.rules()
+		})
+	}
+}
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -15,7 +15,7 @@
 // target is a provider as calls find it.
 type target struct {
 	id      ryerill.ServerID
-	address string
+	address string         // as long as it is this target
 	ready   atomic.Bool    // neither terminating nor gone nor out by hand
 	listed  listing        // what the directory told last
 	told    ryerill.Server // what the Balancer was told last: the same under the operators' word
@@ -124,13 +124,14 @@
 	for i := range list.Endpoints {
 		e := &list.Endpoints[i]
 		t := c.providers[serverID(e.Name)]
+		if t != nil && e.Address != "" && t.address != e.Address { // a call on its way to the old one would meet whoever has that now
+			t.ready.Store(false)
+			t = nil
+		}
 		if t == nil {
-			t = &target{id: serverID(e.Name)}
+			t = &target{id: serverID(e.Name), address: e.Address}
 			c.providers[t.id] = t
 		}
-		if e.Address != "" {
-			t.address = e.Address
-		}
 		listed[t.id] = e.Status != directory.Gone
 		t.listed = listing{e.Name, ryerill.Server{ID: t.id, State: states[e.Status], Cell: e.Group, Weight: e.Weight,
 			Zone: index(c.settings.Zones, e.Zone), Kind: index(c.settings.Kinds, e.Type),
--- a/proxy/takein.go
+++ b/proxy/takein.go
@@ -72,10 +72,14 @@
 	}
 }
 
-// depart ends an invocation for which nothing is owed any more.
+// depart ends an invocation for which nothing is owed any more. What of it waits for a
+// connection is not sent on, also where what runs may not be cancelled.
 func (c *core) depart(e *entry) {
 	e.done = true
 	c.counted(e, invocation.Failed)
+	for _, k := range e.calls {
+		k.Withdraw()
+	}
 	c.happen(ryerill.Event{Kind: ryerill.Departed, Request: e.id})
 	c.release(e)
 }
