--- a/lab/explore/mutant/mutant.go
+++ b/lab/explore/mutant/mutant.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"testing"
 	"time"
 )
 
@@ -25,10 +24,18 @@
 // the machine for themselves.
 const Slow = "RYERILL_SLOW"
 
+// Test is what Find needs of the test that calls it.
+type Test interface {
+	Helper()
+	Skip(args ...any)
+	Errorf(format string, args ...any)
+	TempDir() string
+}
+
 // Find has tests run over each mutant of the package in the working directory, and
 // fails for one that they pass. Of a mutant that does not build nothing is shown,
 // so that fails too.
-func Find(t *testing.T, run string, mutants []Mutant) {
+func Find(t Test, run string, mutants []Mutant) {
 	t.Helper()
 	if os.Getenv(Slow) == "" {
 		t.Skip("set " + Slow + "=1: it builds the package many times")
