Ask anew for a broken watch as soon as the drain rule wants, whatever the settings allow

The pause before a list is asked for again was a part of the contract's AskWithin (ask in balancer.go): 0.7 s at most after a first failure where that is 10 s, but 37 s where it is ten minutes. A watch that falls silent counts as told 6 s later, so a drain in between would have been missed. Counted from 10 s at most now; with 10 s nothing changes. TestTheListIsAskedForSoon over three settings failed before: 12.5 s and 31.7 s of ten minutes.

--- a/balancer.go
+++ b/balancer.go
@@ -41,6 +41,7 @@
 	quickShare   = 0.25  // an error within this part of the usual latency was not made deeper down
 	remember     = 2.0   // a server is remembered for this many WarmUps after it was last listed, or served
 	coldSafety   = 0.5   // part of the cold budget used: the estimate is rough and chance bunches calls
+	askWithin    = 10.0  // seconds, or the contract's if less: drains go unheard while a watch is broken
 	exactUpTo    = 128   // servers among which the best is picked; of more, so many of each shelf are looked at:
 	mostLooked   = 20    // enough that none picked ranks worse, as measured, though it may be slower
 )
@@ -542,8 +543,9 @@
 		return
 	}
 	b.asking = true
-	wait := float64(b.cfg.Contract.AskWithin) / 32 * math.Exp2(float64(min(b.failed, 3))) * (0.1 + b.random())
-	b.out = append(b.out, Action{Kind: SetTimer, Wait: time.Duration(wait)})
+	wait := min(b.cfg.Contract.AskWithin.Seconds(), askWithin) / 32 * math.Exp2(float64(min(b.failed, 3)))
+	wait *= 0.1 + b.random()
+	b.out = append(b.out, Action{Kind: SetTimer, Wait: time.Duration(wait * float64(time.Second))})
 }
 
 // --- Request state: what may have run and what is still allowed. Rules 1, 2 and 5 are decided here alone.
@@ -556,7 +558,7 @@
 	end      time.Duration // an answer after this is worth nothing
 	attempts []*server
 	sent     time.Duration // when the latest attempt was sent
-	to, at   Server        // where to, as listed then: lists move servers; and where the first went that may have run
+	to, at   Server        // where to, as listed then; and of the first that may have run
 
 	open, done bool          // the latest attempt is out; answered
 	key        uint64        // where order is kept
@@ -627,9 +629,9 @@
 	}
 }
 
-// advance gives the turn of a key on. Its requests run one at a time, as they came. They wait outside the limit
-// until the head is over, has no attempt out and, if one may still run, the key has rested. What can't be in
-// time by what is known is refused at once: a head may hang. Harm: a popular key is refused, servers idle.
+// advance gives the turn of a key on. Its requests run one at a time, as they came. They wait outside the
+// limit until the head is over, has no attempt out and, if one may still run, the key has rested. What can't
+// be in time by what is known is refused at once: a head may hang. Harm: popular keys are refused.
 func (b *Balancer) advance(key uint64) {
 	t := b.turns[key]
 	if t == nil {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -185,15 +185,17 @@
 // A list that is late counts as told all the same: the first call is made at
 // once, and one that failed again within a second.
 func TestTheListIsAskedForSoon(t *testing.T) {
-	cfg := testConfig()
-	cfg.Subscribe = true
-	n := newNode(t, cfg, fleet(2)...)
-	for _, most := range []time.Duration{350 * ms, 700 * ms} {
-		if a := only(t, n.acts, SetTimer); a.Wait > most {
-			t.Errorf("after %d failures the list is asked for in %v", n.b.failed, a.Wait)
+	for _, within := range []time.Duration{500 * ms, 10 * time.Second, 10 * time.Minute} { // whatever the settings allow
+		cfg := testConfig()
+		cfg.Subscribe, cfg.Contract.AskWithin = true, within
+		n := newNode(t, cfg, fleet(2)...)
+		for _, most := range []time.Duration{350 * ms, 700 * ms} {
+			if a := only(t, n.acts, SetTimer); a.Wait > min(most, within) {
+				t.Errorf("of %v: after %d failures the list is asked for in %v", within, n.b.failed, a.Wait)
+			}
+			n.handle(Event{Kind: Timer})
+			n.handle(Event{Kind: ServerList, List: ListFailed})
 		}
-		n.handle(Event{Kind: Timer})
-		n.handle(Event{Kind: ServerList, List: ListFailed})
 	}
 }
 
