Let no list of an earlier version call off a drain or warm a cold server

A whole list with an older index than the last was taken as news (list in balancer.go): what had been told to drain was sent to again, and what had just started counted as warm. Only where draining alone binds was an old list doubted. Now any list of an earlier version is, and one that is as new as the last is believed, so that a drain can be called off, and a directory that counts anew is believed from its second list on. Orders of staff carry the version of the list that they lie over (no test fails without that: who is out by hand counts as gone, not as draining). TestListOfAnEarlierVersion fails without the doubt.

Open: a server that drained, is gone, and is named again by an older list, counts as new where gone servers are forgotten.

--- a/balancer.go
+++ b/balancer.go
@@ -55,14 +55,14 @@
 	out        []Action
 	aim        time.Duration // the shortest aim of a class
 
-	ifr, beside            int // calls in flight, and those of others at this place: one limit is for all,
-	sharers, parts         int // and so are its quotas and cold budgets, of which each copy has one of so many
-	maxIFR, floor, ceiling float64
-	spare                  float64 // seats unused of late, or overdrawn
-	spareAt, windowEnd     time.Duration
-	lmax, start            float64             // in aims; the first limit, in seats a server
-	samples                [maxSamples]float64 // latencies in aims, a circular buffer
-	seen                   int                 // samples in this window
+	ifr, beside                int // calls in flight, and those of others at this place: one limit is for all,
+	sharers, parts             int // and so are quotas and cold budgets, of which each copy has one of so many
+	maxIFR, floor, ceiling     float64
+	spare                      float64 // seats unused of late, or overdrawn
+	rateAt, spareAt, windowEnd time.Duration
+	lmax, start                float64             // in aims; the first limit, in seats a server
+	samples                    [maxSamples]float64 // latencies in aims, a circular buffer
+	seen                       int                 // samples in this window
 
 	servers     []*server // as listed
 	ring        []*server // the same: see settle
@@ -71,10 +71,10 @@
 	byID        map[ServerID]*server
 	ready, near int     // servers to send to, and those near to this copy
 	keeps       bool    // to its own zone
-	rate        float64 // calls served, decaying over WarmUp
-	rateAt      time.Duration
-	asking      bool // a call for the list is scheduled
-	failed      int  // calls for the list that failed in a row
+	rate        float64 // calls served, decaying over WarmUp, at rateAt
+	version     uint64  // of the latest list
+	asking      bool    // a call for the list is scheduled
+	failed      int     // calls for the list that failed in a row
 
 	requests map[RequestID]*request
 	spares   spares            // over, to be used again
@@ -455,7 +455,7 @@
 			s.State = Gone
 		}
 	}
-	added := false
+	added, old := false, b.cfg.Contract.DrainBindsAlone || ev.Version < b.version // then perhaps
 	for _, e := range ev.Servers {
 		s := b.byID[e.ID]
 		if s == nil {
@@ -464,7 +464,7 @@
 			b.servers, b.ring, added = append(b.servers, s), append(b.ring, s), true
 		} else if e.State == Gone { // perhaps told without them, but calls to it may yet be resent in its group
 			e.Zone, e.Cell, e.Started = s.Zone, s.Cell, max(e.Started, s.Started)
-		} else if b.cfg.Contract.DrainBindsAlone && e.Started <= s.Started { // perhaps an old list
+		} else if old && e.Started <= s.Started {
 			if e.Started = s.Started; s.drained {
 				e.State = Draining
 			}
@@ -483,7 +483,7 @@
 		return forget
 	})
 	b.ring = slices.DeleteFunc(b.ring, func(s *server) bool { return b.byID[s.ID] != s })
-	if added {
+	if b.version = ev.Version; added {
 		slices.SortFunc(b.ring, func(x, y *server) int { return cmp.Compare(mix(uint64(x.ID)), mix(uint64(y.ID))) })
 	}
 	b.settle()
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1118,6 +1118,33 @@
 }
 
 // An old list calls drained servers ready and gives older starts.
+// A list may come out of order, or from a directory that lags behind: what drains goes on draining until its next
+// start, and a cold server stays cold. One that is as new as the last is believed: staff may call a drain off.
+func TestListOfAnEarlierVersion(t *testing.T) {
+	for _, c := range []struct {
+		version uint64
+		started time.Duration // against the first list
+		usable  bool
+	}{{6, 0, false}, {7, 0, true}, {8, 0, true}, {6, ms, true}} {
+		n := newNode(t, testConfig(), fleet(3)...)
+		start := n.now
+		first := []Server{{ID: 1, State: Draining, Started: start}, up(2), {ID: 3, State: Ready, Started: start}}
+		n.handle(Event{Kind: ServerList, List: ListFull, Version: 7, Servers: first})
+		again := []Server{{ID: 1, State: Ready, Started: start + c.started}, up(2), {ID: 3, State: Ready}}
+		n.handle(Event{Kind: ServerList, List: ListFull, Version: c.version, Servers: again})
+		if got := n.b.usable(n.b.byID[1]); got != c.usable {
+			t.Errorf("%+v: usable %v", c, got)
+		}
+		if c.version < 7 && n.b.byID[3].Started != start {
+			t.Errorf("%+v: a cold server counts as warm", c)
+		}
+		n.handle(Event{Kind: ServerList, List: ListFull, Version: c.version, Servers: again})
+		if !n.b.usable(n.b.byID[1]) {
+			t.Errorf("%+v: told once more at that version, it is not believed", c)
+		}
+	}
+}
+
 func TestOldListBreaksNoDrainAndNoColdStart(t *testing.T) {
 	n := wrongListNode(t, false)
 	n.handle(Event{Kind: ServerList, List: ListChanges, Servers: []Server{{ID: 1, State: Draining}, {ID: 2, State: Ready, Started: n.now}}})
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -51,6 +51,7 @@
 	newest    ryerill.RequestID
 	open      map[ryerill.RequestID]*entry
 	providers map[ryerill.ServerID]*target
+	version   uint64                   // of the latest list
 	seen      map[string]struct{}      // names that are listed or were
 	word      word.Word                // what staff have ordered
 	heard     chan struct{}            // closed once the directory has told its list, or there is none
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -140,6 +140,7 @@
 		c.overlay(t)
 		servers = append(servers, t.told)
 	}
+	c.version = list.Index
 	c.happen(ryerill.Event{Kind: ryerill.ServerList, List: kind, Version: list.Index, Servers: servers})
 	var gone []uint64
 	for id := range c.providers {
--- a/proxy/staff.go
+++ b/proxy/staff.go
@@ -155,7 +155,7 @@
 	}
 	if len(servers) > 0 {
 		slices.SortFunc(servers, func(a, b ryerill.Server) int { return cmp.Compare(a.ID, b.ID) })
-		c.happen(ryerill.Event{Kind: ryerill.ServerList, List: ryerill.ListChanges, Servers: servers})
+		c.happen(ryerill.Event{Kind: ryerill.ServerList, List: ryerill.ListChanges, Version: c.version, Servers: servers})
 	}
 }
 
