Call what the field has a word for by that word, where these parts were touched

Deaf is StopAccepting (drain), SetMost SetMaxConnections (consumer), patience a timeout (proxy) and a long poll's time (directory), line a connection (directory). No line of behaviour changes.

--- a/consumer/server.go
+++ b/consumer/server.go
@@ -79,9 +79,9 @@
 	return s, nil
 }
 
-// SetMost changes how many connections the server may hold. Of those beyond it
+// SetMaxConnections changes how many connections the server may hold. Of those beyond it
 // the ones that can be spared go, the others stay until they end.
-func (s *Server) SetMost(most int) {
+func (s *Server) SetMaxConnections(most int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.most = max(most-reserve, 1)
@@ -201,7 +201,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopped, s.killed, s.ending = time.Now(), killed, plan
-	s.listener.SetDeadline(s.stopped.Add(s.ending.Deaf))
+	s.listener.SetDeadline(s.stopped.Add(s.ending.StopAccepting))
 	if killed > 0 && !plan.Stays {
 		s.last = time.AfterFunc(killed-killMargin, s.expire)
 	}
--- a/directory/client.go
+++ b/directory/client.go
@@ -101,7 +101,7 @@
 	ctx, stop := context.WithCancel(c.ctx)
 	c.stop = stop
 	c.watch++
-	number, l := c.watch, c.line()
+	number, l := c.watch, c.connection()
 	go func() {
 		defer stop() // also when the watch fails: its context must not outlive it
 		defer l.close()
@@ -134,7 +134,7 @@
 // Fetch asks once for the whole list. It returns at once.
 func (c *Client) Fetch() {
 	c.mu.Lock()
-	l := c.line()
+	l := c.connection()
 	c.mu.Unlock()
 	go func() {
 		defer l.close()
@@ -145,8 +145,8 @@
 
 // keepWatch calls again as soon as an answer is in: a watch is over 200 ms
 // after its last answer, and what changes in between counts as told.
-func (c *Client) keepWatch(ctx context.Context, number int, l *line) {
-	most, pause := c.patience(), agentPause
+func (c *Client) keepWatch(ctx context.Context, number int, l *connection) {
+	most, pause := c.longPoll(), agentPause
 	for {
 		c.mu.Lock()
 		held, since := c.held, c.index
@@ -185,8 +185,8 @@
 	}
 }
 
-// patience is how long one call of the watch waits for something newer.
-func (c *Client) patience() time.Duration {
+// longPoll is how long one call of the watch waits for something newer.
+func (c *Client) longPoll() time.Duration {
 	if c.agent {
 		return agentFor
 	}
@@ -213,7 +213,7 @@
 
 // tell passes on how a call ended, unless nobody waits for it any more. It
 // reports whether it has passed on a list.
-func (c *Client) tell(ctx context.Context, l *line, list List, err error) bool {
+func (c *Client) tell(ctx context.Context, l *connection, list List, err error) bool {
 	c.telling.Lock()
 	defer c.telling.Unlock()
 	c.mu.Lock()
@@ -230,22 +230,22 @@
 	return true
 }
 
-// line is a connection to a directory, kept from call to call.
-type line struct {
+// connection leads to a directory and is kept from call to call.
+type connection struct {
 	address string
-	moves   int // of the client when the line was made: one of earlier leads to an old directory
+	moves   int // of the client when it was made: one of earlier leads to an old directory
 	conn    net.Conn
 	r       *bufio.Reader
 	buffers *buffer.Pool
 	reserve *socket.Reserve // of the client
 }
 
-// line returns a line to the present directory. The mutex is held.
-func (c *Client) line() *line {
-	return &line{address: c.address, moves: c.moves, buffers: c.buffers, reserve: c.reserve}
+// connection returns one to the present directory. The mutex is held.
+func (c *Client) connection() *connection {
+	return &connection{address: c.address, moves: c.moves, buffers: c.buffers, reserve: c.reserve}
 }
 
-func (l *line) close() {
+func (l *connection) close() {
 	if l.conn != nil {
 		l.conn.Close()
 		l.reserve.Fill()
@@ -255,7 +255,7 @@
 }
 
 // get makes one call and books the index of its answer.
-func (c *Client) get(ctx context.Context, l *line, target string, wait time.Duration) (List, error) {
+func (c *Client) get(ctx context.Context, l *connection, target string, wait time.Duration) (List, error) {
 	until := time.Now().Add(wait + c.overdue())
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
@@ -292,7 +292,7 @@
 	return list, nil
 }
 
-func (c *Client) exchange(l *line, target string, until time.Time) (list List, keep bool, err error) {
+func (c *Client) exchange(l *connection, target string, until time.Time) (list List, keep bool, err error) {
 	if err := l.conn.SetDeadline(until); err != nil {
 		return list, false, err
 	}
--- a/directory/client_test.go
+++ b/directory/client_test.go
@@ -193,7 +193,7 @@
 	defer server.Close()
 	c := NewClient(t.Context(), server.Listener.Addr().String(), List{}, new(buffer.Pool), nil)
 	c.mu.Lock()
-	l := c.line()
+	l := c.connection()
 	c.mu.Unlock()
 	defer l.close()
 	got, err := c.get(t.Context(), l, path, 0)
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -19,11 +19,11 @@
 		{"by hand, 4 s after the word what came 2 s ago is refused", ByHand(), 1999 * ms, Phase{Last: true, Closing: true, Refusing: true}},
 		{"by hand, for ever", ByHand(), 1e6 * time.Second, Phase{Last: true, Closing: true, Refusing: true}},
 		{"ending, while connections arrive", ending, 400 * ms, Phase{}},
-		{"ending, then", ending, 550 * ms, Phase{Deaf: true}},
-		{"ending, half of its time", ending, 1850 * ms, Phase{Last: true, Deaf: true, Closing: true}},
+		{"ending, then", ending, 550 * ms, Phase{StopAccepting: true}},
+		{"ending, half of its time", ending, 1850 * ms, Phase{Last: true, StopAccepting: true, Closing: true}},
 		{"handed over", Handover(), 0, Phase{Ready: true, Last: true}},
-		{"handed over, soon", Handover(), 50 * ms, Phase{Ready: true, Last: true, Deaf: true}},
-		{"handed over, later", Handover(), 1200 * ms, Phase{Ready: true, Last: true, Closing: true, Deaf: true}},
+		{"handed over, soon", Handover(), 50 * ms, Phase{Ready: true, Last: true, StopAccepting: true}},
+		{"handed over, later", Handover(), 1200 * ms, Phase{Ready: true, Last: true, Closing: true, StopAccepting: true}},
 	} {
 		if got := tc.plan.At(tc.at); got != tc.want {
 			t.Errorf("%s: %+v", tc.name, got)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -34,7 +34,7 @@
 	// Serve hands invocations over until ctx ends and all of them have been answered.
 	Serve(ctx context.Context, services consumer.Services) error
 	Address() string
-	SetMost(connections int)
+	SetMaxConnections(connections int)
 	// Drain empties the front, counted from since, or ends that if it is zero.
 	Drain(since time.Time)
 	Close()
--- a/proxy/reload.go
+++ b/proxy/reload.go
@@ -129,7 +129,7 @@
 			p.serve(l)
 			l.front.Drain(p.drainsSince())
 		} else {
-			l.front.SetMost(p.connections(len(fronts)))
+			l.front.SetMaxConnections(p.connections(len(fronts)))
 		}
 	}
 	for _, c := range gone {
--- a/proxy/route.go
+++ b/proxy/route.go
@@ -35,7 +35,7 @@
 	server  ryerill.ServerID
 	began   time.Duration
 
-	patience time.Duration // how long it may take from its last byte on
+	timeout time.Duration // how long it may take from its last byte on
 }
 
 // route starts the invoker call that an action asks for.
@@ -57,7 +57,7 @@
 			until = end
 		}
 	}
-	if k.patience = time.Until(until); e.inv.Request.Rest != nil {
+	if k.timeout = time.Until(until); e.inv.Request.Rest != nil {
 		until = e.until // its time counts from its last byte
 	}
 	k.Call = provider.Call{Request: e.inv.Request, Provider: uint64(t.id), Address: t.address, Until: until, OutBy: time.Now().Add(a.Within), MayStart: t.ready.Load,
--- a/proxy/send.go
+++ b/proxy/send.go
@@ -26,5 +26,5 @@
 		e.guard.Reset(e.inv.Left + c.settings.Balancer.Contract.AnswerSlack)
 	}
 	k.began = c.clock.now()
-	return time.Now().Add(min(k.patience, e.inv.Left))
+	return time.Now().Add(min(k.timeout, e.inv.Left))
 }
--- a/proxy/upgrade.go
+++ b/proxy/upgrade.go
@@ -96,7 +96,7 @@
 		p.machine.divide(lives)
 		p.onShare(1 / float64(lives))
 		for _, l := range p.fronts {
-			l.front.SetMost(p.connections(len(p.fronts)))
+			l.front.SetMaxConnections(p.connections(len(p.fronts)))
 		}
 	}
 	for name, c := range p.pools {
