--- a/provider/crossings_test.go
+++ b/provider/crossings_test.go
@@ -249,3 +249,31 @@
 	}
 	(<-held).Close()
 }
+
+// A reload may shorten the idle limit while connections rest: it holds from the next look on.
+func TestIdleLimitThatShrinksWhileConnectionsRest(t *testing.T) {
+	for _, tc := range []struct {
+		keep  time.Duration
+		conns int
+	}{{time.Hour, 1}, {time.Nanosecond, 2}} {
+		address, conns, requests := serve(t, okay, nil)
+		room := newRoom(8)
+		p := NewPool(room, time.Hour, 5*time.Second, new(buffer.Pool))
+		for i := range 2 {
+			if i == 1 {
+				p.Set(tc.keep, 5*time.Second)
+			}
+			outcome, response := p.Do(newCall(address))
+			response.Free()
+			if <-requests; outcome != ryerill.OK {
+				t.Errorf("keep %v, call %d: %v", tc.keep, i, outcome)
+			}
+		}
+		if len(conns) != tc.conns {
+			t.Errorf("keep %v: %d connections", tc.keep, len(conns))
+		}
+		if p.Close(); room.used() != 0 {
+			t.Errorf("keep %v: %d connections held", tc.keep, room.used())
+		}
+	}
+}
