Close all doors before the held attempt ends, so that no repeat can find one

TestWhoLeavesBeforeARepeat failed once in fifty runs (went out 2 times): it closed the providers one by one, and a repeat that was allowed found one that still listened. The test's fault; no line of the program changes.

--- a/proxy/crossings_test.go
+++ b/proxy/crossings_test.go
@@ -114,7 +114,10 @@
 					until(t, "it has left", func() bool { return s.p.figures.inflight.Load() == 0 })
 				}
 				for _, b := range s.peers {
-					b.CloseAll() // the attempt ends, and no other can be made
+					b.Close() // no other attempt can be made
+				}
+				for _, b := range s.peers {
+					b.CloseAll() // and this one ends
 				}
 				if !leavesFirst {
 					if got := s.answer(); got == http.StatusOK {
