Set the deadline of a call's writing once, where it takes its connection

The connection's deadline was set when the call took it (hold, to the end of its time) and again right before writing (write, to when its last byte has to be out). hold sets the second at once; the answer's time is set after the writing, as before. Two tests of large bodies laid their scene in lines of their own; largeCall serves both. Behaviour is as it was: go test -race -count=2 ./provider and the tests of stages, races, uploads and crossings of ./proxy hold, and TestWritingEndsWhenARepeatIsNoLongerHarmless fails with the first deadline in place of the second.

--- a/provider/call.go
+++ b/provider/call.go
@@ -126,7 +126,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conn = conn
-	return !c.cancelled && conn.SetDeadline(c.Until) == nil
+	return !c.cancelled && conn.SetDeadline(c.outBy()) == nil
 }
 
 func (c *Call) release() (cancelled bool) {
--- a/provider/crossings_test.go
+++ b/provider/crossings_test.go
@@ -10,7 +10,6 @@
 
 	"ryerill"
 	"ryerill/internal/buffer"
-	"ryerill/invocation"
 )
 
 // Whatever comes between the choice of a provider and the first byte is looked at right
@@ -220,26 +219,8 @@
 // A request that can't be out whole in time is broken off: its last byte was never
 // written, so it never ran, however long its answer would have been waited for.
 func TestWritingEndsWhenARepeatIsNoLongerHarmless(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
 	held := make(chan net.Conn, 1)
-	go func() {
-		if c, err := l.Accept(); err == nil {
-			held <- c // and reads nothing of it
-		}
-	}()
-	buffers := new(buffer.Pool)
-	body, err := buffers.ReadBody(io.LimitReader(zeros{}, 32<<20), 32<<20) // more than sockets hold
-	if err != nil {
-		t.Fatal(err)
-	}
-	p := NewPool(newRoom(8), time.Hour, 5*time.Second, buffers)
-	defer p.Close()
-	c := newCall(l.Addr().String())
-	c.Request = &invocation.Request{Method: "POST", Target: "/x", Host: "h", Body: body}
+	p, c := largeCall(t, func(c net.Conn) { held <- c }) // who reads nothing of it
 	c.OutBy = time.Now().Add(100 * time.Millisecond)
 	if outcome, _ := p.Do(c); !outcome.NeverRan() {
 		t.Errorf("booked as: %v", outcome)
--- a/provider/provider_test.go
+++ b/provider/provider_test.go
@@ -137,29 +137,38 @@
 // A provider starts on a request when its last byte has arrived: one that
 // breaks off before has not run it, and the call may be made again anywhere.
 func TestBrokenBeforeTheLastByteNeverRan(t *testing.T) {
+	p, c := largeCall(t, func(c net.Conn) {
+		c.Read(make([]byte, 1)) // and leaves the rest unread: the proxy's end is reset
+		c.Close()
+	})
+	if outcome, _ := p.Do(c); outcome != ryerill.ConnectFailed || !outcome.NeverRan() {
+		t.Errorf("booked as: %v", outcome)
+	}
+}
+
+// largeCall is a call with more of a body than sockets hold, to a provider that does
+// something with the connection.
+func largeCall(t *testing.T, then func(net.Conn)) (*Pool, *Call) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
 	go func() {
 		if c, err := l.Accept(); err == nil {
-			c.Read(make([]byte, 1)) // and leaves the rest unread: the proxy's end is reset
-			c.Close()
+			then(c)
 		}
 	}()
 	buffers := new(buffer.Pool)
-	body, err := buffers.ReadBody(io.LimitReader(zeros{}, 32<<20), 32<<20) // more than sockets hold
+	body, err := buffers.ReadBody(io.LimitReader(zeros{}, 32<<20), 32<<20)
 	if err != nil {
 		t.Fatal(err)
 	}
 	p := NewPool(newRoom(8), time.Hour, 5*time.Second, buffers)
-	defer p.Close()
+	t.Cleanup(func() { l.Close(); p.Close() })
 	c := newCall(l.Addr().String())
 	c.Request = &invocation.Request{Method: "POST", Target: "/x", Host: "h", Body: body}
-	if outcome, _ := p.Do(c); outcome != ryerill.ConnectFailed || !outcome.NeverRan() {
-		t.Errorf("booked as: %v", outcome)
-	}
+	return p, c
 }
 
 type zeros struct{}
--- a/provider/stream.go
+++ b/provider/stream.go
@@ -37,7 +37,6 @@
 	message := net.Buffers{encode(r, time.Until(c.Until))}
 	if r.Rest == nil {
 		message = r.Body.AppendTo(message)
-		c.within(conn, c.outBy())
 		if _, err := message.WriteTo(conn.TCPConn); err != nil {
 			return failed
 		}
