Read a whole endpoint list at its pace, not under one deadline for the call

Operators saw hundreds of requests go to draining or removed endpoints, with a few proxies and thousands of endpoints. One cause, shown by TestDrainGraceWithThousandsOfEndpoints: Client.get in discovery/connection.go set one deadline over dial, request and the whole body, 1.2 s for a call without a wait (0.3 s for an agent), and the wait more on a watch. A list of 3,200 endpoints that takes longer failed, was thrown away and requested anew, for ever, while the old endpoints stayed in use.

Now the first byte has a deadline, every further read one for a pause, and the body one that grows with what it has brought (4 s, and a second for each 16 KiB). A service that does not begin a whole list in time gets twice the time with the next call, an agent up to four times. The body is read into one block where its length is stated.

--- a/discovery/client.go
+++ b/discovery/client.go
@@ -12,21 +12,8 @@
 	"ryerill/internal/socket"
 )
 
-const (
-	// A call of a watch waits this long for a newer list, so that a silent service is noticed soon after.
-	watchWait = 2 * time.Second
-	// An answer is overdue after this, beyond what its call may wait.
-	answerTimeout = 1200 * time.Millisecond
-	// The pause before the next call when an answer without changes came early.
-	emptyPause = 50 * time.Millisecond
-
-	// An agent on this machine answers at once and at no cost, and what it knows binds the proxy as if it had been
-	// read. So it is watched in short calls, and called again well within the time in which a drain must take effect.
-	agentWatchWait     = time.Second
-	agentAnswerTimeout = 300 * time.Millisecond
-	agentMinPause      = 25 * time.Millisecond // after a call that failed, doubled with each further one
-	agentMaxPause      = 200 * time.Millisecond
-)
+// The pause before the next call when an answer without changes came early.
+const emptyPause = 50 * time.Millisecond
 
 // Listener is notified of the answers of the discovery service. Its methods are called one at a time and must not
 // block.
@@ -45,7 +32,8 @@
 	listener Listener
 	buffers  *buffer.Pool
 	reserve  *socket.Reserve
-	agent    bool            // an agent on this machine: a watch continues after failed calls
+	agent    bool // an agent on this machine: a watch continues after failed calls
+	timing   callTiming
 	ctx      context.Context // ends with the proxy; all calls are made in the background
 
 	notifying sync.Mutex // held while the listener is notified, so that nothing of an old service follows SetAddress
@@ -59,6 +47,7 @@
 	watchWanted    bool   // also while a watch that failed is not yet started again
 	stopWatch      context.CancelFunc
 	watchNumber    int // of the newest watch
+	overdueCalls   int // for a whole list in a row, whose answer did not begin in time
 }
 
 // NewClient returns a client of the service at address, whose calls end with ctx. known is the list held already, if it
@@ -70,6 +59,7 @@
 		listener:  listener,
 		buffers:   buffers,
 		reserve:   socket.NewReserve(1),
+		timing:    serviceTiming,
 		ctx:       ctx,
 		address:   address,
 		holdsList: known.Snapshot,
@@ -86,6 +76,7 @@
 ) *Client {
 	c := NewClient(ctx, address, known, buffers, listener)
 	c.agent = true
+	c.timing = agentTiming
 	c.Subscribe(true)
 	return c
 }
@@ -119,6 +110,7 @@
 	c.address = address
 	c.holdsList = false
 	c.addressChanges++
+	c.overdueCalls = 0
 	if !c.watchWanted {
 		return
 	}
--- a/discovery/connection.go
+++ b/discovery/connection.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"ryerill/internal/buffer"
@@ -28,7 +30,9 @@
 	address        string
 	addressChanges int // the client's when it was made: an earlier one leads to an old service
 	conn           net.Conn
-	reader         *bufio.Reader
+	timing         callTiming
+	answer         *pacedReader  // of the call that is under way
+	reader         *bufio.Reader // of answer
 	buffers        *buffer.Pool
 	reserve        *socket.Reserve // the client's
 }
@@ -38,18 +42,19 @@
 	return &connection{
 		address:        c.address,
 		addressChanges: c.addressChanges,
+		timing:         c.timing,
 		buffers:        c.buffers,
 		reserve:        c.reserve,
 	}
 }
 
-// open dials the service unless the connection is open already. Where the process has no descriptor left, one that was
-// kept in reserve is used.
-func (c *connection) open(ctx context.Context) error {
+// openBy dials the service unless the connection is open already, and gives up at a deadline. Where the process has no
+// descriptor left, one that was kept in reserve is used.
+func (c *connection) openBy(ctx context.Context, deadline time.Time) error {
 	if c.conn != nil {
 		return nil
 	}
-	var dialer net.Dialer
+	dialer := net.Dialer{Deadline: deadline}
 	conn, err := dialer.DialContext(ctx, "tcp", c.address)
 	if socket.OutOfDescriptors(err) && c.reserve.Lend() {
 		conn, err = dialer.DialContext(ctx, "tcp", c.address)
@@ -59,7 +64,8 @@
 		return err
 	}
 	c.conn = conn
-	c.reader = c.buffers.Reader(conn)
+	c.answer = &pacedReader{conn: conn, timing: c.timing}
+	c.reader = c.buffers.Reader(c.answer)
 	return nil
 }
 
@@ -71,23 +77,27 @@
 	c.reserve.Fill()
 	c.buffers.PutReader(c.reader)
 	c.conn = nil
+	c.answer = nil
 	c.reader = nil
 }
 
 // get makes one call and records the version of the list that answers it. wait is how long the service may wait before
-// it answers.
+// it answers; none is a call for the whole list.
 func (c *Client) get(
 	ctx context.Context, conn *connection, target string, wait time.Duration,
 ) (EndpointList, error) {
-	deadline := time.Now().Add(wait + c.answerTimeout())
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	if err := conn.open(ctx); err != nil {
+	began := time.Now()
+	if err := conn.openBy(ctx, began.Add(c.timing.answer)); err != nil {
 		return EndpointList{}, err
 	}
 	opened := conn.conn
 	defer context.AfterFunc(ctx, func() { opened.SetDeadline(socket.PastDeadline) })()
-	list, reusable, err := conn.exchange(target, deadline)
+	answer := conn.answer
+	answer.begin(ctx, began.Add(wait+c.firstByteTimeout()))
+	list, reusable, err := conn.exchange(target)
+	if wait == 0 && ctx.Err() == nil {
+		c.recordWholeListCall(err, answer.hasBegun())
+	}
 	if err != nil || !reusable {
 		conn.close()
 	}
@@ -97,6 +107,25 @@
 	return c.recordList(conn, list)
 }
 
+// firstByteTimeout is how long the first byte of an answer may take now, beyond what its call may wait.
+func (c *Client) firstByteTimeout() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.timing.firstByte(c.overdueCalls)
+}
+
+// recordWholeListCall counts the calls for a whole list in a row whose answer did not begin in time.
+func (c *Client) recordWholeListCall(err error, answerBegun bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case answerBegun:
+		c.overdueCalls = 0
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.overdueCalls++
+	}
+}
+
 // recordList accepts a list that follows the one held; changes of another history are an error.
 func (c *Client) recordList(conn *connection, list EndpointList) (EndpointList, error) {
 	c.mu.Lock()
@@ -114,10 +143,7 @@
 }
 
 // exchange writes one request and reads its answer. It reports whether the connection may be used again.
-func (c *connection) exchange(target string, deadline time.Time) (list EndpointList, reusable bool, err error) {
-	if err := c.conn.SetDeadline(deadline); err != nil {
-		return list, false, err
-	}
+func (c *connection) exchange(target string) (list EndpointList, reusable bool, err error) {
 	request := "GET " + target + " HTTP/1.1\r\nHost: " + c.address + "\r\n\r\n"
 	if _, err := io.WriteString(c.conn, request); err != nil {
 		return list, false, err
@@ -127,15 +153,28 @@
 		return list, false, err
 	}
 	defer response.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes+1))
+	text, err := readBody(response)
 	switch {
 	case err != nil:
 		return list, false, err
-	case len(text) > maxListBytes:
-		return list, false, errListTooLarge
 	case response.StatusCode != http.StatusOK:
 		return list, false, fmt.Errorf("answered %s", response.Status)
 	}
 	list, err = Parse(text)
 	return list, !response.Close && c.reader.Buffered() == 0, err
 }
+
+// readBody reads the whole body of an answer, whose length it takes from the head if that states one.
+func readBody(response *http.Response) ([]byte, error) {
+	var body bytes.Buffer
+	if stated := response.ContentLength; stated > 0 && stated <= maxListBytes {
+		body.Grow(int(stated) + bytes.MinRead) // so that its end is read without another block
+	}
+	if _, err := body.ReadFrom(io.LimitReader(response.Body, maxListBytes+1)); err != nil {
+		return nil, err
+	}
+	if body.Len() > maxListBytes {
+		return nil, errListTooLarge
+	}
+	return body.Bytes(), nil
+}
--- /dev/null
+++ b/discovery/timing.go
@@ -0,0 +1,116 @@
+package discovery
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"ryerill/internal/socket"
+)
+
+const (
+	// A call of a watch waits this long for a newer list, so that a silent service is noticed soon after.
+	watchWait = 2 * time.Second
+	// An answer has to begin within this, beyond what its call may wait, and must not pause for longer later.
+	answerTimeout = 1200 * time.Millisecond
+	// That time is doubled this often for whole lists that did not begin in time: a service may need long to make one,
+	// and to ask anew only makes it start again.
+	answerDoublings = 1
+
+	// An agent on this machine answers at once and at no cost, and what it knows binds the proxy as if it had been
+	// read. So it is watched in short calls, and called again well within the time in which a drain must take effect.
+	agentWatchWait       = time.Second
+	agentAnswerTimeout   = 300 * time.Millisecond
+	agentAnswerDoublings = 2
+	agentStallTimeout    = time.Second
+	agentMinPause        = 25 * time.Millisecond // after a call that failed, doubled with each further one
+	agentMaxPause        = 200 * time.Millisecond
+
+	// An answer that has begun is read for as long as it comes at a pace: a list of thousands of endpoints may take
+	// seconds, and one that is given up begins anew. It may take this long, and longer by what it has brought.
+	answerGrace             = 4 * time.Second
+	minAnswerBytesPerSecond = 16 << 10
+)
+
+// callTiming bounds the stages of a call to one kind of service.
+type callTiming struct {
+	watchWait       time.Duration // how long a call of the watch waits for something newer
+	answer          time.Duration // until the first byte, beyond the wait
+	answerDoublings int           // of answer, after calls for a whole list that brought none
+	stall           time.Duration // between two bytes
+}
+
+var (
+	serviceTiming = callTiming{
+		watchWait:       watchWait,
+		answer:          answerTimeout,
+		answerDoublings: answerDoublings,
+		stall:           answerTimeout,
+	}
+	agentTiming = callTiming{
+		watchWait:       agentWatchWait,
+		answer:          agentAnswerTimeout,
+		answerDoublings: agentAnswerDoublings,
+		stall:           agentStallTimeout,
+	}
+)
+
+// firstByte is how long the first byte of an answer may take after so many calls in a row whose answer did not begin in
+// time.
+func (t callTiming) firstByte(overdue int) time.Duration {
+	return t.answer << min(overdue, t.answerDoublings)
+}
+
+// pacedReader reads answers from a connection, each for as long as it comes at a pace.
+type pacedReader struct {
+	conn   net.Conn
+	timing callTiming
+
+	// Of the answer that is being read:
+	ctx      context.Context // ends the call
+	began    time.Time       // when its first byte came; zero before
+	received int             // bytes
+}
+
+// begin expects the first byte of another answer by a deadline.
+func (r *pacedReader) begin(ctx context.Context, firstByteBy time.Time) {
+	r.ctx = ctx
+	r.began = time.Time{}
+	r.received = 0
+	r.setDeadline(firstByteBy)
+}
+
+// Read implements io.Reader.
+func (r *pacedReader) Read(b []byte) (int, error) {
+	n, err := r.conn.Read(b)
+	if n > 0 {
+		r.advance(n)
+	}
+	return n, err
+}
+
+// advance gives the answer its time after n more bytes.
+func (r *pacedReader) advance(n int) {
+	now := time.Now()
+	if r.began.IsZero() {
+		r.began = now
+	}
+	r.received += n
+	earned := time.Duration(r.received) * time.Second / minAnswerBytesPerSecond
+	deadline := r.began.Add(answerGrace + earned)
+	if next := now.Add(r.timing.stall); next.Before(deadline) {
+		deadline = next
+	}
+	r.setDeadline(deadline)
+}
+
+// setDeadline sets a deadline of the connection, unless the call has ended.
+func (r *pacedReader) setDeadline(deadline time.Time) {
+	r.conn.SetDeadline(deadline)
+	if r.ctx.Err() != nil { // perhaps since: what ends the call has set a deadline too
+		r.conn.SetDeadline(socket.PastDeadline)
+	}
+}
+
+// hasBegun reports whether a byte of the answer has come.
+func (r *pacedReader) hasBegun() bool { return !r.began.IsZero() }
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -59,7 +59,7 @@
 	if !c.holdsList {
 		return path, 0
 	}
-	wait = c.watchWait()
+	wait = c.timing.watchWait
 	return fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, c.index, wait.Milliseconds()), wait
 }
 
@@ -72,22 +72,6 @@
 	}
 }
 
-// watchWait is how long one call of the watch waits for something newer.
-func (c *Client) watchWait() time.Duration {
-	if c.agent {
-		return agentWatchWait
-	}
-	return watchWait
-}
-
-// answerTimeout is how long an answer may take beyond what its call may wait.
-func (c *Client) answerTimeout() time.Duration {
-	if c.agent {
-		return agentAnswerTimeout
-	}
-	return answerTimeout
-}
-
 // sleep waits, and reports false if ctx has ended before.
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
--- /dev/null
+++ b/proxy/drainscale_test.go
@@ -0,0 +1,282 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"ryerill/config"
+	"ryerill/discovery"
+)
+
+const (
+	scaleEndpoints = 3200 // the most that a deployment has
+	scaleProxies   = 3
+
+	// drainGrace is how long after it was told a proxy may send to what drains or is gone. A proxy that is held up
+	// between reading its clock and writing by holdUp has to keep it all the same.
+	drainGrace = time.Second
+	holdUp     = 150 * time.Millisecond
+
+	// sendsAfterChange is how long requests go on after the last change: as long as a proxy may not know of it, the grace
+	// and a while.
+	sendsAfterChange = unseenChangeKnown + drainGrace + 2*time.Second
+
+	// moveKnown is when what an agent has counts as told after a reload that has moved the proxy to it.
+	moveKnown = 4 * time.Second
+
+	scaleClients  = 4                     // of each proxy
+	clientPause   = 20 * time.Millisecond // between a client's requests
+	settlingPause = 300 * time.Millisecond
+)
+
+// drainScenario is some proxies before thousands of endpoints, of which many leave.
+type drainScenario struct {
+	name   string
+	pushed bool
+	faults listFaults // of each list service from the start
+	// play has endpoints withdrawn, and does what else happens.
+	play func(s *drainScene)
+}
+
+// drainScene is a scenario that is being played.
+type drainScene struct {
+	t        *testing.T
+	scenario drainScenario
+	farm     *endpointFarm
+	registry *endpointRegistry
+	services []*listService // by proxy
+	proxies  []*Proxy
+	configs  []config.Config
+
+	mu       sync.Mutex
+	statuses map[int]int // of the responses
+}
+
+// Endpoints that drain or are gone get nothing new after the grace, however many are listed and whatever the discovery
+// service does to the list that tells of them.
+func TestDrainGraceWithThousandsOfEndpoints(t *testing.T) {
+	quarter := func(s *drainScene) []int { return s.everyNth(4) }
+	drainQuarter := func(s *drainScene) { s.registry.change(discovery.Terminating, quarter(s)...) }
+	removeQuarter := func(s *drainScene) { s.registry.change(discovery.Gone, quarter(s)...) }
+	resetWatches := func(s *drainScene) { s.each((*listService).resetAll) }
+	silenceWatches := func(s *drainScene) { s.each((*listService).silenceAll) }
+	inPieces := func(pause time.Duration) listFaults {
+		return listFaults{wholeFirst: true, indented: true, pieces: 20, piecePause: pause}
+	}
+	playDrainScenarios(t, []drainScenario{
+		{name: "asked, in force", play: drainQuarter},
+		{name: "pushed, in force", pushed: true, play: removeQuarter},
+		{name: "asked, whole list takes 2 s after a reset", faults: inPieces(100 * time.Millisecond), play: func(s *drainScene) {
+			resetWatches(s)
+			drainQuarter(s)
+		}},
+		{name: "pushed, whole list takes 0.5 s after a reset", pushed: true, faults: inPieces(25 * time.Millisecond), play: func(s *drainScene) {
+			resetWatches(s)
+			drainQuarter(s)
+		}},
+		{name: "asked, whole list leaves out what drains", faults: listFaults{wholeFirst: true, omitDraining: true, pieces: 20, piecePause: 100 * time.Millisecond}, play: func(s *drainScene) {
+			drainQuarter(s)
+			resetWatches(s)
+		}},
+		{name: "asked, watches fall silent", play: func(s *drainScene) {
+			silenceWatches(s)
+			drainQuarter(s)
+		}},
+		{name: "pushed, watches fall silent", pushed: true, faults: inPieces(10 * time.Millisecond), play: func(s *drainScene) {
+			drainQuarter(s)
+			resetWatches(s)
+		}},
+		{name: "asked, crowded after a reset", play: func(s *drainScene) {
+			s.each(func(service *listService) {
+				service.setFaults(func(f *listFaults) { f.rejected = 3; f.rejectionDelay = 30 * time.Millisecond })
+				service.resetAll()
+			})
+			drainQuarter(s)
+		}},
+		{name: "asked, down and back", faults: inPieces(100 * time.Millisecond), play: func(s *drainScene) {
+			s.each((*listService).goDown)
+			time.Sleep(3 * time.Second)
+			drainQuarter(s)
+			s.each((*listService).comeBack)
+		}},
+		{name: "pushed, down and back", pushed: true, faults: inPieces(10 * time.Millisecond), play: func(s *drainScene) {
+			s.each((*listService).goDown)
+			time.Sleep(3 * time.Second)
+			removeQuarter(s)
+			s.each((*listService).comeBack)
+		}},
+		{name: "asked, moved", faults: inPieces(100 * time.Millisecond), play: func(s *drainScene) {
+			s.moveServices()
+			drainQuarter(s)
+		}},
+		{name: "pushed, moved", pushed: true, faults: inPieces(25 * time.Millisecond), play: func(s *drainScene) {
+			s.moveServices()
+			drainQuarter(s)
+		}},
+		{name: "asked, whole list takes 4 s after a reset", faults: inPieces(200 * time.Millisecond), play: func(s *drainScene) {
+			resetWatches(s)
+			drainQuarter(s)
+		}},
+		{name: "asked, one after another", play: func(s *drainScene) {
+			for _, endpoint := range quarter(s) {
+				s.registry.change(discovery.Terminating, endpoint)
+				time.Sleep(time.Millisecond)
+			}
+		}},
+	})
+}
+
+// playDrainScenarios plays scenarios side by side before the same endpoints.
+func playDrainScenarios(t *testing.T, scenarios []drainScenario) {
+	t.Helper()
+	farm := newEndpointFarm(t, scaleEndpoints)
+	t.Run("scenario", func(t *testing.T) {
+		for i, scenario := range scenarios {
+			t.Run(scenario.name, func(t *testing.T) {
+				t.Parallel()
+				s := newDrainScene(t, scenario, farm)
+				stopClients := s.startClients(fmt.Sprint(i))
+				time.Sleep(settlingPause)
+				scenario.play(s)
+				time.Sleep(sendsAfterChange)
+				stopClients()
+				s.check(fmt.Sprint(i))
+			})
+		}
+	})
+}
+
+func newDrainScene(t *testing.T, scenario drainScenario, farm *endpointFarm) *drainScene {
+	s := &drainScene{t: t, scenario: scenario, farm: farm, registry: newEndpointRegistry(farm), statuses: make(map[int]int)}
+	for i := range scaleProxies {
+		service := newListService(t, s.registry, scenario.pushed)
+		service.faults = scenario.faults
+		s.services = append(s.services, service)
+		known := s.registry.whole(false)
+		proxy := run(t, func(cfg *config.Config) {
+			cfg.Limits.Sockets = 2000
+			cfg.Limits.Memory = 256 << 20
+			pool := &cfg.Pools[0]
+			pool.Discovery = service.Addr().String()
+			pool.KnownEndpoints = known
+			pool.Settings.PushedDiscovery = scenario.pushed
+			pool.Settings.Balancer.Subscribe = !scenario.pushed
+			pool.Settings.Balancer.ReplicaIndex = i
+			pool.Settings.Balancer.ReplicaCount = scaleProxies
+			pool.Settings.Balancer.Contract.DrainGrace = drainGrace
+			pool.Settings.Balancer.Contract.MaxPollInterval = 10 * time.Second
+			s.configs = append(s.configs, *cfg)
+		})
+		s.proxies = append(s.proxies, proxy)
+	}
+	return s
+}
+
+// each does something to each list service.
+func (s *drainScene) each(do func(*listService)) {
+	for _, service := range s.services {
+		do(service)
+	}
+}
+
+// everyNth returns every n-th endpoint.
+func (s *drainScene) everyNth(n int) (endpoints []int) {
+	for i := 0; i < scaleEndpoints; i += n {
+		endpoints = append(endpoints, i)
+	}
+	return endpoints
+}
+
+// moveServices has a reload move each proxy to another list service of the same registry.
+func (s *drainScene) moveServices() {
+	for i, proxy := range s.proxies {
+		service := newListService(s.t, s.registry, s.scenario.pushed)
+		service.faults = s.scenario.faults
+		if s.scenario.pushed {
+			service.reachableAt = time.Now().Add(moveKnown)
+		}
+		cfg := s.configs[i]
+		cfg.Pools = append([]config.Pool(nil), cfg.Pools...)
+		cfg.Pools[0].Discovery = service.Addr().String()
+		if err := proxy.Reload(cfg); err != nil {
+			s.t.Error(err)
+		}
+		s.services[i] = service
+	}
+}
+
+// startClients has each proxy sent requests until stop is called, which waits for the last response.
+func (s *drainScene) startClients(scenario string) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var clients sync.WaitGroup
+	for i, proxy := range s.proxies {
+		for range scaleClients {
+			clients.Go(func() { s.sendRequests(ctx, proxy.Address(), requestPath(scenario, i)) })
+		}
+	}
+	return func() {
+		cancel()
+		clients.Wait()
+	}
+}
+
+// sendRequests sends one request after another on one connection.
+func (s *drainScene) sendRequests(ctx context.Context, address, path string) {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for ctx.Err() == nil {
+		c.SetDeadline(time.Now().Add(testTimeout))
+		fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: app.svc\r\nReq-Id: %016x\r\nReq-Kind: read\r\nReq-Owner: nobody\r\n"+
+			"Req-Deadline-Ms: 4000\r\n\r\n", path, rand.Uint64())
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			s.t.Errorf("no response: %v", err)
+			return
+		}
+		io.Copy(io.Discard, response.Body)
+		s.mu.Lock()
+		s.statuses[response.StatusCode]++
+		s.mu.Unlock()
+		time.Sleep(clientPause)
+	}
+}
+
+// check compares what arrived at the endpoints with what the list services told, and wants nothing after the grace.
+func (s *drainScene) check(scenario string) {
+	withdrawn := s.registry.withdrawn()
+	breaks, requests := 0, 0
+	var worst time.Duration
+	for i, service := range s.services {
+		for _, arrived := range s.farm.arrivalsOf(requestPath(scenario, i)) {
+			requests++
+			change, bound := withdrawn[arrived.endpoint]
+			if !bound {
+				continue
+			}
+			late := arrived.at.Sub(service.told(change)) - (drainGrace - holdUp)
+			if late > 0 {
+				breaks++
+				worst = max(worst, late)
+			}
+		}
+	}
+	if breaks > 0 {
+		s.t.Errorf("%d of %d requests went to withdrawn endpoints after the grace, up to %v late", breaks, requests, worst)
+	}
+	if s.statuses[http.StatusOK] < requests*9/10 || requests == 0 {
+		s.t.Errorf("%d requests arrived, answered %v", requests, s.statuses)
+	}
+}
--- /dev/null
+++ b/proxy/listservice_test.go
@@ -0,0 +1,277 @@
+package proxy
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"ryerill/discovery"
+)
+
+const (
+	// unseenChangeKnown is when a change counts as known to a proxy at the latest, after the service had it and could be
+	// reached.
+	unseenChangeKnown = 6 * time.Second
+	// watchGap is how long a watch goes on after an answer without a further call.
+	watchGap = 200 * time.Millisecond
+
+	connectionsOfService = 64 // bounds the bookkeeping of one service, not its clients
+)
+
+// listFaults is how a list service treats its callers.
+type listFaults struct {
+	pieces         int           // an answer of a whole list comes in so many; 0 is one
+	piecePause     time.Duration // between them
+	indented       bool
+	wholeFirst     bool // the first answer on a connection is the whole list
+	omitDraining   bool // a whole list leaves out what is not ready
+	rejected       int  // so many further calls are answered with 503
+	rejectionDelay time.Duration
+	unreachable    bool   // connections are reset at once
+	spoilt         string // further answers have this text in place of a list; empty is none
+}
+
+// listService is a discovery service for one proxy. It keeps its own account of what the proxy has been told.
+type listService struct {
+	net.Listener
+	registry *endpointRegistry
+	pushed   bool // an agent: what it has counts as told
+
+	mu          sync.Mutex
+	faults      listFaults
+	open        map[*net.TCPConn]*serviceConnection
+	answers     []listAnswer // written whole
+	reachableAt time.Time    // since when it can be reached
+}
+
+// serviceConnection is the state of a connection of the proxy.
+type serviceConnection struct {
+	answered bool // a call on it was answered
+	silent   bool // it is never written to again
+}
+
+// listAnswer is an answer that was written whole.
+type listAnswer struct {
+	version uint64
+	at      time.Time
+}
+
+func newListService(t *testing.T, registry *endpointRegistry, pushed bool) *listService {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &listService{
+		Listener:    l,
+		registry:    registry,
+		pushed:      pushed,
+		open:        make(map[*net.TCPConn]*serviceConnection, connectionsOfService),
+		reachableAt: time.Now(),
+	}
+	t.Cleanup(func() { l.Close(); s.resetAll() })
+	go s.accept()
+	return s
+}
+
+func (s *listService) accept() {
+	for {
+		c, err := s.Accept()
+		if err != nil {
+			return
+		}
+		conn := c.(*net.TCPConn)
+		if s.currentFaults().unreachable {
+			reset(conn)
+			continue
+		}
+		state := new(serviceConnection)
+		s.mu.Lock()
+		s.open[conn] = state
+		s.mu.Unlock()
+		go s.serve(conn, state)
+	}
+}
+
+func reset(conn *net.TCPConn) {
+	conn.SetLinger(0)
+	conn.Close()
+}
+
+// resetAll resets all connections, and with them the open watches.
+func (s *listService) resetAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.open {
+		reset(conn)
+	}
+}
+
+// silenceAll lets all open watches fall silent.
+func (s *listService) silenceAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, state := range s.open {
+		state.silent = true
+	}
+}
+
+// goDown makes the service unreachable, comeBack ends that.
+func (s *listService) goDown() {
+	s.setFaults(func(f *listFaults) { f.unreachable = true })
+	s.resetAll()
+}
+
+func (s *listService) comeBack() {
+	s.setFaults(func(f *listFaults) { f.unreachable = false })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reachableAt = time.Now()
+}
+
+func (s *listService) currentFaults() listFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+func (s *listService) setFaults(change func(*listFaults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.faults)
+}
+
+// rejects reports whether a call is to be answered with 503, and counts it.
+func (s *listService) rejects() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.rejected == 0 {
+		return false
+	}
+	s.faults.rejected--
+	return true
+}
+
+func (s *listService) serve(conn *net.TCPConn, state *serviceConnection) {
+	defer func() {
+		s.mu.Lock()
+		delete(s.open, conn)
+		s.mu.Unlock()
+		conn.Close()
+	}()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if s.rejects() {
+			time.Sleep(s.currentFaults().rejectionDelay)
+			io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		list := s.answer(request, state)
+		if s.isSilent(state) {
+			io.Copy(io.Discard, conn) // until the proxy gives it up
+			return
+		}
+		if s.write(conn, list) != nil {
+			return
+		}
+	}
+}
+
+func (s *listService) isSilent(state *serviceConnection) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return state.silent
+}
+
+// answer returns the answer to a call, after the wait that the call asks for.
+func (s *listService) answer(request *http.Request, state *serviceConnection) discovery.EndpointList {
+	query := request.URL.Query()
+	since, err := strconv.ParseUint(query.Get("since"), 10, 64)
+	faults := s.currentFaults()
+	first := !state.answered
+	state.answered = true
+	if err != nil || faults.wholeFirst && first {
+		return s.registry.whole(faults.omitDraining)
+	}
+	wait, _ := strconv.Atoi(query.Get("timeout_ms"))
+	end := time.Now().Add(time.Duration(wait) * time.Millisecond)
+	for s.registry.currentVersion() <= since && time.Now().Before(end) && !s.isSilent(state) {
+		time.Sleep(2 * time.Millisecond)
+	}
+	return s.registry.changesSince(since)
+}
+
+// write writes a list as the faults want it, and accounts for it once it is written whole.
+func (s *listService) write(conn *net.TCPConn, list discovery.EndpointList) error {
+	faults := s.currentFaults()
+	text, err := json.Marshal(list)
+	if faults.indented {
+		text, err = json.MarshalIndent(list, "", "    ")
+	}
+	if err != nil {
+		return err
+	}
+	if faults.spoilt != "" {
+		text = []byte(faults.spoilt)
+	}
+	if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(text)); err != nil {
+		return err
+	}
+	pieces := 1
+	if list.Snapshot {
+		pieces = max(faults.pieces, 1)
+	}
+	size := max((len(text)+pieces-1)/pieces, 1)
+	for len(text) > 0 {
+		piece := text[:min(size, len(text))]
+		if _, err := conn.Write(piece); err != nil {
+			return err
+		}
+		text = text[len(piece):]
+		if len(text) > 0 {
+			time.Sleep(faults.piecePause)
+		}
+	}
+	if faults.spoilt != "" {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers = append(s.answers, listAnswer{version: list.Index, at: time.Now()})
+	return nil
+}
+
+// told returns when a change counts as known to the proxy.
+func (s *listService) told(change registeredEndpoint) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	had := change.changedAt
+	if s.reachableAt.After(had) {
+		had = s.reachableAt
+	}
+	if s.pushed {
+		return had
+	}
+	told := had.Add(unseenChangeKnown)
+	for _, answer := range s.answers {
+		if answer.version >= change.version && answer.at.Before(told) {
+			told = answer.at
+		}
+		// What changes while a watch goes on between two calls is known at once.
+		if gap := change.changedAt.Sub(answer.at); gap >= 0 && gap < watchGap && change.changedAt.Before(told) {
+			told = change.changedAt
+		}
+	}
+	return told
+}
