Begin a pool that replaces another with the list in force there

A second cause of requests to withdrawn endpoints, found by TestDrainGraceWithThousandsOfEndpoints: a reload that changes more of a pool than it can adjust makes a new pool (reload.createPoolsLocked), and that began with the endpoint list in the configuration file, as old as the file, until discovery had answered. What the pool before it knew to drain or to be gone was sent to again for as long as discovery was slow or down.

Now newPoolLocked hands the new pool the list in force at the one that it replaces (the pool of its name, else one that asks the same discovery service), and the new pool requests the whole list, as its version may be another service's.

The scenarios hold fewer connections each: two runs side by side had used up the descriptors of the test's process.

--- a/proxy/core.go
+++ b/proxy/core.go
@@ -8,6 +8,7 @@
 
 	"ryerill/balancer"
 	"ryerill/config"
+	"ryerill/discovery"
 	"ryerill/downstream"
 	"ryerill/internal/buffer"
 	"ryerill/override"
@@ -55,7 +56,10 @@
 	// refetch requests the whole list from discovery even where one is known: the known list of a
 	// second process of a proxy may be as old as the first one.
 	refetch bool
-	shared  bool // activity is recorded for the fleet
+	// inherited is the list in force at the pool that this one replaces; nil where there is none. It is newer than the
+	// configuration's, and what it states binds this pool as well.
+	inherited *discovery.EndpointList
+	shared    bool // activity is recorded for the fleet
 }
 
 // newCore starts a pool: its Balancer, its connections, its discovery.
@@ -94,17 +98,29 @@
 	if cfg.CountsDiscoverySocket {
 		c.resources.sockets.used.Add(1) // of its guarantee: no other pool can have it
 	}
+	c.startDiscovery(parts)
+	return c
+}
+
+// startDiscovery puts the list in force that is known at the start, and has discovery tell of what is newer.
+func (c *core) startDiscovery(parts coreConfig) {
 	kind := balancer.ListFull // without discovery the configuration's list is complete
-	known := cfg.KnownEndpoints
-	if cfg.Discovery != "" {
+	known := c.cfg.KnownEndpoints
+	refetch := parts.refetch
+	if c.cfg.Discovery != "" {
 		kind = balancer.ListCached
-		known.Snapshot = known.Snapshot && !parts.refetch // else the first call waits until there is something newer
+		if parts.inherited != nil {
+			known = *parts.inherited
+			refetch = true // its version may be another service's
+		}
 	}
+	held := known
+	held.Snapshot = known.Snapshot && !refetch // else the first call waits until there is something newer
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.discovery.start(&cfg, known, parts.buffers, c)
-	c.applyListLocked(kind, cfg.KnownEndpoints)
-	return c
+	c.discovery.start(&c.cfg, held, parts.buffers, c)
+	c.applyListLocked(kind, known)
+	c.endpoints.discovered = parts.inherited != nil
 }
 
 // setClasses takes the classes and tenants from the settings.
--- a/proxy/discovery.go
+++ b/proxy/discovery.go
@@ -72,9 +72,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.applyListLocked(kind, list)
+	c.endpoints.discovered = true
 	c.discovery.markListed()
 }
 
+// discoveredList returns the list in force; ok is false while it is only the configuration's.
+func (c *core) discoveredList() (list discovery.EndpointList, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.endpoints.discovered {
+		return discovery.EndpointList{}, false
+	}
+	return c.endpoints.list(), true
+}
+
 // ListingFailed implements [discovery.Listener].
 func (c *core) ListingFailed(err error) {
 	c.log.Warn("endpoint list not received", "err", err)
--- a/proxy/drainscale_test.go
+++ b/proxy/drainscale_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -32,6 +33,7 @@
 	// moveKnown is when what an agent has counts as told after a reload that has moved the proxy to it.
 	moveKnown = 4 * time.Second
 
+	scaleSockets  = 200                   // of each proxy; the endpoints' ends are in the same process
 	scaleClients  = 4                     // of each proxy
 	clientPause   = 20 * time.Millisecond // between a client's requests
 	settlingPause = 300 * time.Millisecond
@@ -125,6 +127,29 @@
 			resetWatches(s)
 			drainQuarter(s)
 		}},
+		{name: "asked, new settings while the service is down", play: func(s *drainScene) {
+			drainQuarter(s)
+			time.Sleep(2 * time.Second)
+			s.each((*listService).goDown)
+			s.changeSettings(func(*config.Config) {})
+		}},
+		{name: "asked, a pool renamed while the service is down", play: func(s *drainScene) {
+			drainQuarter(s)
+			time.Sleep(2 * time.Second)
+			s.each((*listService).goDown)
+			s.changeSettings(func(cfg *config.Config) {
+				cfg.Pools[0].Name = "renamed"
+				cfg.Routes[0].Pool = "renamed"
+			})
+		}},
+		{name: "pushed, new settings while the service is slow", pushed: true, play: func(s *drainScene) {
+			drainQuarter(s)
+			time.Sleep(2 * time.Second)
+			s.each(func(service *listService) {
+				service.setFaults(func(f *listFaults) { *f = inPieces(100 * time.Millisecond) })
+			})
+			s.changeSettings(func(*config.Config) {})
+		}},
 		{name: "asked, one after another", play: func(s *drainScene) {
 			for _, endpoint := range quarter(s) {
 				s.registry.change(discovery.Terminating, endpoint)
@@ -162,7 +187,7 @@
 		s.services = append(s.services, service)
 		known := s.registry.whole(false)
 		proxy := run(t, func(cfg *config.Config) {
-			cfg.Limits.Sockets = 2000
+			cfg.Limits.Sockets = scaleSockets
 			cfg.Limits.Memory = 256 << 20
 			pool := &cfg.Pools[0]
 			pool.Discovery = service.Addr().String()
@@ -204,7 +229,7 @@
 			service.reachableAt = time.Now().Add(moveKnown)
 		}
 		cfg := s.configs[i]
-		cfg.Pools = append([]config.Pool(nil), cfg.Pools...)
+		cfg.Pools = slices.Clone(cfg.Pools)
 		cfg.Pools[0].Discovery = service.Addr().String()
 		if err := proxy.Reload(cfg); err != nil {
 			s.t.Error(err)
@@ -213,6 +238,21 @@
 	}
 }
 
+// changeSettings has a reload bring a setting into force with which a pool can't go on, and a further change: a new pool
+// takes its place.
+func (s *drainScene) changeSettings(change func(*config.Config)) {
+	for i, proxy := range s.proxies {
+		cfg := s.configs[i]
+		cfg.Pools = slices.Clone(cfg.Pools)
+		cfg.Routes = slices.Clone(cfg.Routes)
+		cfg.Pools[0].Settings.Balancer.Contract.WarmUpPeriod = 20 * time.Minute
+		change(&cfg)
+		if err := proxy.Reload(cfg); err != nil {
+			s.t.Error(err)
+		}
+	}
+}
+
 // startClients has each proxy sent requests until stop is called, which waits for the last response.
 func (s *drainScene) startClients(scenario string) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -270,6 +310,8 @@
 			if late > 0 {
 				breaks++
 				worst = max(worst, late)
+				s.t.Logf("proxy %d, endpoint %d: told %v after the change, sent %v after it", i, arrived.endpoint,
+					service.told(change).Sub(change.changedAt), arrived.at.Sub(change.changedAt))
 			}
 		}
 	}
--- a/proxy/endpointregistry_test.go
+++ b/proxy/endpointregistry_test.go
@@ -15,7 +15,7 @@
 	"ryerill/discovery"
 )
 
-// endpointFarm is thousands of endpoints, each a listener of its own. Scenarios share it: the path of a request ends in
+// endpointFarm is thousands of endpoints in this process, each a listener of its own. Scenarios share it: the path of a request ends in
 // the scenario and the number of the proxy that it was sent to.
 type endpointFarm struct {
 	listeners []net.Listener
--- a/proxy/endpoints.go
+++ b/proxy/endpoints.go
@@ -21,9 +21,10 @@
 type listedEndpoint struct {
 	id      balancer.EndpointID
 	name    string
-	address string            // constant: an endpoint with another address is another one
-	listed  balancer.Endpoint // as the list has it
-	current balancer.Endpoint // the same under the overrides, as the Balancer has it
+	address string             // constant: an endpoint with another address is another one
+	entry   discovery.Endpoint // as the list states it
+	listed  balancer.Endpoint  // the same as the Balancer reads it
+	current balancer.Endpoint  // the same under the overrides, as the Balancer has it
 
 	// ready is whether requests may be sent, by the list and by the overrides. Attempts read
 	// it without the pool's mutex.
@@ -40,6 +41,7 @@
 type endpointTable struct {
 	byID        map[balancer.EndpointID]*listedEndpoint
 	listVersion uint64
+	discovered  bool                // by a discovery service, for this pool or for the one that it replaces
 	names       map[string]struct{} // that are listed or were
 }
 
@@ -97,6 +99,20 @@
 	return gone
 }
 
+// list returns the list as it is in force, in the order of the names.
+func (t *endpointTable) list() discovery.EndpointList {
+	list := discovery.EndpointList{
+		Index:     t.listVersion,
+		Snapshot:  true,
+		Endpoints: make([]discovery.Endpoint, 0, len(t.byID)),
+	}
+	for _, e := range t.byID {
+		list.Endpoints = append(list.Endpoints, e.entry)
+	}
+	slices.SortFunc(list.Endpoints, func(a, b discovery.Endpoint) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
 // endpointID is a stable hash of an endpoint's name: the same in every proxy,
 // since the decisions of several proxies rank endpoints by it.
 func endpointID(name string) balancer.EndpointID {
@@ -135,6 +151,7 @@
 		entry := &list.Endpoints[i]
 		e := c.endpoints.get(entry.Name, entry.Address)
 		listed[e.id] = entry.Status != discovery.Gone
+		e.entry = *entry
 		e.listed = balancer.Endpoint{
 			ID:        e.id,
 			State:     endpointStates[entry.Status],
