Derive the polls of a list from the times that bind, in balancer/listpoll.go

The longest wait now follows from the time until a change is breached that no answer tells of (the settings' interval, 6 s at most, and the grace less 0.15 s), an eighth of it; the first wait after an answer is a quarter of that, and stays so within the grace, in which what changed right after the answer binds. Jitter lies below these.

--- a/balancer/endpointlist_test.go
+++ b/balancer/endpointlist_test.go
@@ -23,6 +23,48 @@
 	}
 }
 
+// A service that rejects calls at once, as an overloaded one does, is asked often enough to be heard before what it
+// could not tell of is breached: three calls after an answer within the grace for what changed right after it, and so
+// many at any time later. All replicas do so at once, so no more often than needed.
+func TestOverloadedDiscoveryIsAskedInTime(t *testing.T) {
+	const rejection = 20 * ms
+	const callsAtMost = 2 * pollsBeforeBreach // on average, from a change to its breach
+	for _, within := range []time.Duration{500 * ms, 10 * time.Second, 10 * time.Minute} {
+		for seed := range uint64(20) {
+			cfg := testConfig()
+			cfg.Subscribe = true
+			cfg.Contract.MaxPollInterval = within
+			cfg.Contract.DrainGrace = time.Second
+			breach := min(within, unseenChangeBinds) + cfg.Contract.DrainGrace - maxSendDelay
+			h := newHost(t, cfg, readyList(2)...)
+			h.b.random = generator{seed}
+			h.handle(Event{Kind: EndpointListUpdated, ListKind: ListFull, Endpoints: readyList(2)})
+			h.handle(Event{Kind: TimerFired, Token: pollToken}) // set at the start
+			answeredAt := h.now
+			var calls []time.Duration
+			delay := only(t, h.handle(Event{Kind: EndpointListUpdated, ListKind: ListFailed}), SetTimer).Delay
+			for h.now < answeredAt+10*breach {
+				h.now += delay
+				calls = append(calls, h.now)
+				h.handle(Event{Kind: TimerFired, Token: pollToken})
+				h.now += rejection
+				delay = only(t, h.handle(Event{Kind: EndpointListUpdated, ListKind: ListFailed}), SetTimer).Delay
+			}
+			if third := calls[2] - answeredAt; third > cfg.Contract.DrainGrace-maxSendDelay {
+				t.Errorf("of %v, seed %d: the third call comes %v after the answer", within, seed, third)
+			}
+			for i := range len(calls) - pollsBeforeBreach {
+				if took := calls[i+pollsBeforeBreach] - calls[i]; took > breach+pollsBeforeBreach*rejection {
+					t.Errorf("of %v, seed %d: %d calls take %v", within, seed, pollsBeforeBreach, took)
+				}
+			}
+			if len(calls) > 10*callsAtMost {
+				t.Errorf("of %v, seed %d: %d calls in %v", within, seed, len(calls), 10*breach)
+			}
+		}
+	}
+}
+
 func TestListsDecideWhoIsSentTo(t *testing.T) {
 	h := newHost(t, testConfig(), readyList(3)...)
 	sends := func() map[EndpointID]bool {
