Apply a changed entry of a long endpoint list without passes over maps or new slices

A list of changes that named one of 3,200 endpoints cost 240 us under the pool's mutex and 105 KB, 17 times as much as among 200 (14 us, 4.5 KB): the proxy looked at each endpoint it knew for one that is gone, the balancer looked each up in a map although none was to be forgotten, and the choice of the subset made two slices anew.

Now the proxy looks at the named entries alone, the balancer passes over its ring only if something goes, and the choice keeps its space.

--- a/balancer/endpointset.go
+++ b/balancer/endpointset.go
@@ -19,7 +19,10 @@
 	ringSorted bool        // no endpoint was added since ring was sorted
 	version    uint64      // of the latest list
 
-	subset  subset
+	subset     subset
+	candidates []*endpoint // scratch space of chooseSubset
+	local      []*endpoint // the same, those of the own zone
+
 	served  decayingRate // attempts served
 	scanned int          // endpoints scanned by picks so far: work that tests count
 }
@@ -49,14 +52,19 @@
 
 // removeIf forgets the endpoints for which forget is true.
 func (s *endpointSet) removeIf(forget func(*endpoint) bool) {
-	s.listed = slices.DeleteFunc(s.listed, func(e *endpoint) bool {
-		if !forget(e) {
-			return false
+	found := false
+	for _, e := range s.listed {
+		if e.forgotten = forget(e); e.forgotten {
+			found = true
+			delete(s.byID, e.ID)
 		}
-		delete(s.byID, e.ID)
-		return true
-	})
-	s.ring = slices.DeleteFunc(s.ring, func(e *endpoint) bool { return s.byID[e.ID] != e })
+	}
+	if !found { // as in most lists of changes
+		return
+	}
+	isForgotten := func(e *endpoint) bool { return e.forgotten }
+	s.listed = slices.DeleteFunc(s.listed, isForgotten)
+	s.ring = slices.DeleteFunc(s.ring, isForgotten)
 }
 
 // sortRing restores the order of the ring if endpoints were added.
--- a/balancer/endpointstate.go
+++ b/balancer/endpointstate.go
@@ -27,6 +27,7 @@
 	inSubset     bool // of the endpoints that this replica prefers
 	rank         int  // in the index, or unranked
 	rankPosition int  // among the endpoints of its rank in the index
+	forgotten    bool // it is taken out of the set
 	rankPenalty  int  // half slots added to its rank for suspicion and zone; health is not included
 }
 
--- a/balancer/subset.go
+++ b/balancer/subset.go
@@ -23,7 +23,7 @@
 // goes at least up to the next one's. It returns the endpoints a replica. Harm: late lists shift starts.
 func (s *endpointSet) chooseSubset(now time.Duration) (part float64) {
 	defer s.rebuildIndex(now)
-	var all, local []*endpoint
+	all, local := s.candidates[:0], s.local[:0]
 	for _, e := range s.ring {
 		e.inSubset = false
 		if !s.usable(e, now) || e.suspicion() >= maxPenalty {
@@ -34,6 +34,7 @@
 			local = append(local, e)
 		}
 	}
+	s.candidates, s.local = all, local
 	if len(all) == 0 {
 		return 0
 	}
--- a/proxy/endpoints.go
+++ b/proxy/endpoints.go
@@ -89,13 +89,21 @@
 // all day. Listed has those of the list, with false for those that it states to be gone;
 // unless it is of changes alone, all others are gone too.
 func (t *endpointTable) remove(listed map[balancer.EndpointID]bool, changes bool) (gone []uint64) {
-	for id := range t.byID {
-		present, named := listed[id]
-		if !present && (named || !changes) {
+	removeIfGone := func(id balancer.EndpointID) {
+		if !listed[id] {
 			delete(t.byID, id)
 			gone = append(gone, uint64(id))
 		}
 	}
+	if changes { // a few, however many endpoints there are
+		for id := range listed {
+			removeIfGone(id)
+		}
+		return gone
+	}
+	for id := range t.byID {
+		removeIfGone(id)
+	}
 	return gone
 }
 
