Remember withdrawn endpoints, so that an earlier list can't bring them back

The table of crossing events had this cell open: an endpoint that was drained and then gone was forgotten, so a whole list of an earlier version, late or from a service that lags behind, listed it anew and it was sent to again. For endpoints that are still known the rule was kept already.

An earlier list that names one ready counts as naming it draining, unless it has started since; a list as new as the last is believed. Where only draining binds, just those are held that drained. The new test fails without it.

--- a/balancer/endpointlist.go
+++ b/balancer/endpointlist.go
@@ -40,9 +40,12 @@
 			e.State = Gone
 		}
 	}
-	mayBeOld := s.cfg.Contract.OnlyDrainingBinds || event.Version < s.version
+	older := event.Version < s.version
 	for _, entry := range event.Endpoints {
-		s.applyEntry(entry, mayBeOld, now)
+		if s.withdrawn.takeBack(&entry, older) && entry.State == Ready {
+			entry.State = Draining
+		}
+		s.applyEntry(entry, older || s.cfg.Contract.OnlyDrainingBinds, now)
 	}
 	s.sortRing()
 	s.removeIf(func(e *endpoint) bool { return e.State == Gone && !s.retained(e, now) })
--- a/balancer/endpointlist_test.go
+++ b/balancer/endpointlist_test.go
@@ -206,6 +206,42 @@
 	}
 }
 
+// The same where the endpoint is gone and forgotten by then: an earlier list doesn't bring it back, its next start or a
+// list as new as the last does.
+func TestListOfAnEarlierVersionBringsNothingBack(t *testing.T) {
+	for _, tc := range []struct {
+		version uint64
+		started time.Duration
+		usable  bool
+	}{{6, 0, false}, {7, 0, true}, {8, 0, true}, {6, ms, true}} {
+		h := newHost(t, testConfig(), readyList(3)...)
+		h.handle(Event{Kind: EndpointListUpdated, ListKind: ListChanges, Version: 7, Endpoints: []Endpoint{{ID: 1}}})
+		if h.b.endpoints.byID[1] != nil {
+			t.Fatal("an endpoint that is gone is still known")
+		}
+		again := []Endpoint{{ID: 1, State: Ready, StartedAt: tc.started}, ready(2), ready(3)}
+		h.handle(Event{Kind: EndpointListUpdated, ListKind: ListFull, Version: tc.version, Endpoints: again})
+		if got := h.b.endpoints.usable(h.b.endpoints.byID[1], h.b.now); got != tc.usable {
+			t.Errorf("%+v: usable %v", tc, got)
+		}
+		h.handle(Event{Kind: EndpointListUpdated, ListKind: ListFull, Version: tc.version, Endpoints: again})
+		if !h.b.endpoints.usable(h.b.endpoints.byID[1], h.b.now) {
+			t.Errorf("%+v: once more at that version, it is not believed", tc)
+		}
+	}
+}
+
+// New endpoints come under new ids for months: the memory of those that are gone has a bound.
+func TestWithdrawalsAreBounded(t *testing.T) {
+	withdrawn := withdrawals{}
+	for id := range EndpointID(3 * maxWithdrawals) {
+		withdrawn.add(&endpoint{Endpoint: Endpoint{ID: id}})
+		if len(withdrawn) > maxWithdrawals {
+			t.Fatalf("%d are remembered", len(withdrawn))
+		}
+	}
+}
+
 func TestOldListEndsNoDrainAndNoWarmUp(t *testing.T) {
 	h := newWrongListHost(t, false)
 	h.handle(Event{Kind: EndpointListUpdated, ListKind: ListChanges,
--- a/balancer/endpointset.go
+++ b/balancer/endpointset.go
@@ -18,6 +18,7 @@
 	ring       []*endpoint // in an order that all replicas derive from the identifiers alone
 	ringSorted bool        // no endpoint was added since ring was sorted
 	version    uint64      // of the latest list
+	withdrawn  withdrawals // endpoints that are forgotten
 
 	subset     subset
 	candidates []*endpoint // scratch space of chooseSubset
@@ -57,6 +58,9 @@
 		if e.forgotten = forget(e); e.forgotten {
 			found = true
 			delete(s.byID, e.ID)
+			if e.drained || !s.cfg.Contract.OnlyDrainingBinds {
+				s.withdrawn.add(e)
+			}
 		}
 	}
 	if !found { // as in most lists of changes
@@ -89,10 +93,11 @@
 // newEndpointSet returns a set without endpoints. The health of endpoints decays in times of a latency objective.
 func newEndpointSet(cfg *Config, division *division, objective time.Duration) endpointSet {
 	return endpointSet{
-		cfg:      cfg,
-		division: division,
-		halfLife: penaltyHalfLife * objective.Seconds(),
-		byID:     map[EndpointID]*endpoint{},
-		served:   newDecayingRate(cfg.Contract.WarmUpPeriod),
+		cfg:       cfg,
+		division:  division,
+		halfLife:  penaltyHalfLife * objective.Seconds(),
+		byID:      map[EndpointID]*endpoint{},
+		withdrawn: withdrawals{},
+		served:    newDecayingRate(cfg.Contract.WarmUpPeriod),
 	}
 }
