Wait for a pushed list before serving, and log failed lists once in a row

Where lists are pushed, what the agent has binds from the first moment of a process. A start served at once with the list of the configuration, so requests went to endpoints that had long drained, for as long as the first whole list took.

Each failed call was logged. Now the first of several in a row is, with its cause, and the end of the outage; the balancer's notice comes at 4, 8, 16 failures.

--- a/balancer/endpointlist.go
+++ b/balancer/endpointlist.go
@@ -10,7 +10,7 @@
 	switch event.ListKind {
 	case ListFailed:
 		b.poll.failures++
-		if b.poll.failures > 2 { // one or two are common
+		if b.poll.failures >= minReportedFailures && isPowerOfTwo(b.poll.failures) {
 			b.logf("server list: %d calls failed in a row", b.poll.failures)
 		}
 		b.schedulePoll()
--- a/balancer/listpoll.go
+++ b/balancer/listpoll.go
@@ -20,6 +20,10 @@
 	minPollWait       = 0.1  // of the wait passes at least; jitter adds up to the whole of it
 )
 
+// minReportedFailures is how many failures in a row are reported first; fewer are common. From then on each
+// doubling of them is.
+const minReportedFailures = 4
+
 // listPoll is the state of asking for the endpoint list.
 type listPoll struct {
 	scheduled  bool          // a timer with pollToken is set
@@ -51,3 +55,5 @@
 	}
 	return time.Duration(min(share, 1) * float64(longest))
 }
+
+func isPowerOfTwo(n int) bool { return n&(n-1) == 0 }
--- a/proxy/discovery.go
+++ b/proxy/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"ryerill/balancer"
 	"ryerill/config"
@@ -19,6 +20,8 @@
 	// listed is closed once discovery has answered, or there is none.
 	listed     chan struct{}
 	markListed func() // closes it, once
+
+	failingSince time.Time // of several failures in a row the first; zero is none. The pool's mutex guards it.
 }
 
 func newDiscoveryWatch() discoveryWatch {
@@ -45,6 +48,25 @@
 	}
 }
 
+// beginOutage records that a call has failed, and reports whether the one before had not.
+func (w *discoveryWatch) beginOutage() bool {
+	first := w.failingSince.IsZero()
+	if first {
+		w.failingSince = time.Now()
+	}
+	return first
+}
+
+// endOutage records that a list was received, and returns for how long calls had failed before.
+func (w *discoveryWatch) endOutage() time.Duration {
+	if w.failingSince.IsZero() {
+		return 0
+	}
+	outage := time.Since(w.failingSince)
+	w.failingSince = time.Time{}
+	return outage
+}
+
 func (w *discoveryWatch) subscribe(enabled bool) {
 	if w.client != nil {
 		w.client.Subscribe(enabled)
@@ -74,6 +96,9 @@
 	c.applyListLocked(kind, list)
 	c.endpoints.discovered = true
 	c.discovery.markListed()
+	if outage := c.discovery.endOutage(); outage > 0 {
+		c.log.Info("endpoint list received again", "duration", outage.Round(time.Millisecond))
+	}
 }
 
 // discoveredList returns the list in force; ok is false while it is only the configuration's.
@@ -86,10 +111,12 @@
 	return c.endpoints.list(), true
 }
 
-// ListingFailed implements [discovery.Listener].
+// ListingFailed implements [discovery.Listener]. The first of several failures in a row is logged.
 func (c *core) ListingFailed(err error) {
-	c.log.Warn("endpoint list not received", "err", err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.discovery.beginOutage() {
+		c.log.Warn("endpoint list not received", "err", err)
+	}
 	c.dispatchLocked(balancer.Event{Kind: balancer.EndpointListUpdated, ListKind: balancer.ListFailed})
 }
--- a/proxy/drainscale_test.go
+++ b/proxy/drainscale_test.go
@@ -44,6 +44,8 @@
 	name   string
 	pushed bool
 	faults listFaults // of each list service from the start
+	// before happens before the proxies start, which know the list as it was before that.
+	before func(*endpointRegistry)
 	// play has endpoints withdrawn, and does what else happens.
 	play func(s *drainScene)
 }
@@ -65,9 +67,8 @@
 // Endpoints that drain or are gone get nothing new after the grace, however many are listed and whatever the discovery
 // service does to the list that tells of them.
 func TestDrainGraceWithThousandsOfEndpoints(t *testing.T) {
-	quarter := func(s *drainScene) []int { return s.everyNth(4) }
-	drainQuarter := func(s *drainScene) { s.registry.change(discovery.Terminating, quarter(s)...) }
-	removeQuarter := func(s *drainScene) { s.registry.change(discovery.Gone, quarter(s)...) }
+	drainQuarter := func(s *drainScene) { s.registry.change(discovery.Terminating, everyNth(4)...) }
+	removeQuarter := func(s *drainScene) { s.registry.change(discovery.Gone, everyNth(4)...) }
 	resetWatches := func(s *drainScene) { s.each((*listService).resetAll) }
 	silenceWatches := func(s *drainScene) { s.each((*listService).silenceAll) }
 	inPieces := func(pause time.Duration) listFaults {
@@ -150,8 +151,12 @@
 			})
 			s.changeSettings(func(*config.Config) {})
 		}},
+		{name: "pushed, withdrawn before the start", pushed: true, faults: inPieces(25 * time.Millisecond), before: func(registry *endpointRegistry) {
+			registry.change(discovery.Terminating, everyNth(4)...)
+			time.Sleep(2 * time.Second)
+		}, play: func(*drainScene) {}},
 		{name: "asked, one after another", play: func(s *drainScene) {
-			for _, endpoint := range quarter(s) {
+			for _, endpoint := range everyNth(4) {
 				s.registry.change(discovery.Terminating, endpoint)
 				time.Sleep(time.Millisecond)
 			}
@@ -169,6 +174,7 @@
 				t.Parallel()
 				s := newDrainScene(t, scenario, farm)
 				stopClients := s.startClients(fmt.Sprint(i))
+				s.awaitReady()
 				time.Sleep(settlingPause)
 				scenario.play(s)
 				time.Sleep(sendsAfterChange)
@@ -181,11 +187,14 @@
 
 func newDrainScene(t *testing.T, scenario drainScenario, farm *endpointFarm) *drainScene {
 	s := &drainScene{t: t, scenario: scenario, farm: farm, registry: newEndpointRegistry(farm), statuses: make(map[int]int)}
+	known := s.registry.whole(false)
+	if scenario.before != nil {
+		scenario.before(s.registry)
+	}
 	for i := range scaleProxies {
 		service := newListService(t, s.registry, scenario.pushed)
 		service.faults = scenario.faults
 		s.services = append(s.services, service)
-		known := s.registry.whole(false)
 		proxy := run(t, func(cfg *config.Config) {
 			cfg.Limits.Sockets = scaleSockets
 			cfg.Limits.Memory = 256 << 20
@@ -205,6 +214,18 @@
 	return s
 }
 
+// awaitReady waits until all proxies serve.
+func (s *drainScene) awaitReady() {
+	s.t.Helper()
+	for _, proxy := range s.proxies {
+		for deadline := time.Now().Add(testTimeout); proxy.Readiness() != nil; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				s.t.Fatal(proxy.Readiness())
+			}
+		}
+	}
+}
+
 // each does something to each list service.
 func (s *drainScene) each(do func(*listService)) {
 	for _, service := range s.services {
@@ -212,9 +233,11 @@
 	}
 }
 
-// everyNth returns every n-th endpoint.
-func (s *drainScene) everyNth(n int) (endpoints []int) {
-	for i := 0; i < scaleEndpoints; i += n {
+// everyNth returns every n-th endpoint of the farm.
+func everyNth(n int) []int { return everyNthOf(scaleEndpoints, n) }
+
+func everyNthOf(count, n int) (endpoints []int) {
+	for i := 0; i < count; i += n {
 		endpoints = append(endpoints, i)
 	}
 	return endpoints
@@ -234,6 +257,7 @@
 		if err := proxy.Reload(cfg); err != nil {
 			s.t.Error(err)
 		}
+		s.configs[i] = cfg
 		s.services[i] = service
 	}
 }
@@ -245,11 +269,12 @@
 		cfg := s.configs[i]
 		cfg.Pools = slices.Clone(cfg.Pools)
 		cfg.Routes = slices.Clone(cfg.Routes)
-		cfg.Pools[0].Settings.Balancer.Contract.WarmUpPeriod = 20 * time.Minute
+		cfg.Pools[0].Settings.Balancer.Contract.WarmUpPeriod -= time.Minute
 		change(&cfg)
 		if err := proxy.Reload(cfg); err != nil {
 			s.t.Error(err)
 		}
+		s.configs[i] = cfg
 	}
 }
 
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -172,6 +172,12 @@
 // runUntil does so until stop is called, which may be more than once and
 // returns when Run has.
 func runUntil(t *testing.T, change func(*config.Config), known ...discovery.Endpoint) (p *Proxy, stop func()) {
+	t.Helper()
+	return runLogging(t, slog.New(slog.DiscardHandler), change, known...)
+}
+
+// runLogging does so with a log.
+func runLogging(t *testing.T, log *slog.Logger, change func(*config.Config), known ...discovery.Endpoint) (p *Proxy, stop func()) {
 	t.Helper()
 	class := func(name string, e balancer.Effect) balancer.Class {
 		return balancer.Class{Name: name, LatencyObjective: 2 * time.Second, Deadline: 20 * time.Second, PriorityWeight: 1, LateWeight: 0.5,
@@ -191,7 +197,7 @@
 	if change != nil {
 		change(&cfg)
 	}
-	p, err := New(cfg, WithLogger(slog.New(slog.DiscardHandler)))
+	p, err := New(cfg, WithLogger(log))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/proxy/listservice_test.go
+++ b/proxy/listservice_test.go
@@ -70,11 +70,10 @@
 		t.Fatal(err)
 	}
 	s := &listService{
-		Listener:    l,
-		registry:    registry,
-		pushed:      pushed,
-		open:        make(map[*net.TCPConn]*serviceConnection, connectionsOfService),
-		reachableAt: time.Now(),
+		Listener: l,
+		registry: registry,
+		pushed:   pushed,
+		open:     make(map[*net.TCPConn]*serviceConnection, connectionsOfService),
 	}
 	t.Cleanup(func() { l.Close(); s.resetAll() })
 	go s.accept()
--- a/proxy/pools.go
+++ b/proxy/pools.go
@@ -1,9 +1,11 @@
 package proxy
 
 import (
+	"context"
 	"iter"
 	"maps"
 	"slices"
+	"time"
 
 	"ryerill/config"
 	"ryerill/discovery"
@@ -38,6 +40,28 @@
 	return slices.Collect(maps.Values(p.pools.active))
 }
 
+// pushedListTimeout bounds how long a start waits for lists that are pushed: whatever discovery does, the proxy is
+// ready soon after.
+const pushedListTimeout = time.Second
+
+// awaitPushedLists waits until each pool whose list is pushed has received it. What an agent has counts as known from
+// the first moment of the process, and the list in the configuration may be older. An agent that is silent is not
+// waited for long.
+func (p *Proxy) awaitPushedLists(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pushedListTimeout)
+	defer cancel()
+	for _, c := range p.activePools() {
+		if !c.settings.PushedDiscovery {
+			continue
+		}
+		select {
+		case <-c.discovery.listed:
+		case <-ctx.Done():
+			p.log.Warn("discovery did not answer in time, using the endpoint list known before", "pool", c.name)
+		}
+	}
+}
+
 // hasPool reports whether routes lead to a pool of a name.
 func (p *Proxy) hasPool(name string) bool {
 	p.mu.Lock()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -222,6 +222,8 @@
 	defer p.leaveFleet()
 	if p.processes.second {
 		p.awaitHandover(ctx)
+	} else {
+		p.awaitPushedLists(ctx)
 	}
 	if err := p.startListeners(ctx); err != nil {
 		p.Close()
--- /dev/null
+++ b/proxy/spoiltlist_test.go
@@ -0,0 +1,120 @@
+package proxy
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"ryerill/config"
+	"ryerill/discovery"
+)
+
+// lockedBuffer is a log that a test reads while it is written.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(text []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(text)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// An answer that is no list, or not a whole one, leaves the last list in force, every entry of it. It is logged once in a
+// row with its cause, and the service is asked again soon: the next good list is in force.
+func TestSpoiltListLeavesTheLastInForce(t *testing.T) {
+	const endpoints = 40
+	farm := newEndpointFarm(t, endpoints)
+	// spoil returns the text of a whole list in which all drain, changed.
+	spoil := func(change func(*discovery.EndpointList)) string {
+		list := newEndpointRegistry(farm).whole(false)
+		list.Index = 9
+		for i := range list.Endpoints {
+			list.Endpoints[i].Status = discovery.Terminating
+		}
+		change(&list)
+		text, err := json.Marshal(list)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(text)
+	}
+	unchanged := spoil(func(*discovery.EndpointList) {})
+	last := endpoints - 1
+	for _, tc := range []struct {
+		name, text string
+		pushed     bool
+	}{
+		{"no JSON", "<html>" + unchanged, false},
+		{"cut off", unchanged[:len(unchanged)-60], false},
+		{"too large", unchanged + strings.Repeat(" ", 8<<20), false},
+		{"changes of an earlier version", spoil(func(l *discovery.EndpointList) { l.Index, l.Snapshot = 0, false }), false},
+		{"an entry without a name", spoil(func(l *discovery.EndpointList) { l.Endpoints[last].Name = "" }), false},
+		{"an entry of no address", spoil(func(l *discovery.EndpointList) { l.Endpoints[last].Address = "nowhere" }), false},
+		{"an entry of an unknown status", spoil(func(l *discovery.EndpointList) { l.Endpoints[last].Status = "Odd" }), true},
+		{"cut off, pushed", unchanged[:len(unchanged)-60], true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			registry := newEndpointRegistry(farm)
+			service := newListService(t, registry, tc.pushed)
+			service.setFaults(func(f *listFaults) { f.spoilt = tc.text; f.wholeFirst = true })
+			log := new(lockedBuffer)
+			proxy, stop := runLogging(t, slog.New(slog.NewTextHandler(log, nil)), func(cfg *config.Config) {
+				pool := &cfg.Pools[0]
+				pool.Discovery = service.Addr().String()
+				pool.KnownEndpoints = registry.whole(false)
+				pool.Settings.PushedDiscovery = tc.pushed
+				pool.Settings.Balancer.Subscribe = !tc.pushed
+				pool.Settings.Balancer.Contract.MaxPollInterval = 10 * time.Second
+			})
+			t.Cleanup(stop)
+			time.Sleep(1500 * time.Millisecond)
+			if status, _ := dial(t, proxy.Address()).ask(request("read", 4000)); status != 200 {
+				t.Errorf("with the last list: answered %d", status)
+			}
+			if ready := readyEndpoints(proxy); ready != endpoints {
+				t.Errorf("with the last list: %d endpoints are ready, want %d", ready, endpoints)
+			}
+			if lines := strings.Count(log.String(), "endpoint list not received"); lines != 1 {
+				t.Errorf("logged %d times:\n%s", lines, log.String())
+			}
+			registry.change(discovery.Terminating, everyNthOf(endpoints, 2)...)
+			service.setFaults(func(f *listFaults) { f.spoilt = "" })
+			deadline := time.Now().Add(3 * time.Second)
+			for !strings.Contains(log.String(), "endpoint list received again") {
+				if time.Now().After(deadline) {
+					t.Fatalf("the next list is not in force:\n%s", log.String())
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			if ready := readyEndpoints(proxy); ready != endpoints/2 {
+				t.Errorf("with the next list: %d endpoints are ready, want %d", ready, endpoints/2)
+			}
+		})
+	}
+}
+
+// readyEndpoints counts the endpoints that a proxy of one pool may send requests to.
+func readyEndpoints(p *Proxy) (ready int) {
+	c := p.activePools()[0]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.endpoints.byID {
+		if e.ready.Load() {
+			ready++
+		}
+	}
+	return ready
+}
