Keep the watch of discovery when a reload replaces a pool

A new pool inherited the list of the one it replaces but opened a watch of its own and asked for the whole list: what changed while that list of thousands came, up to some seconds, was missed.

A change of address is made when the reload is committed, so that a reload that fails moves nobody.

--- a/discovery/client.go
+++ b/discovery/client.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,14 +26,15 @@
 
 // Client calls one discovery service: once by Fetch, repeatedly by Subscribe. It is safe for concurrent use.
 type Client struct {
-	listener Listener
-	buffers  *buffer.Pool
-	reserve  *socket.Reserve
-	agent    bool // an agent on this machine: a watch continues after failed calls
-	timing   callTiming
-	ctx      context.Context // ends with the proxy; all calls are made in the background
+	buffers *buffer.Pool
+	reserve *socket.Reserve
+	agent   bool // an agent on this machine: a watch continues after failed calls
+	timing  callTiming
+	ctx     context.Context // all calls are made in the background until it ends
+	end     context.CancelFunc
 
-	notifying sync.Mutex // held while the listener is notified, so that nothing of an old service follows a newer one
+	notifying sync.Mutex // held while listeners are notified, so that nothing of an old service follows a newer one
+	listeners []Listener // guarded by notifying
 
 	// mu guards all that follows. It may be taken while notifying is held, not the other way round.
 	mu          sync.Mutex
@@ -41,18 +43,20 @@
 	watchWanted bool    // also while a watch that failed is not yet started again
 }
 
-// NewClient returns a client of the service at address, whose calls end with ctx. known is the list held already, if it
-// is a whole one.
+// NewClient returns a client of the service at address, whose calls end with ctx, or once its last listener has left.
+// known is the list held already, if it is a whole one.
 func NewClient(
 	ctx context.Context, address string, known EndpointList, buffers *buffer.Pool, listener Listener,
 ) *Client {
+	ctx, end := context.WithCancel(ctx)
 	c := &Client{
-		listener: listener,
-		buffers:  buffers,
-		reserve:  socket.NewReserve(1),
-		timing:   serviceTiming,
-		ctx:      ctx,
-		current:  &source{address: address, holdsList: known.Snapshot, index: known.Index},
+		listeners: []Listener{listener},
+		buffers:   buffers,
+		reserve:   socket.NewReserve(1),
+		timing:    serviceTiming,
+		ctx:       ctx,
+		end:       end,
+		current:   &source{address: address, holdsList: known.Snapshot, index: known.Index},
 	}
 	context.AfterFunc(ctx, c.reserve.Close)
 	return c
@@ -70,6 +74,29 @@
 	return c
 }
 
+// Join adds a listener. begin is called first, while no listener is notified: the new one may take over there what
+// another knows, and misses nothing that follows. It reports false, and calls nothing, if the last listener has left.
+func (c *Client) Join(listener Listener, begin func()) bool {
+	c.notifying.Lock()
+	defer c.notifying.Unlock()
+	if len(c.listeners) == 0 {
+		return false
+	}
+	begin()
+	c.listeners = append(c.listeners, listener)
+	return true
+}
+
+// Leave removes a listener. The last one to leave ends the client.
+func (c *Client) Leave(listener Listener) {
+	c.notifying.Lock()
+	defer c.notifying.Unlock()
+	c.listeners = slices.DeleteFunc(c.listeners, func(l Listener) bool { return l == listener })
+	if len(c.listeners) == 0 {
+		c.end()
+	}
+}
+
 // Subscribe starts the watch, or ends it. It returns at once.
 func (c *Client) Subscribe(on bool) {
 	c.mu.Lock()
@@ -137,9 +164,14 @@
 		return false
 	}
 	if err != nil {
-		c.listener.ListingFailed(fmt.Errorf("directory %s: %w", conn.source.address, err))
-		return false
+		err = fmt.Errorf("directory %s: %w", conn.source.address, err)
 	}
-	c.listener.EndpointsListed(list)
-	return true
+	for _, listener := range c.listeners {
+		if err != nil {
+			listener.ListingFailed(err)
+		} else {
+			listener.EndpointsListed(list)
+		}
+	}
+	return err == nil
 }
--- a/discovery/client_test.go
+++ b/discovery/client_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -212,6 +213,40 @@
 	}
 }
 
+// A second listener joins between two notifications and gets all that follow; the watch ends when the last one has left,
+// and nobody joins after that.
+func TestListenersShareAWatch(t *testing.T) {
+	address, calls := listenForCalls(t)
+	first, second := make(recorder, 8), make(recorder, 8)
+	c := NewClient(t.Context(), address, EndpointList{}, new(buffer.Pool), first)
+	c.Subscribe(true)
+	conn := <-calls
+	begun := false
+	if !c.Join(second, func() { begun = true }) || !begun {
+		t.Fatal("not joined")
+	}
+	text := `{"index":1,"snapshot":true,"endpoints":[]}`
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	for _, notified := range []recorder{first, second} {
+		if got := <-notified; got != "list 1" {
+			t.Errorf("notified of %q", got)
+		}
+	}
+	c.Leave(first)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	if got := <-second; got != "list 1" || len(first) > 0 {
+		t.Errorf("after one has left: notified of %q, the other of %d", got, len(first))
+	}
+	c.Leave(second)
+	conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.Copy(io.Discard, conn); errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Error("the watch goes on for nobody")
+	}
+	if c.Join(first, func() { t.Error("begun") }) {
+		t.Error("joined a client that has ended")
+	}
+}
+
 func await(t *testing.T, done <-chan struct{}) {
 	t.Helper()
 	select {
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -55,11 +55,9 @@
 	overrides override.Set
 	// refetch requests the whole list from discovery even where one is known: the known list of a
 	// second process of a proxy may be as old as the first one.
-	refetch bool
-	// inherited is the list in force at the pool that this one replaces; nil where there is none. It is newer than the
-	// configuration's, and what it states binds this pool as well.
-	inherited *discovery.EndpointList
-	shared    bool // activity is recorded for the fleet
+	refetch     bool
+	predecessor *core // whose endpoints this pool takes over; nil is none
+	shared      bool  // activity is recorded for the fleet
 }
 
 // newCore starts a pool: its Balancer, its connections, its discovery.
@@ -104,13 +102,18 @@
 
 // startDiscovery puts the list in force that is known at the start, and has discovery tell of what is newer.
 func (c *core) startDiscovery(parts coreConfig) {
+	if c.sharesDiscovery(parts.predecessor) && c.joinDiscovery(parts.predecessor) {
+		return
+	}
 	kind := balancer.ListFull // without discovery the configuration's list is complete
 	known := c.cfg.KnownEndpoints
 	refetch := parts.refetch
+	inherits := false
 	if c.cfg.Discovery != "" {
 		kind = balancer.ListCached
-		if parts.inherited != nil {
-			known = *parts.inherited
+		var list discovery.EndpointList
+		if list, inherits = parts.predecessor.discoveredList(); inherits {
+			known = list
 			refetch = true // its version may be another service's
 		}
 	}
@@ -120,7 +123,7 @@
 	defer c.mu.Unlock()
 	c.discovery.start(&c.cfg, held, parts.buffers, c)
 	c.applyListLocked(kind, known)
-	c.endpoints.discovered = parts.inherited != nil
+	c.endpoints.discovered = inherits
 }
 
 // setClasses takes the classes and tenants from the settings.
@@ -200,7 +203,7 @@
 
 // close ends the pool's discovery, timers and idle connections.
 func (c *core) close() {
-	c.discovery.stop()
+	c.discovery.stop(c)
 	c.connections.Close()
 	if c.cfg.CountsDiscoverySocket {
 		c.resources.sockets.Give(1)
--- a/proxy/discovery.go
+++ b/proxy/discovery.go
@@ -15,7 +15,6 @@
 // lists the endpoints there is no client.
 type discoveryWatch struct {
 	client *discovery.Client
-	stop   context.CancelFunc
 
 	// listed is closed once discovery has answered, or there is none.
 	listed     chan struct{}
@@ -27,7 +26,6 @@
 func newDiscoveryWatch() discoveryWatch {
 	listed := make(chan struct{})
 	return discoveryWatch{
-		stop:       func() {},
 		listed:     listed,
 		markListed: sync.OnceFunc(func() { close(listed) }),
 	}
@@ -39,8 +37,7 @@
 		w.markListed()
 		return
 	}
-	life, stop := context.WithCancel(context.Background()) // until the pool's last response
-	w.stop = stop
+	life := context.Background() // until the pool's last response
 	if cfg.Settings.PushedDiscovery {
 		w.client = discovery.NewAgentClient(life, cfg.Discovery, known, buffers, c)
 	} else {
@@ -48,6 +45,13 @@
 	}
 }
 
+// stop ends the watch for a pool. It goes on for another pool that shares the client.
+func (w *discoveryWatch) stop(c *core) {
+	if w.client != nil {
+		w.client.Leave(c)
+	}
+}
+
 // beginOutage records that a call has failed, and reports whether the one before had not.
 func (w *discoveryWatch) beginOutage() bool {
 	first := w.failingSince.IsZero()
@@ -101,16 +105,6 @@
 	}
 }
 
-// discoveredList returns the list in force; ok is false while it is only the configuration's.
-func (c *core) discoveredList() (list discovery.EndpointList, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.endpoints.discovered {
-		return discovery.EndpointList{}, false
-	}
-	return c.endpoints.list(), true
-}
-
 // ListingFailed implements [discovery.Listener]. The first of several failures in a row is logged.
 func (c *core) ListingFailed(err error) {
 	c.mu.Lock()
--- a/proxy/drainscale_test.go
+++ b/proxy/drainscale_test.go
@@ -193,7 +193,7 @@
 	}
 	for i := range scaleProxies {
 		service := newListService(t, s.registry, scenario.pushed)
-		service.faults = scenario.faults
+		service.setFaults(func(f *listFaults) { *f = scenario.faults })
 		s.services = append(s.services, service)
 		proxy := run(t, func(cfg *config.Config) {
 			cfg.Limits.Sockets = scaleSockets
@@ -247,7 +247,7 @@
 func (s *drainScene) moveServices() {
 	for i, proxy := range s.proxies {
 		service := newListService(s.t, s.registry, s.scenario.pushed)
-		service.faults = s.scenario.faults
+		service.setFaults(func(f *listFaults) { *f = s.scenario.faults })
 		if s.scenario.pushed {
 			service.reachableAt = time.Now().Add(moveKnown)
 		}
--- /dev/null
+++ b/proxy/drainsoak_test.go
@@ -0,0 +1,98 @@
+package proxy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"ryerill/config"
+	"ryerill/discovery"
+)
+
+const (
+	drawnScenarios = 4 // without RYERILL_SLOW
+	slowScenarios  = 32
+	drawnEvents    = 6 // of each scenario
+
+	// envDrainSeed states the seed of the first drawn scenario, to play one again.
+	envDrainSeed = "RYERILL_DRAIN_SEED"
+)
+
+// Endpoints that drain or are gone get nothing new after the grace, whatever is drawn to happen to discovery meanwhile.
+// The name of a scenario is its seed.
+func TestDrainGraceUnderDrawnFaults(t *testing.T) {
+	first, err := strconv.ParseUint(os.Getenv(envDrainSeed), 10, 64)
+	if err != nil {
+		first = 1
+	}
+	count := drawnScenarios
+	if os.Getenv("RYERILL_SLOW") != "" {
+		count = slowScenarios
+	}
+	var scenarios []drainScenario
+	for i := range uint64(count) {
+		scenarios = append(scenarios, drawScenario(first+i))
+	}
+	playDrainScenarios(t, scenarios)
+}
+
+// drawScenario draws what happens from a seed.
+func drawScenario(seed uint64) drainScenario {
+	random := rand.New(rand.NewPCG(seed, 0))
+	pushed := random.IntN(2) == 0
+	faults := listFaults{
+		indented:     random.IntN(2) == 0,
+		wholeFirst:   random.IntN(2) == 0,
+		omitDraining: random.IntN(2) == 0,
+		pieces:       1 + random.IntN(20),
+		piecePause:   time.Duration(random.IntN(15)) * time.Millisecond, // an agent's list takes 0.3 s at most
+	}
+	events := []func(*drainScene){
+		func(s *drainScene) { s.each((*listService).resetAll) },
+		func(s *drainScene) {
+			s.each((*listService).goDown)
+			time.Sleep(500 * time.Millisecond)
+			s.each((*listService).comeBack)
+		},
+		func(s *drainScene) {
+			s.each(func(service *listService) {
+				service.setFaults(func(f *listFaults) { f.rejected = 3 })
+				service.resetAll()
+			})
+		},
+		func(s *drainScene) { s.moveServices() },
+		func(s *drainScene) { s.changeSettings(func(*config.Config) {}) },
+	}
+	if !pushed { // an agent's silence has rules of its own, which the account of a list service lacks
+		faults.piecePause *= 5
+		events = append(events, func(s *drainScene) { s.each((*listService).silenceAll) })
+	}
+	return drainScenario{
+		name:   fmt.Sprint("seed ", seed),
+		pushed: pushed,
+		faults: faults,
+		play: func(s *drainScene) {
+			for part := range drawnEvents {
+				events[random.IntN(len(events))](s)
+				s.withdrawPart(random, part)
+				time.Sleep(time.Duration(random.IntN(1200)) * time.Millisecond)
+			}
+		},
+	}
+}
+
+// withdrawPart has one of so many parts of the endpoints drain or go, as the events of a drawn scenario are counted.
+func (s *drainScene) withdrawPart(random *rand.Rand, part int) {
+	var endpoints []int
+	for i := part; i < scaleEndpoints; i += 2 * drawnEvents {
+		endpoints = append(endpoints, i)
+	}
+	status := discovery.Terminating
+	if random.IntN(2) == 0 {
+		status = discovery.Gone
+	}
+	s.registry.change(status, endpoints...)
+}
--- a/proxy/listservice_test.go
+++ b/proxy/listservice_test.go
@@ -48,7 +48,9 @@
 	faults      listFaults
 	open        map[*net.TCPConn]*serviceConnection
 	answers     []listAnswer // written whole
-	reachableAt time.Time    // since when it can be reached
+	calls       []time.Time
+	reachableAt time.Time // since when it can be reached; zero is from before the proxy's start
+	silentAt    time.Time // when all watches fell silent last: none goes on from an answer before that
 }
 
 // serviceConnection is the state of a connection of the proxy.
@@ -120,6 +122,7 @@
 	for _, state := range s.open {
 		state.silent = true
 	}
+	s.silentAt = time.Now()
 }
 
 // goDown makes the service unreachable, comeBack ends that.
@@ -147,10 +150,11 @@
 	change(&s.faults)
 }
 
-// rejects reports whether a call is to be answered with 503, and counts it.
+// rejects records a call, and reports whether it is to be answered with 503.
 func (s *listService) rejects() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls = append(s.calls, time.Now())
 	if s.faults.rejected == 0 {
 		return false
 	}
@@ -267,10 +271,22 @@
 		if answer.version >= change.version && answer.at.Before(told) {
 			told = answer.at
 		}
-		// What changes while a watch goes on between two calls is known at once.
-		if gap := change.changedAt.Sub(answer.at); gap >= 0 && gap < watchGap && change.changedAt.Before(told) {
+		// What changes between two calls of a watch is known at once.
+		between := !change.changedAt.Before(answer.at) && change.changedAt.Before(s.gapEndLocked(answer.at))
+		if between && change.changedAt.Before(told) && answer.at.After(s.silentAt) {
 			told = change.changedAt
 		}
 	}
 	return told
 }
+
+// gapEndLocked returns the end of the time between an answer and the next call, in which a watch goes on.
+func (s *listService) gapEndLocked(answeredAt time.Time) time.Time {
+	end := answeredAt.Add(watchGap)
+	for _, call := range s.calls {
+		if call.After(answeredAt) && call.Before(end) {
+			return call
+		}
+	}
+	return end
+}
--- a/proxy/pools.go
+++ b/proxy/pools.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"ryerill/config"
-	"ryerill/discovery"
 )
 
 // poolSet holds the pools of a proxy. The proxy's mutex guards it.
@@ -73,23 +72,17 @@
 // replaces another of the same endpoints begins with the list that is in force there: the configuration's may be as old
 // as the file.
 func (p *Proxy) newPoolLocked(cfg config.Pool, index int, refetch bool) *core {
-	var inherited *discovery.EndpointList
-	if predecessor := p.predecessorLocked(cfg); predecessor != nil {
-		if list, ok := predecessor.discoveredList(); ok {
-			inherited = &list
-		}
-	}
 	return newCore(cfg, coreConfig{
-		seed:      p.cfg.Seed + uint64(index),
-		resources: p.resources.pool(cfg.Name),
-		buffers:   p.buffers,
-		log:       p.log,
-		clock:     p.clock,
-		counters:  &p.counters,
-		overrides: p.overrides,
-		refetch:   refetch,
-		inherited: inherited,
-		shared:    p.cfg.Fleet != nil,
+		seed:        p.cfg.Seed + uint64(index),
+		resources:   p.resources.pool(cfg.Name),
+		buffers:     p.buffers,
+		log:         p.log,
+		clock:       p.clock,
+		counters:    &p.counters,
+		overrides:   p.overrides,
+		refetch:     refetch,
+		predecessor: p.predecessorLocked(cfg),
+		shared:      p.cfg.Fleet != nil,
 	})
 }
 
--- a/proxy/reload.go
+++ b/proxy/reload.go
@@ -216,8 +216,11 @@
 func (r *reload) replacePoolsLocked() (removed []*core) {
 	p := r.proxy
 	for _, pool := range r.cfg.Pools {
-		if c := r.pools[pool.Name]; c == p.pools.active[pool.Name] {
+		c := r.pools[pool.Name]
+		if c == p.pools.active[pool.Name] {
 			c.adjust(pool)
+		} else {
+			c.discovery.setAddress(pool.Discovery) // of a client that it shares with the pool that it replaces
 		}
 	}
 	for name, c := range p.pools.active {
