Record the end of a streamed response under the pool's mutex

Cause: the end of a response that streams was counted when the response was freed, by the goroutine that wrote it, without the pool's mutex, while the fleet's host reads the same activity. Counts could also be lost where two such responses ended at once.

Change: endWithStream takes the mutex before it records the end; responses are freed without it held. The method that records is named recordEndLocked, as it now always expects the mutex.

--- a/proxy/request.go
+++ b/proxy/request.go
@@ -148,7 +148,7 @@
 // connection are not sent on, also where those that run may not be cancelled.
 func (c *core) abandonLocked(r *openRequest) {
 	r.done = true
-	c.recordEnd(r, message.Failed)
+	c.recordEndLocked(r, message.Failed)
 	for _, a := range r.attempts {
 		a.Withdraw()
 	}
@@ -169,7 +169,7 @@
 	if result.Response != nil && result.Response.Stream != nil {
 		c.endWithStream(r, result.Response)
 	} else {
-		c.recordEnd(r, result.Kind)
+		c.recordEndLocked(r, result.Kind)
 	}
 	r.Reply(result)
 	c.releaseLocked(r)
@@ -184,9 +184,8 @@
 	}
 }
 
-// recordEnd counts the end of a request, once. The mutex is held, except at the end of a
-// streamed response.
-func (c *core) recordEnd(r *openRequest, kind message.ResultKind) {
+// recordEndLocked counts the end of a request, once.
+func (c *core) recordEndLocked(r *openRequest, kind message.ResultKind) {
 	if r.received {
 		c.counters.inFlight.Add(-1)
 	}
@@ -226,7 +225,8 @@
 	return n, err
 }
 
-// endWithStream has a request whose response is streamed counted at the end of that stream.
+// endWithStream has a request whose response is streamed counted at the end of that stream, when the response is freed.
+// That is done without the mutex held.
 func (c *core) endWithStream(r *openRequest, response *message.Response) {
 	stream := &trackedStream{ReadCloser: response.Stream}
 	response.Stream = stream
@@ -240,6 +240,8 @@
 		if stream.whole {
 			kind = message.Served
 		}
-		c.recordEnd(r, kind)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.recordEndLocked(r, kind)
 	}
 }
