Begin a limit anew when its kind changes, in quota.Manager.SetLimits

Cause: SetLimits took over only the total of a limit that it knew. A rate that became an amount stayed a rate: nothing of it could be spent, and vice versa.

Change: a limit whose kind has changed gets a new account. What has been lent of it is kept: should it become a rate again within a lease, its lender and borrower together would else spend more than the total.

Measured: TestALimitWhoseKindChangesIsANewOne failed in both cases before the change (a rate of 5 and 0 left where 0 and 5 are right, Spend refused). TestLoansOutlastAChangeOfKind fails where the loans are not kept: both spend 14.85 of 10. go test ./fleet/quota passes with them.

--- a/fleet/quota/manager.go
+++ b/fleet/quota/manager.go
@@ -94,7 +94,8 @@
 	}
 }
 
-// SetLimits states which limits there are. Those without a positive, finite total are ignored.
+// SetLimits states which limits there are. Those without a positive, finite total are ignored. One whose kind changes
+// begins anew, but what has been lent of it stays lent until the leases end: it may become a rate limit again before.
 func (m *Manager) SetLimits(now time.Duration, limits []Limit) {
 	m.advance(now)
 	m.order = m.order[:0]
@@ -103,11 +104,16 @@
 			continue
 		}
 		m.order = append(m.order, limit.Name)
-		if existing := m.accounts[limit.Name]; existing != nil {
+		existing := m.accounts[limit.Name]
+		if existing != nil && existing.Kind == limit.Kind {
 			existing.Total = limit.Total
-		} else {
-			m.accounts[limit.Name] = newAccount(limit, m.now)
+			continue
+		}
+		created := newAccount(limit, m.now)
+		if existing != nil {
+			created.lent = existing.lent
 		}
+		m.accounts[limit.Name] = created
 	}
 	slices.Sort(m.order)
 	for name := range m.accounts {
--- a/fleet/quota/manager_test.go
+++ b/fleet/quota/manager_test.go
@@ -94,3 +94,61 @@
 		t.Error(a.Rate(0, "r"), a.Left("s"))
 	}
 }
+
+// A limit that is turned into one of the other kind is spent as that kind, and none of what was agreed on it before counts.
+func TestALimitWhoseKindChangesIsANewOne(t *testing.T) {
+	const name = "x"
+	for _, tc := range []struct {
+		name               string
+		before, after      Kind
+		wantRate, wantLeft float64
+	}{
+		{"a rate becomes an amount", Rate, Amount, 0, 5},
+		{"an amount becomes a rate", Amount, Rate, 5, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			a := New("a", 1, 1, false, 0)
+			setKind := func(kind Kind) {
+				a.SetLimits(0, []Limit{{name, kind, 10}})
+				a.SetReplicaCount(0, 2, []string{"b"})
+			}
+			setKind(tc.before)
+			setKind(tc.after)
+			if rate, left := a.Rate(0, name), a.Left(name); rate != tc.wantRate || left != tc.wantLeft {
+				t.Errorf("a rate of %v, %v left; want %v, %v", rate, left, tc.wantRate, tc.wantLeft)
+			}
+			if spent := a.Spend(0, name, tc.wantLeft+1); spent {
+				t.Error("more is spent than its share")
+			}
+			if spent := a.Spend(0, name, 5); spent != (tc.after == Amount) {
+				t.Errorf("spent its share: %v", spent)
+			}
+			setKind(tc.after) // the same limits again
+			if left := a.Left(name); left != 0 {
+				t.Errorf("%v is left after it was spent", left)
+			}
+		})
+	}
+}
+
+// A rate limit that is an amount for a moment is still lent until its lease ends: the borrower may not have noticed.
+func TestLoansOutlastAChangeOfKind(t *testing.T) {
+	l, b := newLenderAndBorrower(1)
+	b.AddDemand(0, "r", 100)
+	for _, request := range b.Tick(0, nil) {
+		for _, grant := range l.Handle(0, "b", request.Message, nil) {
+			b.Handle(0, "l", grant.Message, nil)
+		}
+	}
+	if b.Rate(0, "r") <= 5 {
+		t.Fatalf("nothing is lent: the borrower may spend %v", b.Rate(0, "r"))
+	}
+	l.SetLimits(0, []Limit{{"r", Amount, 10}, {"s", Amount, 10}})
+	l.SetLimits(0, []Limit{{"r", Rate, 10}, {"s", Amount, 10}})
+	if sum := l.Rate(0, "r") + b.Rate(0, "r"); sum > 10.0001 {
+		t.Errorf("both may spend %v of 10", sum)
+	}
+	if rate := l.Rate(2*Lease, "r"); rate != 5 {
+		t.Errorf("the lender may spend %v once the lease is over, want 5", rate)
+	}
+}
