Refuse an unknown command of a rollout before it takes a fencing token

Cause: Participant.Command went on to take a new fencing token, reset the version and depose the leader for a word that is no command, and reported success.

Change: such a word is answered by a CommandError, which names the commands, and changes nothing.

--- a/fleet/rollout/participant.go
+++ b/fleet/rollout/participant.go
@@ -114,7 +114,7 @@
 )
 
 // Command executes a command of an operator: pause, resume, abort or back. It returns a PlanStateError if no plan is
-// active.
+// active, and a CommandError for any other command.
 func (p *Participant) Command(now time.Duration, command string) error {
 	p.env.advance(now)
 	state := &p.state
@@ -139,6 +139,8 @@
 		}
 	case commandBack:
 		p.transition(RollingBack, byOperator)
+	default:
+		return &CommandError{command}
 	}
 	// The state with a new token supersedes that of any leader.
 	state.FencingToken = p.election.nextToken()
--- a/fleet/rollout/participant_test.go
+++ b/fleet/rollout/participant_test.go
@@ -1,8 +1,10 @@
 package rollout
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -174,3 +176,35 @@
 		})
 	}
 }
+
+// A command that there is none of is refused, and changes nothing: neither the plan nor who leads it.
+func TestAnUnknownCommandIsRefused(t *testing.T) {
+	c := newFleet(3, quickPlan)
+	c.step(4 * time.Second)
+	leader := c.members[0].participant
+	if err := leader.Command(c.now, "x"); !errors.As(err, new(*PlanStateError)) {
+		t.Errorf("without a plan: %v", err)
+	}
+	if err := leader.Start(c.now, c.plan); err != nil {
+		t.Fatal(err)
+	}
+	for range 100 {
+		c.step(100 * time.Millisecond)
+	}
+	for _, m := range c.members {
+		p := m.participant
+		before, led := p.State(), p.IsLeader()
+		for _, word := range []string{"x", "", "Abort", "refused"} {
+			var refused *CommandError
+			if err := p.Command(c.now, word); !errors.As(err, &refused) || refused.Command != word {
+				t.Errorf("%s: %q: %v", m.name, word, err)
+			}
+		}
+		if after := p.State(); !reflect.DeepEqual(after, before) {
+			t.Errorf("%s: the state was %+v, is %+v", m.name, before, after)
+		}
+		if p.IsLeader() != led {
+			t.Errorf("%s: led %v, leads %v", m.name, led, p.IsLeader())
+		}
+	}
+}
--- a/fleet/rollout/plan.go
+++ b/fleet/rollout/plan.go
@@ -111,6 +111,17 @@
 	return fmt.Sprintf("plan %s stands and is %v: wait for its end, or abort it", e.ID, e.Phase)
 }
 
+// CommandError says that a command of an operator is none that there is.
+type CommandError struct {
+	Command string
+}
+
+// Error names the command and those that there are.
+func (e *CommandError) Error() string {
+	return fmt.Sprintf("unexpected command %q, want %s, %s, %s or %s",
+		e.Command, commandPause, commandResume, commandAbort, commandBack)
+}
+
 // DefaultStages are one replica, one of each zone, then growing fractions.
 func DefaultStages() []Stage {
 	return []Stage{
