End the rollout agent's reports of a refusal when its context ends

Change: it waits for the next attempt or for the end of the context. A refusal is still reported once if the context ends while the command runs.

--- a/cli/rolloutagent/agent.go
+++ b/cli/rolloutagent/agent.go
@@ -59,7 +59,8 @@
 	}
 }
 
-// change runs the command for the version that is wanted, and reports its failure to the proxy.
+// change runs the command for the version that is wanted, and reports its failure to the proxy: at least once, and
+// again until the proxy has taken the report or the context ends.
 func (a *Agent) change(ctx context.Context, status *fleet.RolloutStatus) {
 	desired := status.Desired
 	fmt.Fprintf(a.Output, "plan %s wants %s, back %v\n", desired.Plan, desired.Target, desired.RollingBack)
@@ -73,7 +74,11 @@
 		if a.Proxy.RefuseRollout(desired.Plan, reason) == nil {
 			return
 		}
-		time.Sleep(pollInterval)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pollInterval):
+		}
 	}
 }
 
