Persist that a replica has left only after its loans have ended

Cause: Fleet.Run wrote to the state file that the replica leaves as soon as its context ended, and then waited up to 4.4 s for its loans to end. Killed in between, it restarted as one that has lent nothing, while the borrower still spent the loan. Any other write of the state file during that wait, or one that was under way, also replaced the departure by an ordinary state, so that a replica that had left could restart as confirmed.

Change: the state is written once more when the context ends, as that of a replica that stays; depart writes that it has left, after the loans and before it announces it. Whether it has left is read from the fleet's own state with each write, and a state is taken and written under one mutex, so that no older one replaces it. The form of the file is as before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -36,6 +36,10 @@
 	subject    Subject
 	goroutines sync.WaitGroup // all that Run and the events of the fleet start; Run waits for them
 
+	// persisting is held from when the state to persist is taken until it is written, so that no older state replaces a
+	// newer one. It is locked before mu.
+	persisting sync.Mutex
+
 	mu        sync.Mutex // guards what follows
 	list      *membership.List
 	actions   []membership.Action // buffer of the latest ones
@@ -153,20 +157,29 @@
 }
 
 // depart announces that this replica leaves, unless another process continues under its
-// name, and returns once that is disseminated.
+// name, and returns once that is disseminated. Its loans have ended.
 func (f *Fleet) depart() {
 	f.mu.Lock()
 	f.departed = true
-	abandoned := f.abandoned
-	if !abandoned {
-		f.handle(membership.Event{Kind: membership.Leave})
-	}
 	f.mu.Unlock()
-	if !abandoned {
+	// Before others divide quotas without this replica: one that restarts after that must not count on its fraction.
+	f.persist()
+	if f.announceDeparture() {
 		time.Sleep(departureGossip)
 	}
 }
 
+// announceDeparture announces that this replica leaves, and reports false if another process continues under its name.
+func (f *Fleet) announceDeparture() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.abandoned {
+		return false
+	}
+	f.handle(membership.Event{Kind: membership.Leave})
+	return true
+}
+
 // end stops the timer and closes the sockets.
 func (f *Fleet) end() {
 	f.mu.Lock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -304,3 +304,106 @@
 		})
 	}
 }
+
+// startHost runs a host on loopback that shares quotas with one other, and returns it with what has it leave. Its Run has
+// ended once the test has.
+func startHost(t *testing.T, proxy *stubProxy, cfg Config) (f *Fleet, leave context.CancelFunc) {
+	t.Helper()
+	cfg.Fleet, cfg.Listen, cfg.Keys = "f", "127.0.0.1:0", testKeys
+	cfg.ReplicaCounts, cfg.Pools = map[string]int{"main": 2}, []string{"main"}
+	cfg.Sharing = &SharingConfig{Quotas: true}
+	f, err := New(cfg, slog.New(slog.DiscardHandler), proxy.setPositions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.SetSubject(proxy)
+	f.Announce(membership.Serving, "")
+	ctx, leave := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { defer close(ended); f.Run(ctx) }()
+	t.Cleanup(func() { leave(); <-ended })
+	return f, leave
+}
+
+// spendable is what a host's replica may spend of its one quota, in units a second; 0 while it knows of none.
+func spendable(f *Fleet) float64 {
+	status := f.SharedStatus()
+	if len(status.Quotas) == 0 {
+		return 0
+	}
+	return status.Quotas[0].Rate
+}
+
+func (f *Fleet) isLeaving() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tags.Phase == membership.Leaving
+}
+
+// A lender that is killed while it waits for its loans to end, and restarts, has not forgotten that it has lent: it and
+// the borrower together never may spend more than the quota.
+func TestALenderKilledWhileItLeavesWithholdsItsLoans(t *testing.T) {
+	t.Parallel()
+	const (
+		total      = 90                     // of the quota, as stubProxy states it
+		maxReading = 100 * time.Millisecond // of both rates: less than a credit ends before its debit
+	)
+	dir := t.TempDir()
+	stateFile, copied := filepath.Join(dir, "l"), filepath.Join(dir, "copy")
+	lender, leave := startHost(t, &stubProxy{}, Config{Name: "l", StateFile: stateFile})
+	borrowing := &stubProxy{}
+	borrowing.setDemand(total)
+	borrower, _ := startHost(t, borrowing, Config{Name: "b", Seeds: []string{lender.Address()}})
+	waitFor(t, "a loan", func() bool { return spendable(borrower) > 0.9*total })
+	waitFor(t, "the lender's state file", func() bool { _, err := os.Stat(stateFile); return err == nil })
+
+	leave()
+	waitFor(t, "the lender to wait for its loans", lender.isLeaving)
+	onDisk, err := os.ReadFile(stateFile) // what a restart after a kill finds
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(copied, onDisk, stateFileMode); err != nil {
+		t.Fatal(err)
+	}
+	lender.end() // it sends nothing more
+	restarted, _ := startHost(t, &stubProxy{}, Config{Name: "l", StateFile: copied, Seeds: []string{borrower.Address()}})
+
+	overlapped := false // both had a part of the quota while the loan ran
+	highest := 0.0
+	for end := time.Now().Add(2 * quota.Lease); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		began := time.Now()
+		borrowed := spendable(borrower)
+		own := spendable(restarted)
+		if time.Since(began) > maxReading {
+			continue
+		}
+		overlapped = overlapped || borrowed > 0.9*total && own > 0
+		highest = max(highest, borrowed+own)
+	}
+	if highest > total*1.0001 {
+		t.Errorf("both together may spend %.1f of %d", highest, total)
+	}
+	if !overlapped {
+		t.Error("the lender had no part of the quota before the loan was over: the test shows nothing")
+	}
+}
+
+// What a replica that has left finds at its next start says so, whichever write of the state file was the last.
+func TestAReplicaThatHasLeftPersistsIt(t *testing.T) {
+	t.Parallel()
+	f, leave := startHost(t, &stubProxy{}, Config{Name: "a", StateFile: filepath.Join(t.TempDir(), "a")})
+	waitFor(t, "the state to be persisted", func() bool {
+		state, err := f.stateFile.read()
+		return err == nil && !state.Left
+	})
+	leave()
+	hasLeft := func() bool {
+		state, err := f.stateFile.read()
+		return err == nil && state.Left && !state.Confirmed
+	}
+	waitFor(t, "the departure to be persisted", hasLeft)
+	if _, written := f.persist(); !written || !hasLeft() { // as one that was asked for before
+		t.Error("a later write has the replica not have left")
+	}
+}
--- a/fleet/persistence.go
+++ b/fleet/persistence.go
@@ -53,10 +53,10 @@
 	return state
 }
 
-// currentState returns what is to be persisted now. A replica that leaves is not counted
+// currentState returns what is to be persisted now. A replica that has left is not counted
 // any more. The mutex is held.
-func (f *Fleet) currentState(leaving bool) persistedState {
-	left := leaving && !f.abandoned
+func (f *Fleet) currentState() persistedState {
+	left := f.departed && !f.abandoned
 	state := persistedState{
 		Written:          time.Now(),
 		Fleet:            f.cfg.Fleet,
@@ -84,19 +84,21 @@
 	for {
 		select {
 		case <-ctx.Done():
-			f.persist(true)
+			f.persist()
 			return
 		case <-ticker.C:
-			f.persist(false)
+			f.persist()
 		}
 	}
 }
 
 // persist writes the state file and reports whether state is what would be restored.
 // A disk that fails is no reason to stop. The mutex is not held: it may take long.
-func (f *Fleet) persist(leaving bool) (state persistedState, written bool) {
+func (f *Fleet) persist() (state persistedState, written bool) {
+	f.persisting.Lock()
+	defer f.persisting.Unlock()
 	f.mu.Lock()
-	state = f.currentState(leaving)
+	state = f.currentState()
 	f.mu.Unlock()
 	if !f.stateFile.enabled() {
 		return state, true
@@ -121,7 +123,7 @@
 	}
 	f.persisted.writing = true
 	f.goroutines.Go(func() {
-		state, written := f.persist(false)
+		state, written := f.persist()
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.persisted.writing = false
--- a/fleet/statesync_host.go
+++ b/fleet/statesync_host.go
@@ -235,7 +235,8 @@
 }
 
 // awaitLoans waits until what this replica has lent is returned: once it announces that
-// it leaves, others divide quotas without it.
+// it leaves, others divide quotas without it. Until then the state file must not say that
+// it has left: killed meanwhile, it has to withhold its loans at the next start.
 func (f *Fleet) awaitLoans() {
 	if f.stateSync == nil {
 		return
