Accept the rest of the queue at the end despite errors of single connections

Cause: acceptBacklog, which accepts what waits in the listener's queue at its end, took any error but a few for the end of the queue. The system reports pending errors of one connection there (EPROTO, ENETDOWN, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT, EPERM): whoever waited behind it was reset.

Change: only EAGAIN and a listener that is closed end it; any other error is followed by the usual short pause. The listener is an interface, so that tests can inject errors of accept.

Measured: TestQueueAtTheEndIsAcceptedDespiteFaults failed before for these six of twelve errors (reset connections), and passes now. TestAcceptingGoesOnAfterFaults passed already; without the pause it counted 514,371 calls in half a second, and with a return in place of the retry Serve ended with the error. Package tests pass with -race.

--- /dev/null
+++ b/downstream/faults_test.go
@@ -0,0 +1,189 @@
+package downstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"ryerill/drain"
+	"ryerill/internal/buffer"
+)
+
+// faultyListener fails calls of accept for a while with an error of the system, and accepts as usual otherwise.
+type faultyListener struct {
+	*net.TCPListener
+
+	mu      sync.Mutex
+	fault   error
+	faults  int           // calls that are still to fail
+	failed  atomic.Int64  // calls that have failed
+	backlog bool          // the faults are those of the raw listener; nobody is accepted before its deadline
+	stopped chan struct{} // closed once a deadline is set
+}
+
+// next returns the fault of the next call, or nil.
+func (l *faultyListener) next(backlog bool) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.backlog != backlog || l.faults == 0 {
+		return nil
+	}
+	l.faults--
+	l.failed.Add(1)
+	return &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", l.fault)}
+}
+
+// breakFor makes the next calls fail.
+func (l *faultyListener) breakFor(calls int, fault error, backlog bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fault, l.faults, l.backlog = fault, calls, backlog
+	l.failed.Store(0)
+}
+
+func (l *faultyListener) AcceptTCP() (*net.TCPConn, error) {
+	if err := l.next(false); err != nil {
+		return nil, err
+	}
+	l.mu.Lock()
+	backlog := l.backlog
+	l.mu.Unlock()
+	if backlog {
+		<-l.stopped
+		return nil, os.ErrDeadlineExceeded
+	}
+	return l.TCPListener.AcceptTCP()
+}
+
+func (l *faultyListener) SetDeadline(t time.Time) error {
+	close(l.stopped)
+	return l.TCPListener.SetDeadline(t)
+}
+
+func (l *faultyListener) SyscallConn() (syscall.RawConn, error) {
+	raw, err := l.TCPListener.SyscallConn()
+	return faultyRawConn{raw, l}, err
+}
+
+// faultyRawConn is the raw listener of a faultyListener.
+type faultyRawConn struct {
+	syscall.RawConn
+	listener *faultyListener
+}
+
+func (c faultyRawConn) Control(f func(fd uintptr)) error {
+	if err := c.listener.next(true); err != nil {
+		return err
+	}
+	return c.RawConn.Control(f)
+}
+
+// listenFaulty returns a server whose calls of accept can be made to fail.
+func listenFaulty(t *testing.T) (*Server, *faultyListener) {
+	t.Helper()
+	s, err := Listen("127.0.0.1:0", 64, false, new(buffer.Pool))
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := &faultyListener{TCPListener: s.listener.(*net.TCPListener), stopped: make(chan struct{})}
+	s.listener = listener
+	return s, listener
+}
+
+// getAll sends requests, each on a connection of its own, and returns the errors.
+func getAll(address string, requests int) error {
+	failures := make(chan error, requests)
+	for range requests {
+		go func() {
+			client := http.Client{Timeout: longWait, Transport: &http.Transport{DisableKeepAlives: true}}
+			response, err := client.Get("http://" + address + "/ready")
+			if err == nil {
+				_, err = io.Copy(io.Discard, response.Body)
+				response.Body.Close()
+			}
+			failures <- err
+		}()
+	}
+	var all error
+	for range requests {
+		all = errors.Join(all, <-failures)
+	}
+	return all
+}
+
+// acceptFaults are errors of accept that say nothing of the clients who wait behind.
+var acceptFaults = []syscall.Errno{
+	syscall.ECONNABORTED, syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPROTO,
+	syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ETIMEDOUT, syscall.EPERM,
+}
+
+// Whatever accept fails with, accepting goes on after a short pause: nobody who waits is lost, and the processor is not
+// kept busy by a fault that stays.
+func TestAcceptingGoesOnAfterFaults(t *testing.T) {
+	for _, fault := range acceptFaults {
+		t.Run(fault.Error(), func(t *testing.T) {
+			t.Parallel()
+			s, listener := listenFaulty(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan error, 1)
+			listener.breakFor(20, fault, false)
+			began := time.Now()
+			go func() { ended <- s.Serve(ctx, newHolding(time.Second)) }()
+			if err := getAll(s.Address(), 5); err != nil {
+				t.Errorf("lost: %v", err)
+			}
+			if took := time.Since(began); took > 2*time.Second {
+				t.Errorf("answered after %v", took)
+			}
+
+			listener.breakFor(1<<30, fault, false)
+			if conn, err := net.Dial("tcp", s.Address()); err == nil { // ends the call that waits
+				defer conn.Close()
+			}
+			time.Sleep(500 * time.Millisecond)
+			if n := listener.failed.Load(); n > 60 { // two a pause of 50 ms, and those before
+				t.Errorf("%d calls in half a second", n)
+			}
+			listener.breakFor(0, nil, false)
+			if err := getAll(s.Address(), 5); err != nil {
+				t.Errorf("lost after a long fault: %v", err)
+			}
+			cancel()
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// Whoever waits in the listener's queue at its end is accepted, whatever accept fails with on the way.
+func TestQueueAtTheEndIsAcceptedDespiteFaults(t *testing.T) {
+	for _, fault := range acceptFaults {
+		t.Run(fault.Error(), func(t *testing.T) {
+			t.Parallel()
+			s, listener := listenFaulty(t)
+			service := newHolding(time.Second)
+			service.plan = func(time.Duration) drain.Plan { return drain.Plan{CloseIdle: time.Millisecond} }
+			listener.breakFor(3, fault, true)
+			answered := make(chan error, 1)
+			go func() { answered <- getAll(s.Address(), 4) }()
+			time.Sleep(50 * time.Millisecond) // they wait in the queue: nobody accepts yet
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel() // accepting ends before it begins
+			if err := s.Serve(ctx, service); err != nil {
+				t.Error(err)
+			}
+			if err := <-answered; err != nil {
+				t.Errorf("lost: %v", err)
+			}
+		})
+	}
+}
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -29,9 +30,17 @@
 	overloadRetryAfter = time.Second // advice to clients that are rejected for lack of capacity
 )
 
+// clientListener is the part of a net.TCPListener that a server needs. Tests inject system-call errors in its place.
+type clientListener interface {
+	net.Listener
+	AcceptTCP() (*net.TCPConn, error)
+	SyscallConn() (syscall.RawConn, error)
+	SetDeadline(t time.Time) error
+}
+
 // Server accepts the connections of clients and speaks HTTP/1.1 on them.
 type Server struct {
-	listener    *net.TCPListener
+	listener    clientListener
 	router      Router
 	buffers     *buffer.Pool
 	descriptors *socket.Reserve
@@ -156,15 +165,15 @@
 	var backoff socket.Backoff
 	for end := time.Now().Add(newConnectionGrace); time.Now().Before(end); {
 		fd, err := acceptRaw(raw)
-		switch {
-		case socket.OutOfDescriptors(err): // who waits there has connected: a descriptor is worth the wait
-			s.freeDescriptor()
+		if errors.Is(err, unix.EAGAIN) || isClosed(err) {
+			return
+		}
+		if err != nil { // who waits there has connected: a pause is worth it
+			if socket.OutOfDescriptors(err) {
+				s.freeDescriptor()
+			}
 			time.Sleep(backoff.Next())
 			continue
-		case errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNABORTED):
-			continue
-		case err != nil:
-			return
 		}
 		if nc := s.connOf(fd); nc != nil {
 			backoff.Reset()
@@ -173,6 +182,12 @@
 	}
 }
 
+// isClosed reports whether an error of accept says that the listener accepts nobody any more. Any other says nothing of
+// those who wait behind: the system reports faults of one connection there, such as EPROTO or EHOSTUNREACH.
+func isClosed(err error) bool {
+	return errors.Is(err, net.ErrClosed) || errors.Is(err, unix.EBADF) || errors.Is(err, unix.EINVAL)
+}
+
 // rawListener is the part of syscall.RawConn that accepting needs.
 type rawListener interface {
 	Control(func(fd uintptr)) error
