Don't blame an endpoint for what this machine lacks when a request is written

Cause: a write that fails with ENOBUFS or ENOMEM, or a dial or write that a signal interrupts (EINTR), was recorded as "no connection": a penalty for the endpoint and a latency sample of a whole connect time-out, for a fault of this machine. A dial that lacks a resource was told apart already.

Change: such attempts count as not sent, and may be made elsewhere as before. The pool dials through a field, and a connection holds an interface, so that tests can inject errors of dial, write and read; requests are still written by one call for all buffers.

Package tests pass with -race.

--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -94,7 +93,7 @@
 }
 
 // dial opens a connection, unless the attempt is cancelled or its time is over.
-func (a *Attempt) dial(timeout time.Duration) (net.Conn, error) {
+func (a *Attempt) dial(dial dialFunc, timeout time.Duration) (transport, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), a.lastWrite())
 	defer cancel()
 	a.mu.Lock()
@@ -103,8 +102,7 @@
 		cancel()
 	}
 	a.mu.Unlock()
-	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1}
-	opened, err := dialer.DialContext(ctx, "tcp", a.Address)
+	opened, err := dial(ctx, timeout, a.Address)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.cancelDial = nil
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -19,10 +20,29 @@
 	address  string
 }
 
+// transport is the part of a net.TCPConn that a conn needs. Tests inject system-call errors in its place.
+type transport interface {
+	net.Conn
+	syscall.Conn
+}
+
+// dialFunc opens a connection to an address, within ctx and a timeout.
+type dialFunc func(ctx context.Context, timeout time.Duration, address string) (transport, error)
+
+// dialTCP is the dialFunc of every pool outside of tests.
+func dialTCP(ctx context.Context, timeout time.Duration, address string) (transport, error) {
+	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1}
+	opened, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return opened.(*net.TCPConn), nil
+}
+
 // conn is a connection to an endpoint. The pool owns it while it is idle, an attempt while it is used, and the stream
 // of a long response until that is closed.
 type conn struct {
-	*net.TCPConn
+	transport
 	destination destination
 	limit       io.LimitedReader // bounds what one response may bring
 	reader      *bufio.Reader    // of limit
@@ -37,7 +57,7 @@
 	if c.endErr != nil {
 		return 0, c.endErr
 	}
-	n, err := c.TCPConn.Read(b)
+	n, err := c.transport.Read(b)
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.endErr = err
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -80,7 +80,7 @@
 	switch written {
 	case connectionBroke:
 		return balancer.ConnectFailed, nil, false // its last byte was never written: it cannot have been executed
-	case uploadBroke:
+	case machineFailed, uploadBroke:
 		return balancer.NotSent, nil, false
 	case answeredEarly:
 		// The deadline was for an answer to the whole request, which is never written now.
@@ -160,10 +160,11 @@
 	return reusable && conn.reader.Buffered() == 0
 }
 
-// isOwnFault reports whether a connection could not be opened for lack of a resource of this machine, which is no
-// evidence against the endpoint.
+// isOwnFault reports whether a connection could not be opened, or written to, for lack of a resource of this machine or
+// because a signal interrupted the call, which is no evidence against the endpoint.
 func isOwnFault(err error) bool {
-	return errors.Is(err, errNoDescriptor) || socket.OutOfDescriptors(err) || errors.Is(err, syscall.EADDRNOTAVAIL)
+	return errors.Is(err, errNoDescriptor) || socket.OutOfDescriptors(err) ||
+		errors.Is(err, syscall.EADDRNOTAVAIL) || errors.Is(err, syscall.EINTR)
 }
 
 // outcomeOf is the outcome of an attempt whose response can't be read.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,7 +3,6 @@
 
 import (
 	"errors"
-	"net"
 	"sync"
 	"time"
 
@@ -34,6 +33,7 @@
 	connections Budget
 	bodies      Budget // bytes of responses that are held; nil has no bound
 	buffers     *buffer.Pool
+	dial        dialFunc
 
 	// mu guards what follows.
 	mu             sync.Mutex
@@ -47,7 +47,12 @@
 // NewPool returns a pool of as many connections as its budget allows. None is used again close to idleClose after its
 // last use, when endpoints close idle connections.
 func NewPool(connections Budget, idleClose, connectTimeout time.Duration, buffers *buffer.Pool) *Pool {
-	p := &Pool{connections: connections, buffers: buffers, idle: make(map[destination][]*conn)}
+	p := &Pool{
+		connections: connections,
+		buffers:     buffers,
+		dial:        dialTCP,
+		idle:        make(map[destination][]*conn),
+	}
 	p.SetTimeouts(idleClose, connectTimeout)
 	return p
 }
@@ -90,12 +95,12 @@
 	timeout := p.connectTimeout
 	p.mu.Unlock()
 
-	opened, err := a.dial(timeout)
+	opened, err := a.dial(p.dial, timeout)
 	if err != nil {
 		p.connections.Give(1)
 		return nil, err
 	}
-	c := &conn{TCPConn: opened.(*net.TCPConn), destination: to}
+	c := &conn{transport: opened, destination: to}
 	c.limit.R = c
 	c.reader = p.buffers.Reader(&c.limit)
 	return c, nil
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -28,7 +28,7 @@
 		t.Fatal(err)
 	}
 	p.connections.Take(1)
-	near = &conn{TCPConn: raw.(*net.TCPConn)}
+	near = &conn{transport: raw.(*net.TCPConn)}
 	near.limit.R = near
 	near.reader = p.buffers.Reader(&near.limit)
 	t.Cleanup(func() { peer.Close() })
--- a/upstream/write.go
+++ b/upstream/write.go
@@ -21,6 +21,7 @@
 	writtenWhole    writeResult = iota // its last byte is written
 	answeredEarly                      // the endpoint has answered before, which ends the writing
 	connectionBroke                    // the connection broke
+	machineFailed                      // this machine lacked a resource for it: no fault of the endpoint
 	uploadBroke                        // the remainder of the request was not received: no fault of the endpoint
 )
 
@@ -30,8 +31,8 @@
 	buffers := net.Buffers{encodeHead(request, time.Until(a.Deadline))}
 	if request.Stream == nil {
 		buffers = request.Body.AppendTo(buffers)
-		if _, err := buffers.WriteTo(conn.TCPConn); err != nil {
-			return connectionBroke
+		if _, err := buffers.WriteTo(conn.transport); err != nil {
+			return brokenBy(err)
 		}
 		return writtenWhole
 	}
@@ -43,6 +44,14 @@
 	return p.writeStream(conn, a, buffers)
 }
 
+// brokenBy is how the writing of a request ended that err broke off.
+func brokenBy(err error) writeResult {
+	if isOwnFault(err) {
+		return machineFailed
+	}
+	return connectionBroke
+}
+
 // writeStream writes what is buffered and then the remainder of the body as it is received.
 func (p *Pool) writeStream(conn *conn, a *Attempt, buffers net.Buffers) writeResult {
 	block := p.buffers.Block()
@@ -50,12 +59,12 @@
 	chunked := a.Request.Length == message.UnknownLength
 	for last := false; ; {
 		a.setDeadline(conn, time.Now().Add(progressTimeout))
-		_, err := buffers.WriteTo(conn.TCPConn)
+		_, err := buffers.WriteTo(conn.transport)
 		switch {
 		case err != nil && conn.hasInput():
 			return answeredEarly
 		case err != nil:
-			return connectionBroke
+			return brokenBy(err)
 		case last:
 			return writtenWhole
 		case conn.hasInput():
