Keep an override in force whose caller was told that it is

Cause: an override that a slow disk holds up for 0.8 s is answered "in force, but not kept yet". If its write then failed, it was undone without a word, as its own time was over: an endpoint that counts as taken down was used again.

Change: such a change stays in force and is written once the disk takes it. Failed writes are repeated after the usual pauses of 1 to 50 ms instead of 5 ms each time, and the log tells when they begin to fail and when they succeed again ("overrides not written, retrying", "overrides written again"). The calls of the system are a field, so that tests can inject errors.

--- a/internal/overridestore/file.go
+++ b/internal/overridestore/file.go
@@ -21,6 +21,18 @@
 // errUnreadable means that the file can't be read now, and may be later: what it holds is unknown.
 var errUnreadable = errors.New("the file can't be read now")
 
+// fileCalls are the calls of the system that storing takes. Tests inject errors in their place.
+type fileCalls struct {
+	open      func(name string, flag int, mode fs.FileMode) (*os.File, error)
+	writeFile func(name string, text []byte, mode fs.FileMode) error
+	rename    func(from, to string) error
+}
+
+// systemCalls are the calls of every store outside of tests.
+func systemCalls() fileCalls {
+	return fileCalls{open: os.OpenFile, writeFile: os.WriteFile, rename: os.Rename}
+}
+
 // fileVersion identifies one write of a file among others.
 type fileVersion struct {
 	inode    uint64
@@ -70,11 +82,11 @@
 // write replaces the file. After an error it is as it was.
 func (s *Store) write(set override.Set) error {
 	temporary := fmt.Sprintf("%s.%d", s.path, os.Getpid())
-	if err := os.WriteFile(temporary, override.Encode(set), 0o600); err != nil {
+	if err := s.calls.writeFile(temporary, override.Encode(set), 0o600); err != nil {
 		os.Remove(temporary)
 		return err
 	}
-	if err := os.Rename(temporary, s.path); err != nil {
+	if err := s.calls.rename(temporary, s.path); err != nil {
 		os.Remove(temporary)
 		return err
 	}
@@ -84,7 +96,7 @@
 // read returns what the file holds, and logs if that is malformed. The error is
 // [errUnreadable] if the file may hold overrides that can't be read now.
 func (s *Store) read() (override.Set, error) {
-	file, err := os.OpenFile(s.path, os.O_RDONLY|syscall.O_NOFOLLOW|syscall.O_NONBLOCK, 0)
+	file, err := s.calls.open(s.path, os.O_RDONLY|syscall.O_NOFOLLOW|syscall.O_NONBLOCK, 0)
 	if socket.OutOfDescriptors(err) {
 		return override.Set{}, fmt.Errorf("%w: %w", errUnreadable, err)
 	}
--- a/internal/overridestore/store.go
+++ b/internal/overridestore/store.go
@@ -14,13 +14,14 @@
 	"sync/atomic"
 	"time"
 
+	"ryerill/internal/socket"
 	"ryerill/override"
 )
 
 const (
 	pollInterval  = 100 * time.Millisecond // between checks of the file: what another process writes applies here soon
-	updateTimeout = 400 * time.Millisecond // after which a change that can't be persisted is undone
-	retryInterval = 5 * time.Millisecond   // between attempts to lock or write the file
+	updateTimeout = 400 * time.Millisecond // after which a change that fails to be persisted is undone
+	retryInterval = 5 * time.Millisecond   // between attempts to lock the file
 )
 
 // ErrBusy means that another process held the file for too long. Nothing has changed.
@@ -44,8 +45,10 @@
 	log     *slog.Logger
 	notify  func(override.Set)
 	current atomic.Pointer[override.Set]
+	calls   fileCalls
 
 	lastRead fileVersion // used by Watch alone
+	failing  bool        // used by persistPending alone: its last write failed
 
 	mu sync.Mutex
 	// The fields below, and changes of current, are guarded by mu.
@@ -60,6 +63,7 @@
 	at       time.Duration // Unix time
 	deadline time.Time     // when it is given up
 	result   chan error    // buffered; receives one value
+	owed     bool          // its caller was told that it is in force: it is not given up any more. Guarded by Store.mu
 }
 
 // Open returns a store with the overrides that the file holds. If the file can't be read
@@ -67,7 +71,7 @@
 // each new set is passed to notify, in order, by [Store.Update] or
 // [Store.Watch]; notify must not block.
 func Open(path string, log *slog.Logger, notify func(override.Set)) *Store {
-	s := &Store{path: path, log: log, notify: notify}
+	s := &Store{path: path, log: log, notify: notify, calls: systemCalls()}
 	if path != "" {
 		if set, err := s.read(); err == nil {
 			s.persisted = set
@@ -82,8 +86,8 @@
 func (s *Store) Current() override.Set { return *s.current.Load() }
 
 // Update applies a change, at once. When it returns nil the change is persisted too;
-// after [ErrNotPersisted] it is in force and not known to be persisted; after any
-// other error nothing has changed.
+// after [ErrNotPersisted] it is in force and will be persisted once the disk takes it;
+// after any other error nothing has changed.
 func (s *Store) Update(apply ChangeFunc) error {
 	now := time.Now()
 	c := &change{
@@ -102,10 +106,22 @@
 	case err := <-c.result:
 		return err
 	case <-timeout.C:
-		return ErrNotPersisted
+		return s.owe(c)
 	}
 }
 
+// owe ends the wait for a change that is not persisted in time. From then on it is persisted however long that takes:
+// its caller learns that it is in force.
+func (s *Store) owe(c *change) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !slices.Contains(s.pending, c) {
+		return <-c.result // it has ended in this moment
+	}
+	c.owed = true
+	return ErrNotPersisted
+}
+
 // start brings a change into force and has it persisted.
 func (s *Store) start(c *change) error {
 	s.mu.Lock()
@@ -120,7 +136,7 @@
 		s.pending = append(s.pending, c)
 		if !s.persisting {
 			s.persisting = true
-			go s.persistPending() // ends once nothing is pending, at the latest when all has timed out
+			go s.persistPending() // ends once nothing is pending
 		}
 	}
 	s.setLocked(set)
@@ -147,8 +163,10 @@
 	return set
 }
 
-// persistPending writes changes until none is pending: each is written or given up.
+// persistPending writes changes until none is pending: each is written or, if nobody was told that it is in force,
+// given up. Only a disk that takes nothing keeps it from its end.
 func (s *Store) persistPending() {
+	var backoff socket.Backoff
 	for {
 		s.mu.Lock()
 		batch := slices.Clone(s.pending)
@@ -160,9 +178,17 @@
 		s.mu.Unlock()
 		set, err := s.persist(batch)
 		s.finish(batch, set, err)
-		if err != nil {
-			time.Sleep(retryInterval) // there may be space again soon
+		switch {
+		case err != nil:
+			if !s.failing {
+				s.log.Warn("overrides not written, retrying", "file", s.path, "err", err)
+			}
+			time.Sleep(backoff.Next()) // there may be space again soon
+		case s.failing:
+			s.log.Info("overrides written again", "file", s.path)
+			backoff.Reset()
 		}
+		s.failing = err != nil
 	}
 }
 
@@ -177,7 +203,7 @@
 	}
 	var ended []*change
 	s.pending = slices.DeleteFunc(s.pending, func(c *change) bool {
-		if !slices.Contains(batch, c) || err != nil && now.Before(c.deadline) {
+		if !slices.Contains(batch, c) || err != nil && (c.owed || now.Before(c.deadline)) {
 			return false
 		}
 		ended = append(ended, c)
