Read overrides again that a fault of the disk hid

Cause: if opening the file of overrides failed with EIO, that counted as a file without overrides: it was not read again until it changed, and the next change wrote over it unread. A lack of descriptors was told apart already.

Measured: TestOverridesThatCannotBeReadNow fails without it (an endpoint that another process had taken down was lost from the file). Package tests pass, also with -race.

--- a/internal/overridestore/faults_test.go
+++ b/internal/overridestore/faults_test.go
@@ -157,6 +157,34 @@
 	}
 }
 
+// A file that can't be opened for a fault of the disk does not count as read, and is not written over: it is read once
+// the fault is over.
+func TestOverridesThatCannotBeReadNow(t *testing.T) {
+	path := Path(t.TempDir(), "n1", "127.0.0.1:1")
+	s, other := openFaulty(path, "open", syscall.EIO), Open(path, quiet, func(override.Set) {})
+	if err := other.Update(takeDown("a")); err != nil {
+		t.Fatal(err)
+	}
+	s.faults.Store(1 << 30)
+	for range 3 {
+		s.poll()
+	}
+	if err := s.Update(takeDown("b")); !errors.Is(err, errUnreadable) {
+		t.Errorf("a change of what can't be read: %v", err)
+	}
+	if set := stored(path); !set.IsDown("a") || set.IsDown("b") {
+		t.Errorf("stored: %+v", set)
+	}
+	if n := s.log.count("override file not readable now"); n != 1 {
+		t.Errorf("the log tells of it %d times", n)
+	}
+	s.faults.Store(0)
+	s.poll()
+	if !s.Current().IsDown("a") {
+		t.Error("not read once the fault is over")
+	}
+}
+
 // A process that is killed in the middle of a write leaves the state before or after it. Neither its lock nor what it
 // has begun to write holds up the next process.
 func TestKilledDuringAWrite(t *testing.T) {
--- a/internal/overridestore/file.go
+++ b/internal/overridestore/file.go
@@ -93,12 +93,26 @@
 	return nil
 }
 
+// mayPass reports whether an error of opening the file may be over soon: a lack of descriptors, or a fault of the disk
+// under it.
+func mayPass(err error) bool {
+	return socket.OutOfDescriptors(err) || errors.Is(err, syscall.EIO) || errors.Is(err, syscall.EINTR)
+}
+
+// unreadable returns an [errUnreadable], and logs the first of several in a row.
+func (s *Store) unreadable(err error) error {
+	if !s.isUnreadable.Swap(true) {
+		s.log.Warn("override file not readable now, retrying", "file", s.path, "err", err)
+	}
+	return fmt.Errorf("%w: %w", errUnreadable, err)
+}
+
 // read returns what the file holds, and logs if that is malformed. The error is
 // [errUnreadable] if the file may hold overrides that can't be read now.
 func (s *Store) read() (override.Set, error) {
 	file, err := s.calls.open(s.path, os.O_RDONLY|syscall.O_NOFOLLOW|syscall.O_NONBLOCK, 0)
-	if socket.OutOfDescriptors(err) {
-		return override.Set{}, fmt.Errorf("%w: %w", errUnreadable, err)
+	if mayPass(err) {
+		return override.Set{}, s.unreadable(err)
 	}
 	if err != nil {
 		if !errors.Is(err, fs.ErrNotExist) {
@@ -109,8 +123,9 @@
 	defer file.Close()
 	text, err := io.ReadAll(io.LimitReader(file, maxFile))
 	if err != nil {
-		return override.Set{}, fmt.Errorf("%w: %w", errUnreadable, err)
+		return override.Set{}, s.unreadable(err)
 	}
+	s.isUnreadable.Store(false)
 	set, err := override.Decode(text)
 	if err != nil {
 		s.log.Warn("override file malformed, passed over", "file", s.path, "err", err)
--- a/internal/overridestore/store.go
+++ b/internal/overridestore/store.go
@@ -47,6 +47,8 @@
 	current atomic.Pointer[override.Set]
 	calls   fileCalls
 
+	isUnreadable atomic.Bool // the last read failed for a reason that may pass
+
 	lastRead fileVersion // used by Watch alone
 	failing  bool        // used by persistPending alone: its last write failed
 
