--- /dev/null
+++ b/proxy/clock_test.go
@@ -0,0 +1,103 @@
+package proxy
+
+import (
+	"strings"
+	"testing"
+	"time"
+	"unsafe"
+
+	"ryerill/balancer"
+	"ryerill/override"
+)
+
+// takenBeforeStep is a time that was taken before the machine's wall clock stepped: its monotonic reading is as it was,
+// and its wall time is behind that of today by the step. The first word of a time.Time with a monotonic reading holds
+// its wall time, seconds from bit 30 on.
+func takenBeforeStep(t *testing.T, taken time.Time, step time.Duration) time.Time {
+	t.Helper()
+	word := (*uint64)(unsafe.Pointer(&taken))
+	*word -= uint64(int64(step/time.Second)) << 30
+	behind := time.Now().Round(0).Sub(taken.Round(0))
+	if off := behind - step; off < -time.Minute || off > time.Minute || time.Since(taken).Abs() > time.Minute {
+		t.Fatalf("a step of %v makes a time that is %v behind, %v ago", step, behind, time.Since(taken))
+	}
+	return taken
+}
+
+// steps are steps of the wall clock that must not matter.
+var steps = []time.Duration{time.Hour, -time.Hour, 3 * time.Second, -3 * time.Second}
+
+// The decisions' clock goes on evenly when the wall clock steps: no timer, window or wait of the Balancer's sees it.
+func TestClockGoesOnEvenlyWhenTheWallClockSteps(t *testing.T) {
+	for _, step := range steps {
+		c := clock{takenBeforeStep(t, time.Now(), step)}
+		started := time.Duration(c.start.UnixNano())
+		first := c.now()
+		time.Sleep(10 * time.Millisecond)
+		second := c.now()
+		if first < started || first > started+10*time.Second {
+			t.Errorf("step of %v: %v after its start at once", step, first-started)
+		}
+		if passed := second - first; passed < 10*time.Millisecond || passed > 10*time.Second {
+			t.Errorf("step of %v: %v passed", step, passed)
+		}
+	}
+}
+
+// A drain that was ordered before the wall clock stepped back, or at a process whose clock is ahead, begins now, and
+// from then on it runs on monotonic time. One from before a step forward counts as long under way.
+func TestDrainStartAcrossAStep(t *testing.T) {
+	for _, tc := range []struct{ ordered, want time.Duration }{ // ago
+		{0, 0}, {-time.Hour, 0}, {-3 * time.Second, 0}, {time.Second, time.Second}, {time.Hour, time.Hour},
+	} {
+		ordered := time.Duration(time.Now().Add(-tc.ordered).UnixNano())
+		p := &Proxy{overrides: override.Set{DrainSince: ordered}}
+		start := p.drainStartLocked()
+		if ago := time.Since(start); ago < tc.want || ago > tc.want+10*time.Second {
+			t.Errorf("ordered %v ago: began %v ago", tc.ordered, ago)
+		}
+		if !strings.Contains(start.String(), " m=") {
+			t.Errorf("ordered %v ago: its start has no monotonic reading", tc.ordered)
+		}
+	}
+}
+
+// sentTo returns how many of 100 requests, 20 a second, are sent to the one endpoint of a list. It started some time ago
+// by the clock of the machine that states it.
+func sentTo(startedAgo time.Duration) (sent int) {
+	now := 500_000 * time.Hour // Unix time
+	b := balancer.New(balancer.Config{
+		Classes:      []balancer.Class{{LatencyObjective: time.Second, Deadline: 2 * time.Second, PriorityWeight: 1}},
+		ReplicaCount: 1, Tiers: 1, Limits: balancer.Limits{MaxAttempts: 3},
+		Contract: balancer.Contract{InitialCapacity: 0.2, WarmUpPeriod: 10 * time.Second, OverloadMultiple: 2,
+			OverloadPeriod: time.Second},
+	}, 1)
+	b.Handle(now, balancer.Event{Kind: balancer.EndpointListUpdated, ListKind: balancer.ListFull,
+		Endpoints: []balancer.Endpoint{{ID: 1, State: balancer.Ready, StartedAt: now - startedAgo}}}, nil)
+	for id := balancer.RequestID(1); id <= 100; id++ {
+		now += 50 * time.Millisecond
+		arrived := balancer.Event{Kind: balancer.RequestArrived, Request: id, Remaining: time.Second}
+		for _, action := range b.Handle(now, arrived, nil) {
+			if action.Kind == balancer.Send {
+				sent++
+				b.Handle(now, balancer.Event{Kind: balancer.AttemptEnded, Request: id, Endpoint: action.Endpoint,
+					Outcome: balancer.OK, RequestClosed: true, Elapsed: time.Millisecond}, nil)
+			}
+		}
+	}
+	return sent
+}
+
+// An endpoint that has started, by the clock of the machine that states it, only later than it is here counts as just
+// started: the doubt never makes it warm.
+func TestStartAheadOfTheClockIsCold(t *testing.T) {
+	justStarted := sentTo(0)
+	for _, ahead := range []time.Duration{time.Second, 3 * time.Second, time.Hour} {
+		if sent := sentTo(-ahead); sent > justStarted {
+			t.Errorf("%v ahead: %d requests sent, %d to one just started", ahead, sent, justStarted)
+		}
+	}
+	if warm := sentTo(time.Hour); warm != 100 {
+		t.Errorf("%d of 100 requests sent to a warm endpoint", warm)
+	}
+}
