Wait for a second descriptor for who is accepted at the end

Cause: a connection that is accepted from the listener's queue at its end needs a second descriptor for a moment. If there was none after the reserve had been asked once, it was closed, and its client was reset unanswered.

--- a/downstream/faults_test.go
+++ b/downstream/faults_test.go
@@ -164,6 +164,38 @@
 	}
 }
 
+// Whoever is accepted at the end without a second descriptor, which making a connection takes for a moment, is served
+// once there is one.
+func TestAcceptedAtTheEndWithoutASecondDescriptor(t *testing.T) {
+	for _, fault := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		t.Run(fault.Error(), func(t *testing.T) {
+			t.Parallel()
+			s, listener := listenFaulty(t)
+			service := newHolding(time.Second)
+			service.plan = func(time.Duration) drain.Plan { return drain.Plan{CloseIdle: time.Millisecond} }
+			listener.breakFor(0, nil, true)
+			failures := 5
+			s.fileConn = func(file *os.File) (net.Conn, error) {
+				if failures--; failures >= 0 {
+					return nil, os.NewSyscallError("fcntl", fault)
+				}
+				return net.FileConn(file)
+			}
+			answered := make(chan error, 1)
+			go func() { answered <- getAll(s.Address(), 4) }()
+			time.Sleep(50 * time.Millisecond) // they wait in the queue: nobody accepts yet
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			if err := s.Serve(ctx, service); err != nil {
+				t.Error(err)
+			}
+			if err := <-answered; err != nil {
+				t.Errorf("lost: %v", err)
+			}
+		})
+	}
+}
+
 // Whoever waits in the listener's queue at its end is accepted, whatever accept fails with on the way.
 func TestQueueAtTheEndIsAcceptedDespiteFaults(t *testing.T) {
 	for _, fault := range acceptFaults {
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -44,6 +44,7 @@
 	router      Router
 	buffers     *buffer.Pool
 	descriptors *socket.Reserve
+	fileConn    func(*os.File) (net.Conn, error) // net.FileConn, outside of tests
 
 	// mu guards what follows, and the state of each connection.
 	mu             sync.Mutex
@@ -79,6 +80,7 @@
 		buffers:        buffers,
 		maxConnections: withoutReserve(maxConnections),
 		descriptors:    socket.NewReserve(reservedDescriptors),
+		fileConn:       net.FileConn,
 		conns:          make(map[*conn]struct{}),
 		openIDs:        make(map[string]*conn),
 	}
@@ -175,7 +177,7 @@
 			time.Sleep(backoff.Next())
 			continue
 		}
-		if nc := s.connOf(fd); nc != nil {
+		if nc := s.connOf(fd, end); nc != nil {
 			backoff.Reset()
 			s.addConn(nc, false)
 		}
@@ -202,18 +204,24 @@
 	return fd, errors.Join(controlErr, err)
 }
 
-// connOf makes a connection of a descriptor, or nil if that can't be.
-func (s *Server) connOf(fd int) *net.TCPConn {
+// connOf makes a connection of a descriptor, or nil if that can't be. It needs a second descriptor for a moment, and
+// waits for one until the deadline: who is accepted has connected.
+func (s *Server) connOf(fd int, deadline time.Time) *net.TCPConn {
 	file := os.NewFile(uintptr(fd), "consumer")
 	defer file.Close()
-	nc, err := net.FileConn(file)
-	if socket.OutOfDescriptors(err) && s.freeDescriptor() { // it needs a second one for a moment
-		nc, err = net.FileConn(file)
-	}
-	if err != nil {
-		return nil
+	var backoff socket.Backoff
+	for {
+		nc, err := s.fileConn(file)
+		if err == nil {
+			return nc.(*net.TCPConn)
+		}
+		if !socket.OutOfDescriptors(err) || time.Now().After(deadline) {
+			return nil
+		}
+		if !s.freeDescriptor() {
+			time.Sleep(backoff.Next())
+		}
 	}
-	return nc.(*net.TCPConn)
 }
 
 // awaitConnections returns when all connections have ended.
