Tell the endpoint of a streamed request its client's time, not the upload's

The deadline of a request that streams includes the hour that its upload may take, and writeRequest told the endpoint what was left of it: 3,604,999 ms for a client that waits 5,000 ms. Attempt.StreamTimeout holds the time from the last byte on, which is what the head now says; the new test fails without it with that figure.

Changes of overrides that a disk doesn't take wait without a deadline since they are owed; 256 of them at most, and the next is refused as busy and changes nothing, with a test.

--- a/internal/overridestore/faults_test.go
+++ b/internal/overridestore/faults_test.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"os"
 	"os/exec"
+	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -243,3 +245,28 @@
 	}
 	_ = s.Update(takeDown("b"))
 }
+
+// While the disk takes nothing, changes wait up to a bound; beyond it they are refused and change nothing.
+func TestChangesThatWaitForTheDiskAreBounded(t *testing.T) {
+	s := openFaulty(filepath.Join(t.TempDir(), "overrides"), "write", syscall.ENOSPC)
+	s.faults.Store(1 << 40)
+	defer s.faults.Store(0)
+	takeDown := func(name string) error {
+		return s.start(&change{
+			apply: func(set override.Set, now time.Duration) (override.Set, error) {
+				return set.TakeDown(name, now)
+			},
+			at:       time.Duration(time.Now().UnixNano()),
+			deadline: time.Now().Add(time.Minute),
+			result:   make(chan error, 1),
+		})
+	}
+	for i := range maxPending {
+		if err := takeDown(strconv.Itoa(i)); err != nil {
+			t.Fatalf("change %d: %v", i, err)
+		}
+	}
+	if err := takeDown("one more"); !errors.Is(err, ErrBusy) || s.Current().IsDown("one more") {
+		t.Errorf("beyond the bound: %v, down %v", err, s.Current().IsDown("one more"))
+	}
+}
--- a/internal/overridestore/store.go
+++ b/internal/overridestore/store.go
@@ -22,9 +22,13 @@
 	pollInterval  = 100 * time.Millisecond // between checks of the file: what another process writes applies here soon
 	updateTimeout = 400 * time.Millisecond // after which a change that fails to be persisted is undone
 	retryInterval = 5 * time.Millisecond   // between attempts to lock the file
+
+	// maxPending bounds the changes that are not persisted yet: a disk may take nothing for long.
+	maxPending = 256
 )
 
-// ErrBusy means that another process held the file for too long. Nothing has changed.
+// ErrBusy means that another process held the file for too long, or that too many changes are not written yet. Nothing
+// has changed.
 var ErrBusy = errors.New("another change is under way: call again")
 
 // ErrNotPersisted means that the change is not on disk yet. It is in force here, and
@@ -128,6 +132,9 @@
 func (s *Store) start(c *change) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.pending) >= maxPending {
+		return ErrBusy
+	}
 	set, err := c.apply(s.Current(), c.at)
 	if err != nil {
 		return err
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -48,6 +48,7 @@
 		Endpoint:      uint64(endpoint.id),
 		Address:       endpoint.address,
 		Deadline:      deadline,
+		StreamTimeout: min(a.timeout, r.Remaining),
 		WriteDeadline: time.Now().Add(action.WriteTimeout),
 		MaySend:       endpoint.ready.Load,
 		OnWritten:     func() time.Time { return c.attemptWritten(a) },
--- a/proxy/faults_test.go
+++ b/proxy/faults_test.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,7 +15,7 @@
 )
 
 // The time that an endpoint is told is what the client has left when the attempt is written: for the first and for a
-// repeat. Requests that are streamed are not in this test.
+// repeat.
 func TestTimeLeftIsToldAnewToEachAttempt(t *testing.T) {
 	t.Parallel()
 	const (
@@ -50,3 +52,25 @@
 		})
 	}
 }
+
+// A request that streams is told what its client waits for from its last byte on, not the time that its upload may take.
+func TestTimeLeftOfAStreamedRequest(t *testing.T) {
+	t.Parallel()
+	const waits = 5 * time.Second
+	told := make(chan string, 1)
+	b := newBackend(t, func(c net.Conn, r *http.Request) {
+		told <- r.Header.Get(http1.HeaderDeadline)
+		_, _ = io.WriteString(c, okay)
+	})
+	body := strings.Repeat("x", 200<<10)
+	head, _, _ := strings.Cut(request("burn", int(waits.Milliseconds())), "Content-Length")
+	client := dial(t, start(t, nil, b.endpoint("s1", 1)))
+	status, _ := client.ask(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body))
+	if status != http.StatusOK {
+		t.Fatalf("answered %d", status)
+	}
+	ms, err := strconv.Atoi(<-told)
+	if err != nil || ms < 1 || time.Duration(ms)*time.Millisecond > waits {
+		t.Errorf("told of %d ms, the client waits %v: %v", ms, waits, err)
+	}
+}
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -18,6 +18,9 @@
 	// WriteDeadline is when the last byte of the request has to be written; zero is no bound. A request part of whose
 	// body is still to be received may take longer.
 	WriteDeadline time.Time
+	// StreamTimeout is how long the client waits from the last byte on of a request that streams. Its deadline includes
+	// the time of the upload, which the endpoint must not be told.
+	StreamTimeout time.Duration
 	MaySend       func() bool // called right before the first byte is written; false prevents that
 
 	// OnWritten is called once the last byte is written, and returns the new deadline; zero keeps the present one. It
@@ -126,3 +129,12 @@
 	a.conn = nil
 	return a.cancelled
 }
+
+// timeLeft is how long the endpoint is told that the proxy waits.
+func (a *Attempt) timeLeft() time.Duration {
+	left := time.Until(a.Deadline)
+	if a.Request.Stream != nil {
+		return min(left, a.StreamTimeout)
+	}
+	return left
+}
--- a/upstream/write.go
+++ b/upstream/write.go
@@ -28,7 +28,7 @@
 // writeRequest writes the whole request, with the part of its body that is still to be received.
 func (p *Pool) writeRequest(conn *conn, a *Attempt) writeResult {
 	request := a.Request
-	buffers := net.Buffers{encodeHead(request, time.Until(a.Deadline))}
+	buffers := net.Buffers{encodeHead(request, a.timeLeft())}
 	if request.Stream == nil {
 		buffers = request.Body.AppendTo(buffers)
 		if _, err := buffers.WriteTo(conn.transport); err != nil {
