Count a start that a list states ahead of the clock from when it is first stated

A time that another machine gave is now bounded: boundStart lets no start lie ahead of now, and what the list states is kept beside it, so that later lists of the same start begin no warm-up anew and restarts are told by what is stated. The planted fault about drained endpoints quotes the changed line; the same fault is planted and found.

--- a/balancer/endpointlist.go
+++ b/balancer/endpointlist.go
@@ -55,22 +55,41 @@
 // applyEntry applies one entry. A list that may be stale ends no drain and makes no endpoint warm.
 func (s *endpointSet) applyEntry(entry Endpoint, mayBeOld bool, now time.Duration) {
 	e := s.byID[entry.ID]
+	statedStart := entry.StartedAt
+	entry.StartedAt = boundStart(e, statedStart, now)
 	switch {
 	case e == nil:
 		e = s.add(entry, now)
+		e.statedStart = statedStart
 	case entry.State == Gone: // perhaps without its group, in which attempts to it may yet be repeated
 		entry.Zone = e.Zone
 		entry.Cell = e.Cell
-		entry.StartedAt = max(entry.StartedAt, e.StartedAt)
-	case mayBeOld && entry.StartedAt <= e.StartedAt:
-		entry.StartedAt = e.StartedAt
+		if statedStart <= e.statedStart {
+			entry.StartedAt, statedStart = e.StartedAt, e.statedStart
+		}
+	case mayBeOld && statedStart <= e.statedStart:
+		entry.StartedAt, statedStart = e.StartedAt, e.statedStart
 		if e.drained {
 			entry.State = Draining
 		}
 	}
-	e.drained = entry.State == Draining || e.drained && entry.StartedAt == e.StartedAt
-	if entry.StartedAt != e.StartedAt || e.warmUpBudget.filledAt == 0 { // new or restarted: nothing known holds
+	restarted := statedStart != e.statedStart
+	e.drained = entry.State == Draining || e.drained && !restarted
+	if restarted || e.warmUpBudget.filledAt == 0 { // new or restarted: nothing known holds
 		e.forget(now, math.Mod(float64(s.cfg.ReplicaIndex)*math.Phi, 1))
 	}
 	e.Endpoint = entry
+	e.statedStart = statedStart
+}
+
+// boundStart returns the start that counts for one that a list states. The clock of another machine, or of
+// this one, may be wrong: a start ahead of now counts as now, when it is first stated.
+func boundStart(e *endpoint, stated, now time.Duration) time.Duration {
+	switch {
+	case stated <= now:
+		return stated
+	case e != nil && e.statedStart == stated:
+		return e.StartedAt
+	}
+	return now
 }
--- a/balancer/endpointstate.go
+++ b/balancer/endpointstate.go
@@ -20,6 +20,7 @@
 	lateInFlight int // those of them beyond Lmax
 	lastResult   attemptResult
 	lastKnownAt  time.Duration // when it was last listed as not gone, or served
+	statedStart  time.Duration // its start as the list states it, perhaps ahead of the clock
 	drained      bool          // it was listed as draining since its latest start
 	warmUpBudget tokenBucket   // attempts that may be sent while it warms up
 
--- a/balancer/explore_test.go
+++ b/balancer/explore_test.go
@@ -470,7 +470,7 @@
 			From: "return e.State == Ready || e.State == Gone && s.cfg.Contract.OnlyDrainingBinds && !e.drained",
 			To:   "return e.State == Ready || e.State == Gone && !e.drained"},
 		{Name: "a drain is forgotten once the endpoint is gone", File: "endpointlist.go",
-			From: "e.drained = entry.State == Draining || e.drained && entry.StartedAt == e.StartedAt",
+			From: "e.drained = entry.State == Draining || e.drained && !restarted",
 			To:   "e.drained = entry.State == Draining"},
 		{Name: "a whole list leaves no endpoint out", File: "endpointlist.go",
 			From: "\t\tif event.ListKind != ListChanges {\n\t\t\te.State = Gone\n\t\t}\n",
--- a/balancer/warmup_test.go
+++ b/balancer/warmup_test.go
@@ -96,3 +96,28 @@
 		t.Errorf("%d replicas would send to an endpoint that warms up at once", ready)
 	}
 }
+
+// A clock that is an hour ahead, another machine's or this one's before it was set back, keeps no endpoint cold for
+// longer than the warm-up, and later lists that state the same start don't begin that anew.
+func TestStartAheadOfTheClockCountsFromWhenItIsStated(t *testing.T) {
+	h := newHost(t, testConfig(), readyList(2)...)
+	ahead := Endpoint{ID: 1, State: Ready, StartedAt: h.now + time.Hour}
+	began := h.now
+	state := func() (*endpoint, float64) {
+		e := h.b.endpoints.byID[1]
+		return e, h.b.endpoints.loadShare(e, h.b.now)
+	}
+	warmUp := h.b.cfg.Contract.WarmUpPeriod
+	for version := range uint64(4) {
+		h.now = began + time.Duration(version)*warmUp/4
+		h.handle(Event{Kind: EndpointListUpdated, ListKind: ListChanges, Version: 10 + version, Endpoints: []Endpoint{ahead}})
+		if e, share := state(); e.StartedAt != began || share >= 1 {
+			t.Errorf("list %d: started at %v, want %v; may get a share of %v", version, e.StartedAt, began, share)
+		}
+	}
+	h.now = began + warmUp
+	h.handle(Event{Kind: EndpointListUpdated, ListKind: ListChanges, Version: 14, Endpoints: []Endpoint{ahead}})
+	if _, share := state(); share < 1 {
+		t.Errorf("after the warm-up it may get a share of %v", share)
+	}
+}
--- a/balancer/withdrawals.go
+++ b/balancer/withdrawals.go
@@ -15,7 +15,7 @@
 	if len(w) >= maxWithdrawals {
 		clear(w)
 	}
-	w[e.ID] = e.StartedAt
+	w[e.ID] = e.statedStart
 }
 
 // takeBack reports whether an entry of a list names an endpoint that was withdrawn and has not started since.
