Back polls off further, and watch the old discovery service until the new watch stands

Polls at an eighth of the time to a breach made a crowd worse.

So the old service is watched on until the new watch is answered. After the new whole list it can only withdraw endpoints (source.hold, newsOf), and an empty answer of it is no news. TestMove now wants the old watch kept until then and dropped right after; TestWithdrawnEntries is new.

--- a/balancer/endpointlist.go
+++ b/balancer/endpointlist.go
@@ -16,11 +16,9 @@
 		b.schedulePoll()
 		return
 	case ListCached:
-		b.poll.answeredAt = b.now
 		b.schedulePoll()
 	default:
 		b.poll.failures = 0
-		b.poll.answeredAt = b.now
 	}
 	b.endpoints.applyList(event, b.now)
 	b.chooseSubset()
--- a/balancer/listpoll.go
+++ b/balancer/listpoll.go
@@ -15,7 +15,7 @@
 	// A request may leave this long after it was decided.
 	maxSendDelay = 150 * time.Millisecond
 
-	pollsBeforeBreach = 8    // polls, at least, from a change that no answer tells of to its breach
+	pollsBeforeBreach = 3    // polls, at least, from a change that no answer tells of to its breach
 	firstPollShare    = 0.25 // of the longest wait: the first one, doubled with each further failure
 	minPollWait       = 0.1  // of the wait passes at least; jitter adds up to the whole of it
 )
@@ -26,9 +26,8 @@
 
 // listPoll is the state of asking for the endpoint list.
 type listPoll struct {
-	scheduled  bool          // a timer with pollToken is set
-	failures   int           // in a row
-	answeredAt time.Duration // when the latest list came
+	scheduled bool // a timer with pollToken is set
+	failures  int  // in a row
 }
 
 // schedulePoll sets a timer with jitter to poll the list: all replicas may start or fail at once.
@@ -37,22 +36,19 @@
 		return
 	}
 	b.poll.scheduled = true
-	wait := float64(b.poll.wait(&b.cfg.Contract, b.now))
+	wait := float64(b.poll.wait(&b.cfg.Contract))
 	delay := time.Duration(wait * (minPollWait + (1-minPollWait)*b.random.float64()))
 	b.act(&Action{Kind: SetTimer, Delay: delay, Token: pollToken})
 }
 
 // wait is the wait before the next poll, without jitter. An overloaded service rejects most calls, so several
-// must fit into the time until a change is breached that no answer has told of. What changes right after an
-// answer counts as told with it: there is but the grace for that.
-func (p *listPoll) wait(contract *Contract, now time.Duration) time.Duration {
+// must fit into the time until a change is breached that no answer has told of. But each rejection costs the
+// service work: with eight, all that poll kept it from serving anybody.
+func (p *listPoll) wait(contract *Contract) time.Duration {
 	grace := max(contract.DrainGrace-maxSendDelay, 0)
 	breach := min(contract.MaxPollInterval, unseenChangeBinds) + grace
 	longest := breach / pollsBeforeBreach
-	share := firstPollShare
-	if now >= p.answeredAt+grace {
-		share *= math.Exp2(float64(max(p.failures-1, 0)))
-	}
+	share := firstPollShare * math.Exp2(float64(max(p.failures-1, 0)))
 	return time.Duration(min(share, 1) * float64(longest))
 }
 
--- a/discovery/client.go
+++ b/discovery/client.go
@@ -58,6 +58,7 @@
 		end:       end,
 		current:   &source{address: address, holdsList: known.Snapshot, index: known.Index},
 	}
+	c.current.hold(known)
 	context.AfterFunc(ctx, c.reserve.Close)
 	return c
 }
@@ -114,8 +115,9 @@
 
 // SetAddress replaces the service by the one at address. A watch begins there at once and with the whole list, since
 // another service may count its versions otherwise. The service before it, if it was being watched, is watched on
-// until the new one has answered, which may be overloaded by all that move to it: until then it alone tells what
-// changes. Once the new service has answered, the listener is notified of nothing more from an old one.
+// until the new watch stands: all that move may crowd the new service, and until then the old one alone tells what
+// changes. Once the new service has given a whole list, the old one can only withdraw endpoints, and once it has
+// answered its watch, the listener is notified of nothing more from an old one.
 func (c *Client) SetAddress(address string) {
 	c.notifying.Lock()
 	defer c.notifying.Unlock()
@@ -148,30 +150,56 @@
 	}()
 }
 
-// notify notifies the listener of how a call ended, unless it is obsolete. It reports whether it has passed on a list.
+// answersOfStandingWatch is how many lists a service has given once its watch stands: the whole list, and the answer to
+// the first call of the watch.
+const answersOfStandingWatch = 2
+
+// notify notifies the listeners of how a call ended, unless it is obsolete. It reports whether it has passed on a list.
 // How calls to a service fail that is about to be replaced does not matter.
-func (c *Client) notify(ctx context.Context, conn *connection, list EndpointList, err error) bool {
+func (c *Client) notify(ctx context.Context, conn *connection, list receivedList, err error) bool {
 	c.notifying.Lock()
 	defer c.notifying.Unlock()
-	c.mu.Lock()
-	isCurrent := conn.source == c.current
-	obsolete := !isCurrent && (conn.source != c.previous || err != nil)
-	if isCurrent && err == nil {
-		c.dropPreviousLocked()
-	}
-	c.mu.Unlock()
+	news, obsolete := c.newsOf(conn.source, list, err)
 	if obsolete || ctx.Err() != nil {
 		return false
 	}
 	if err != nil {
 		err = fmt.Errorf("directory %s: %w", conn.source.address, err)
 	}
+	if err == nil && conn.source != c.currentSource() && !news.Snapshot && len(news.Endpoints) == 0 {
+		return true // nothing changed, and it says nothing of how the new service is
+	}
 	for _, listener := range c.listeners {
 		if err != nil {
 			listener.ListingFailed(err)
 		} else {
-			listener.EndpointsListed(list)
+			listener.EndpointsListed(news)
 		}
 	}
 	return err == nil
 }
+
+func (c *Client) currentSource() *source {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current
+}
+
+// newsOf returns what a list of a source tells the listeners; obsolete is whether the call to it does not matter any
+// more. A watch that stands ends that of the service before.
+func (c *Client) newsOf(s *source, list receivedList, err error) (news EndpointList, obsolete bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case s == c.current:
+		if err == nil && s.answers >= answersOfStandingWatch {
+			c.dropPreviousLocked()
+		}
+		return list.EndpointList, false
+	case s != c.previous || err != nil:
+		return EndpointList{}, true
+	case c.current.answers > 0: // the whole list of the new service counts; this one may lack endpoints of it
+		return EndpointList{Index: c.current.index, Endpoints: list.withdrawn}, false
+	}
+	return list.EndpointList, false
+}
--- a/discovery/client_test.go
+++ b/discovery/client_test.go
@@ -98,10 +98,10 @@
 }
 
 // A watch that is moved asks the new discovery service for the whole list, whatever version
-// it held, and goes on at the old one until the new one has answered: all that move may
-// crowd the new one for seconds, in which a drain must not be missed. Then it lets go of the
-// old one, and nothing of that is notified afterwards: a reload would leave the proxy with a
-// dead list.
+// it held, and goes on at the old one until the new watch stands: all that move may crowd
+// the new one for seconds, in which a drain must not be missed. After the new whole list the
+// old service can only withdraw endpoints; once the new watch is answered it is let go of, and
+// nothing of it is notified afterwards: a reload would leave the proxy with a dead list.
 func TestMove(t *testing.T) {
 	type call struct {
 		query string
@@ -156,7 +156,23 @@
 	if text := <-notifications; text != "list 3" {
 		t.Errorf("notified of %q", text)
 	}
+	standing := next(freshCalls, "since=3&timeout_ms=2000")
+	answer(waiting, `{"index":43,"snapshot":true,"endpoints":[{"name":"r","address":"127.0.0.1:1","status":"Ready"}]}`)
+	waiting = next(oldCalls, "since=43&timeout_ms=2000") // that withdrew nothing
+	answer(waiting, `{"index":44,"snapshot":true,"endpoints":[]}`)
+	if text := <-notifications; text != "list 3" { // r is gone
+		t.Errorf("before the new watch is answered: notified of %q", text)
+	}
+	waiting = next(oldCalls, "since=44&timeout_ms=2000")
+	began := time.Now()
+	answer(standing, `{"index":3,"snapshot":false,"endpoints":[]}`)
+	if text := <-notifications; text != "list 3" {
+		t.Errorf("notified of %q", text)
+	}
 	await(t, waiting.left)
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the old service is let go of after %v", took)
+	}
 	failing := next(freshCalls, "since=3&timeout_ms=2000")
 	failing.w.WriteHeader(http.StatusServiceUnavailable)
 	close(failing.done)
@@ -170,6 +186,36 @@
 	}
 }
 
+// What a list withdraws: what it states not to be ready, and what was ready and is left out of a whole one.
+func TestWithdrawnEntries(t *testing.T) {
+	ready := func(names ...string) (list []Endpoint) {
+		for _, name := range names {
+			list = append(list, Endpoint{Name: name, Status: Ready})
+		}
+		return list
+	}
+	s := new(source)
+	for i, step := range []struct {
+		list EndpointList
+		want string
+	}{
+		{EndpointList{Snapshot: true, Endpoints: ready("a", "b", "c", "d")}, "[]"},
+		{EndpointList{Endpoints: []Endpoint{{Name: "a", Status: Terminating}}}, "[a Terminating]"},
+		{EndpointList{Snapshot: true, Endpoints: ready("b", "c", "e")}, "[d Gone]"}, // a was not ready
+		{EndpointList{Endpoints: append(ready("f"), Endpoint{Name: "b", Status: Gone})}, "[b Gone]"},
+		{EndpointList{Endpoints: ready("b")}, "[]"},
+		{EndpointList{Snapshot: true, Endpoints: append(ready("c", "e", "f"), Endpoint{Name: "b", Status: Terminating})}, "[b Terminating]"},
+	} {
+		got := []string{}
+		for _, entry := range s.hold(step.list) {
+			got = append(got, entry.Name+" "+entry.Status)
+		}
+		if fmt.Sprint(got) != step.want {
+			t.Errorf("step %d: withdrew %v, want %v", i, got, step.want)
+		}
+	}
+}
+
 // A service that is left fails without a notification, and one that was left before it had
 // answered is let go at once: the one before that is watched on.
 func TestOldServiceFailsAfterAMove(t *testing.T) {
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -28,7 +28,7 @@
 		target, wait := c.nextCall(conn.source)
 		began := time.Now()
 		list, err := c.get(ctx, conn, target, wait)
-		if err != nil && c.agent && c.isCurrent(conn.source) {
+		if err != nil && c.agent && conn.source == c.currentSource() {
 			if agentPause == agentMinPause {
 				c.notify(ctx, conn, list, err)
 			}
@@ -63,13 +63,6 @@
 	return fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, s.index, wait.Milliseconds()), wait
 }
 
-// isCurrent reports whether a source has not been replaced.
-func (c *Client) isCurrent(s *source) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return s == c.current
-}
-
 // watchEnded records that a watch has failed, unless another has replaced it.
 func (c *Client) watchEnded(s *source, ended *watch) {
 	c.mu.Lock()
