Log the end of a storage fault before those who wait for the write go on

The log line "overrides written again" came after the caller of Update had its answer, so a test that read the log right then failed under the race detector on a busy machine (3 of 6 cases). reportWrite now logs before finish.

--- a/internal/overridestore/store.go
+++ b/internal/overridestore/store.go
@@ -54,7 +54,7 @@
 	isUnreadable atomic.Bool // the last read failed for a reason that may pass
 
 	lastRead fileVersion // used by Watch alone
-	failing  bool        // used by persistPending alone: its last write failed
+	failing  bool        // used by persistPending and what it calls alone: its last write failed
 
 	mu sync.Mutex
 	// The fields below, and changes of current, are guarded by mu.
@@ -186,21 +186,27 @@
 		}
 		s.mu.Unlock()
 		set, err := s.persist(batch)
+		s.reportWrite(err) // before those who wait go on
 		s.finish(batch, set, err)
-		switch {
-		case err != nil:
-			if !s.failing {
-				s.log.Warn("overrides not written, retrying", "file", s.path, "err", err)
-			}
+		if err != nil {
 			time.Sleep(backoff.Next()) // there may be space again soon
-		case s.failing:
-			s.log.Info("overrides written again", "file", s.path)
+		} else {
 			backoff.Reset()
 		}
-		s.failing = err != nil
 	}
 }
 
+// reportWrite logs that writing begins to fail, and that it succeeds again.
+func (s *Store) reportWrite(err error) {
+	switch {
+	case err != nil && !s.failing:
+		s.log.Warn("overrides not written, retrying", "file", s.path, "err", err)
+	case err == nil && s.failing:
+		s.log.Info("overrides written again", "file", s.path)
+	}
+	s.failing = err != nil
+}
+
 // finish ends the changes of a batch that is written, or those whose time is over if
 // it could not be.
 func (s *Store) finish(batch []*change, set override.Set, err error) {
