--- a/balancer/endpointlist.go
+++ b/balancer/endpointlist.go
@@ -5,13 +5,6 @@
 	"time"
 )
 
-const (
-	maxPollDelay     = 10 * time.Second // or the contract's, if less: while a watch is broken drains are missed
-	firstPollShare   = 1.0 / 32         // of maxPollDelay: the wait before a poll, doubled after each failure
-	maxPollDoublings = 3                // bounds the doublings
-	minPollWait      = 0.1              // of the wait passes at least; jitter adds up to the whole of it
-)
-
 // listUpdated applies an endpoint list, or records that the request for it failed.
 func (b *Balancer) listUpdated(event *Event) {
 	switch event.ListKind {
@@ -23,26 +16,16 @@
 		b.schedulePoll()
 		return
 	case ListCached:
+		b.poll.answeredAt = b.now
 		b.schedulePoll()
 	default:
 		b.poll.failures = 0
+		b.poll.answeredAt = b.now
 	}
 	b.endpoints.applyList(event, b.now)
 	b.chooseSubset()
 }
 
-// schedulePoll sets a timer with jitter to poll the list: all replicas may start or fail at once.
-func (b *Balancer) schedulePoll() {
-	if !b.cfg.Subscribe || b.poll.scheduled {
-		return
-	}
-	b.poll.scheduled = true
-	longest := float64(min(b.cfg.Contract.MaxPollInterval, maxPollDelay))
-	wait := longest * firstPollShare * math.Exp2(float64(min(b.poll.failures, maxPollDoublings)))
-	delay := time.Duration(wait * (minPollWait + b.random.float64()))
-	b.act(&Action{Kind: SetTimer, Delay: delay, Token: pollToken})
-}
-
 // applyList applies the entries of a list. From then on nothing is sent to draining and gone endpoints.
 func (s *endpointSet) applyList(event *Event, now time.Duration) {
 	for _, e := range s.listed {
--- a/balancer/timers.go
+++ b/balancer/timers.go
@@ -1,14 +1,5 @@
 package balancer
 
-// pollToken is the token of the timer for the next request for the endpoint list.
-const pollToken = 0
-
-// listPoll is the state of asking for the endpoint list.
-type listPoll struct {
-	scheduled bool // a timer with pollToken is set
-	failures  int  // in a row
-}
-
 // timerTable maps the tokens of timers that are set to the keys that they are for.
 type timerTable struct {
 	keys   map[uint32]uint64
