--- a/discovery/client.go
+++ b/discovery/client.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -24,9 +23,6 @@
 	ListingFailed(error)
 }
 
-// errAddressChanged ends a call to a service that SetAddress has replaced.
-var errAddressChanged = errors.New("another discovery service is asked now")
-
 // Client calls one discovery service: once by Fetch, repeatedly by Subscribe. It is safe for concurrent use.
 type Client struct {
 	listener Listener
@@ -36,18 +32,13 @@
 	timing   callTiming
 	ctx      context.Context // ends with the proxy; all calls are made in the background
 
-	notifying sync.Mutex // held while the listener is notified, so that nothing of an old service follows SetAddress
+	notifying sync.Mutex // held while the listener is notified, so that nothing of an old service follows a newer one
 
 	// mu guards all that follows. It may be taken while notifying is held, not the other way round.
-	mu             sync.Mutex
-	address        string
-	addressChanges int    // how often the address has changed
-	holdsList      bool   // a list is known, so that changes of it can be requested
-	index          uint64 // version of that list; any number may be one, 0 too
-	watchWanted    bool   // also while a watch that failed is not yet started again
-	stopWatch      context.CancelFunc
-	watchNumber    int // of the newest watch
-	overdueCalls   int // for a whole list in a row, whose answer did not begin in time
+	mu          sync.Mutex
+	current     *source
+	previous    *source // the one before, which is watched on until the current one has answered; nil is none
+	watchWanted bool    // also while a watch that failed is not yet started again
 }
 
 // NewClient returns a client of the service at address, whose calls end with ctx. known is the list held already, if it
@@ -56,14 +47,12 @@
 	ctx context.Context, address string, known EndpointList, buffers *buffer.Pool, listener Listener,
 ) *Client {
 	c := &Client{
-		listener:  listener,
-		buffers:   buffers,
-		reserve:   socket.NewReserve(1),
-		timing:    serviceTiming,
-		ctx:       ctx,
-		address:   address,
-		holdsList: known.Snapshot,
-		index:     known.Index,
+		listener: listener,
+		buffers:  buffers,
+		reserve:  socket.NewReserve(1),
+		timing:   serviceTiming,
+		ctx:      ctx,
+		current:  &source{address: address, holdsList: known.Snapshot, index: known.Index},
 	}
 	context.AfterFunc(ctx, c.reserve.Close)
 	return c
@@ -86,38 +75,38 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.watchWanted = on
-	running := c.stopWatch != nil
+	running := c.current.watch != nil
 	switch {
 	case on && !running:
 		c.startWatchLocked()
-	case !on && running:
-		c.stopWatch()
-		c.stopWatch = nil
+	case !on:
+		c.current.stopWatchLocked()
+		c.dropPreviousLocked()
 	}
 }
 
-// SetAddress replaces the service by the one at address. A watch continues there at once and with the whole list, since
-// another service may count its versions otherwise; a call in flight at the old one is dropped. Once SetAddress has
-// returned, the listener is notified of nothing more from the old service.
+// SetAddress replaces the service by the one at address. A watch begins there at once and with the whole list, since
+// another service may count its versions otherwise. The service before it, if it was being watched, is watched on until
+// the new one has answered, which may be overloaded by all that move to it: until then it alone tells what changes. Once
+// the new service has answered, the listener is notified of nothing more from an old one.
 func (c *Client) SetAddress(address string) {
 	c.notifying.Lock()
 	defer c.notifying.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if address == c.address {
+	if address == c.current.address {
 		return
 	}
-	c.address = address
-	c.holdsList = false
-	c.addressChanges++
-	c.overdueCalls = 0
-	if !c.watchWanted {
-		return
+	replaced := c.current
+	c.current = &source{address: address}
+	if c.previous == nil && replaced.holdsList && replaced.watch != nil {
+		c.previous = replaced
+	} else {
+		replaced.stopWatchLocked()
 	}
-	if c.stopWatch != nil { // a watch that has just failed would be started again only after a pause
-		c.stopWatch()
+	if c.watchWanted { // a watch that has just failed would be started again only after a pause
+		c.startWatchLocked()
 	}
-	c.startWatchLocked()
 }
 
 // Fetch requests the whole list once. It returns at once.
@@ -133,17 +122,22 @@
 }
 
 // notify notifies the listener of how a call ended, unless it is obsolete. It reports whether it has passed on a list.
+// How calls to a service fail that is about to be replaced does not matter.
 func (c *Client) notify(ctx context.Context, conn *connection, list EndpointList, err error) bool {
 	c.notifying.Lock()
 	defer c.notifying.Unlock()
 	c.mu.Lock()
-	current := conn.addressChanges == c.addressChanges
+	isCurrent := conn.source == c.current
+	obsolete := !isCurrent && (conn.source != c.previous || err != nil)
+	if isCurrent && err == nil {
+		c.dropPreviousLocked()
+	}
 	c.mu.Unlock()
-	if !current || ctx.Err() != nil {
+	if obsolete || ctx.Err() != nil {
 		return false
 	}
 	if err != nil {
-		c.listener.ListingFailed(fmt.Errorf("directory %s: %w", conn.address, err))
+		c.listener.ListingFailed(fmt.Errorf("directory %s: %w", conn.source.address, err))
 		return false
 	}
 	c.listener.EndpointsListed(list)
--- a/discovery/client_test.go
+++ b/discovery/client_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
@@ -81,7 +84,7 @@
 		if step.want == "failed" {
 			for running := true; running; { // until the failed watch has let go
 				c.mu.Lock()
-				running = c.stopWatch != nil
+				running = c.current.watch != nil
 				c.mu.Unlock()
 			}
 		}
@@ -93,9 +96,11 @@
 	}
 }
 
-// A watch that is moved lets go of the old discovery service and asks the new one for
-// the whole list, whatever version it held; nothing of the old one is notified
-// afterwards. Without this a reload would leave the proxy with a dead list.
+// A watch that is moved asks the new discovery service for the whole list, whatever version
+// it held, and goes on at the old one until the new one has answered: all that move may
+// crowd the new one for seconds, in which a drain must not be missed. Then it lets go of the
+// old one, and nothing of that is notified afterwards: a reload would leave the proxy with a
+// dead list.
 func TestMove(t *testing.T) {
 	type call struct {
 		query string
@@ -140,11 +145,18 @@
 	waiting := next(oldCalls, "since=41&timeout_ms=2000")
 	c.SetAddress(old) // the same again changes nothing
 	c.SetAddress(fresh)
-	<-waiting.left
-	answer(next(freshCalls, ""), `{"index":3,"snapshot":true,"endpoints":[]}`)
+	crowded := next(freshCalls, "")
+	answer(waiting, `{"index":42,"snapshot":false,"endpoints":[{"name":"s","status":"Gone"}]}`)
+	if text := <-notifications; text != "list 42" {
+		t.Errorf("before the new one answers: notified of %q", text)
+	}
+	waiting = next(oldCalls, "since=42&timeout_ms=2000")
+	answer(crowded, `{"index":3,"snapshot":true,"endpoints":[]}`)
 	if text := <-notifications; text != "list 3" {
 		t.Errorf("notified of %q", text)
 	}
+	await(t, waiting.left)
+	io.WriteString(waiting.w, `{"index":43,"snapshot":false,"endpoints":[]}`)
 	failing := next(freshCalls, "since=3&timeout_ms=2000")
 	failing.w.WriteHeader(http.StatusServiceUnavailable)
 	close(failing.done)
@@ -158,6 +170,58 @@
 	}
 }
 
+// A service that is left fails without a notification, and one that was left before it had
+// answered is let go at once: the one before that is watched on.
+func TestOldServiceFailsAfterAMove(t *testing.T) {
+	services := make([]string, 3)
+	calls := make([]chan net.Conn, 3)
+	for i := range services {
+		services[i], calls[i] = listenForCalls(t)
+	}
+	list := func(index int) string {
+		text := fmt.Sprintf(`{"index":%d,"snapshot":true,"endpoints":[]}`, index)
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	}
+	notifications := make(recorder, 8)
+	c := NewClient(t.Context(), services[0], EndpointList{}, new(buffer.Pool), notifications)
+	c.Subscribe(true)
+	first := <-calls[0]
+	io.WriteString(first, list(1))
+	if text := <-notifications; text != "list 1" {
+		t.Fatalf("notified of %q", text)
+	}
+	c.SetAddress(services[1])
+	second := <-calls[1]
+	c.SetAddress(services[2])
+	third := <-calls[2]
+	second.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := second.Read(make([]byte, 1)); !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the service that never answered is not let go: %v", err)
+	}
+	io.WriteString(first, list(2))
+	if text := <-notifications; text != "list 2" {
+		t.Errorf("notified of %q", text)
+	}
+	first.Close()
+	time.Sleep(100 * time.Millisecond)
+	io.WriteString(third, list(7))
+	if text := <-notifications; text != "list 7" {
+		t.Errorf("notified of %q", text)
+	}
+	if len(notifications) > 0 {
+		t.Errorf("notified of %q besides", <-notifications)
+	}
+}
+
+func await(t *testing.T, done <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("never done")
+	}
+}
+
 // A discovery service that takes a watch and says nothing more is noticed long before
 // what it had to tell would have been missed.
 func TestSilenceIsNoticed(t *testing.T) {
--- a/discovery/connection.go
+++ b/discovery/connection.go
@@ -27,24 +27,22 @@
 
 // connection leads to a discovery service and is kept from call to call. One goroutine uses it.
 type connection struct {
-	address        string
-	addressChanges int // the client's when it was made: an earlier one leads to an old service
-	conn           net.Conn
-	timing         callTiming
-	answer         *pacedReader  // of the call that is under way
-	reader         *bufio.Reader // of answer
-	buffers        *buffer.Pool
-	reserve        *socket.Reserve // the client's
+	source  *source
+	conn    net.Conn
+	timing  callTiming
+	answer  *pacedReader  // of the call that is under way
+	reader  *bufio.Reader // of answer
+	buffers *buffer.Pool
+	reserve *socket.Reserve // the client's
 }
 
 // newConnectionLocked returns a connection to the present service, not yet opened. c.mu is held.
 func (c *Client) newConnectionLocked() *connection {
 	return &connection{
-		address:        c.address,
-		addressChanges: c.addressChanges,
-		timing:         c.timing,
-		buffers:        c.buffers,
-		reserve:        c.reserve,
+		source:  c.current,
+		timing:  c.timing,
+		buffers: c.buffers,
+		reserve: c.reserve,
 	}
 }
 
@@ -55,9 +53,9 @@
 		return nil
 	}
 	dialer := net.Dialer{Deadline: deadline}
-	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	conn, err := dialer.DialContext(ctx, "tcp", c.source.address)
 	if socket.OutOfDescriptors(err) && c.reserve.Lend() {
-		conn, err = dialer.DialContext(ctx, "tcp", c.address)
+		conn, err = dialer.DialContext(ctx, "tcp", c.source.address)
 	}
 	if err != nil {
 		c.reserve.Fill()
@@ -93,10 +91,10 @@
 	opened := conn.conn
 	defer context.AfterFunc(ctx, func() { opened.SetDeadline(socket.PastDeadline) })()
 	answer := conn.answer
-	answer.begin(ctx, began.Add(wait+c.firstByteTimeout()))
+	answer.begin(ctx, began.Add(wait+c.firstByteTimeout(conn.source)))
 	list, reusable, err := conn.exchange(target)
 	if wait == 0 && ctx.Err() == nil {
-		c.recordWholeListCall(err, answer.hasBegun())
+		c.recordWholeListCall(conn.source, err, answer.hasBegun())
 	}
 	if err != nil || !reusable {
 		conn.close()
@@ -104,47 +102,44 @@
 	if err != nil {
 		return EndpointList{}, err
 	}
-	return c.recordList(conn, list)
+	return c.recordList(conn.source, list)
 }
 
 // firstByteTimeout is how long the first byte of an answer may take now, beyond what its call may wait.
-func (c *Client) firstByteTimeout() time.Duration {
+func (c *Client) firstByteTimeout(s *source) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.timing.firstByte(c.overdueCalls)
+	return c.timing.firstByte(s.overdueCalls)
 }
 
 // recordWholeListCall counts the calls for a whole list in a row whose answer did not begin in time.
-func (c *Client) recordWholeListCall(err error, answerBegun bool) {
+func (c *Client) recordWholeListCall(s *source, err error, answerBegun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case answerBegun:
-		c.overdueCalls = 0
+		s.overdueCalls = 0
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.overdueCalls++
+		s.overdueCalls++
 	}
 }
 
-// recordList accepts a list that follows the one held; changes of another history are an error.
-func (c *Client) recordList(conn *connection, list EndpointList) (EndpointList, error) {
+// recordList accepts a list that follows the one held of its source; changes of another history are an error.
+func (c *Client) recordList(s *source, list EndpointList) (EndpointList, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if conn.addressChanges != c.addressChanges {
-		return EndpointList{}, errAddressChanged
-	}
-	if !list.Snapshot && (!c.holdsList || list.Index < c.index) {
-		c.holdsList = false // the next call asks for the whole list
+	if !list.Snapshot && (!s.holdsList || list.Index < s.index) {
+		s.holdsList = false // the next call asks for the whole list
 		return EndpointList{}, fmt.Errorf("changes up to version %d do not follow what is held", list.Index)
 	}
-	c.holdsList = true
-	c.index = list.Index
+	s.holdsList = true
+	s.index = list.Index
 	return list, nil
 }
 
 // exchange writes one request and reads its answer. It reports whether the connection may be used again.
 func (c *connection) exchange(target string) (list EndpointList, reusable bool, err error) {
-	request := "GET " + target + " HTTP/1.1\r\nHost: " + c.address + "\r\n\r\n"
+	request := "GET " + target + " HTTP/1.1\r\nHost: " + c.source.address + "\r\n\r\n"
 	if _, err := io.WriteString(c.conn, request); err != nil {
 		return list, false, err
 	}
--- a/discovery/crossings_test.go
+++ b/discovery/crossings_test.go
@@ -104,7 +104,7 @@
 					t.Error("the broken connection is used again")
 				}
 				c.mu.Lock()
-				running := c.stopWatch != nil
+				running := c.current.watch != nil
 				c.mu.Unlock()
 				if running != agent {
 					t.Errorf("the watch goes on: %v", running)
--- a/discovery/timing_test.go
+++ b/discovery/timing_test.go
@@ -116,15 +116,35 @@
 	}
 }
 
-// startClientOf starts a client that holds no list. Each of its calls is passed on as the connection that it came by.
+// startClientOf starts a client that holds no list. Each connection by which it calls is passed on after its first call.
 func startClientOf(t *testing.T, agent bool, notified recorder, called chan<- net.Conn) *Client {
+	t.Helper()
+	address, calls := listenForCalls(t)
+	go func() {
+		for conn := range calls {
+			go io.Copy(io.Discard, conn)
+			called <- conn
+		}
+	}()
+	if agent {
+		return NewAgentClient(t.Context(), address, EndpointList{}, new(buffer.Pool), notified)
+	}
+	client := NewClient(t.Context(), address, EndpointList{}, new(buffer.Pool), notified)
+	client.Subscribe(true)
+	return client
+}
+
+// listenForCalls listens as a service does and passes each connection on once a call has come by it.
+func listenForCalls(t *testing.T) (address string, calls chan net.Conn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
+	calls = make(chan net.Conn, 8)
 	go func() {
+		defer close(calls)
 		for {
 			conn, err := l.Accept()
 			if err != nil {
@@ -132,15 +152,9 @@
 			}
 			t.Cleanup(func() { conn.Close() })
 			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				called <- conn
-				go io.Copy(io.Discard, conn)
+				calls <- conn
 			}
 		}
 	}()
-	if agent {
-		return NewAgentClient(t.Context(), l.Addr().String(), EndpointList{}, new(buffer.Pool), notified)
-	}
-	client := NewClient(t.Context(), l.Addr().String(), EndpointList{}, new(buffer.Pool), notified)
-	client.Subscribe(true)
-	return client
+	return l.Addr().String(), calls
 }
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -6,29 +6,28 @@
 	"time"
 )
 
-// startWatchLocked starts a watch, which ends with its context or when a call fails. c.mu is held.
+// startWatchLocked starts a watch of the current source, which ends with its context or when a call fails. c.mu is held.
 func (c *Client) startWatchLocked() {
 	ctx, stop := context.WithCancel(c.ctx)
-	c.stopWatch = stop
-	c.watchNumber++
-	number := c.watchNumber
+	started := &watch{stop: stop}
+	c.current.watch = started
 	conn := c.newConnectionLocked()
 	go func() {
 		defer stop() // also when the watch fails: its context must not outlive it
 		defer conn.close()
-		c.watch(ctx, number, conn)
+		c.watch(ctx, started, conn)
 	}()
 }
 
 // watch calls again as soon as an answer is received: the service forgets a watch 200 ms after its last answer, and a
 // change in between still binds the proxy.
-func (c *Client) watch(ctx context.Context, number int, conn *connection) {
+func (c *Client) watch(ctx context.Context, running *watch, conn *connection) {
 	agentPause := agentMinPause
 	for {
-		target, wait := c.nextCall()
+		target, wait := c.nextCall(conn.source)
 		began := time.Now()
 		list, err := c.get(ctx, conn, target, wait)
-		if err != nil && c.agent {
+		if err != nil && c.agent && c.isCurrent(conn.source) {
 			if agentPause == agentMinPause {
 				c.notify(ctx, conn, list, err)
 			}
@@ -40,7 +39,7 @@
 		}
 		agentPause = agentMinPause
 		if err != nil {
-			c.watchEnded(number)
+			c.watchEnded(conn.source, running)
 		}
 		if !c.notify(ctx, conn, list, err) {
 			return
@@ -53,22 +52,32 @@
 }
 
 // nextCall returns the target of the next call of a watch and how long the service may wait before it answers.
-func (c *Client) nextCall() (target string, wait time.Duration) {
+func (c *Client) nextCall(s *source) (target string, wait time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.holdsList {
+	if !s.holdsList {
 		return path, 0
 	}
 	wait = c.timing.watchWait
-	return fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, c.index, wait.Milliseconds()), wait
+	return fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, s.index, wait.Milliseconds()), wait
+}
+
+// isCurrent reports whether a source has not been replaced.
+func (c *Client) isCurrent(s *source) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return s == c.current
 }
 
 // watchEnded records that a watch has failed, unless another has replaced it.
-func (c *Client) watchEnded(number int) {
+func (c *Client) watchEnded(s *source, ended *watch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.watchNumber == number {
-		c.stopWatch = nil
+	if s.watch == ended {
+		s.watch = nil
+	}
+	if s == c.previous {
+		c.previous = nil
 	}
 }
 
