--- a/balancer/listpoll.go
+++ b/balancer/listpoll.go
@@ -38,9 +38,9 @@
 	b.act(&Action{Kind: SetTimer, Delay: delay, Token: pollToken})
 }
 
-// wait is the wait before the next poll, without jitter. An overloaded service rejects most calls, so that
-// several must fit into the time until a change is breached that no answer has told of. What changes right after
-// an answer counts as told with it: there is but the grace for that.
+// wait is the wait before the next poll, without jitter. An overloaded service rejects most calls, so several
+// must fit into the time until a change is breached that no answer has told of. What changes right after an
+// answer counts as told with it: there is but the grace for that.
 func (p *listPoll) wait(contract *Contract, now time.Duration) time.Duration {
 	grace := max(contract.DrainGrace-maxSendDelay, 0)
 	breach := min(contract.MaxPollInterval, unseenChangeBinds) + grace
