--- a/discovery/client.go
+++ b/discovery/client.go
@@ -86,9 +86,9 @@
 }
 
 // SetAddress replaces the service by the one at address. A watch begins there at once and with the whole list, since
-// another service may count its versions otherwise. The service before it, if it was being watched, is watched on until
-// the new one has answered, which may be overloaded by all that move to it: until then it alone tells what changes. Once
-// the new service has answered, the listener is notified of nothing more from an old one.
+// another service may count its versions otherwise. The service before it, if it was being watched, is watched on
+// until the new one has answered, which may be overloaded by all that move to it: until then it alone tells what
+// changes. Once the new service has answered, the listener is notified of nothing more from an old one.
 func (c *Client) SetAddress(address string) {
 	c.notifying.Lock()
 	defer c.notifying.Unlock()
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// startWatchLocked starts a watch of the current source, which ends with its context or when a call fails. c.mu is held.
+// startWatchLocked starts a watch of the current source, which ends with its context or when a call fails. c.mu is
+// held.
 func (c *Client) startWatchLocked() {
 	ctx, stop := context.WithCancel(c.ctx)
 	started := &watch{stop: stop}
