--- a/balancer/endpointset.go
+++ b/balancer/endpointset.go
@@ -18,8 +18,12 @@
 	ring       []*endpoint // in an order that all replicas derive from the identifiers alone
 	ringSorted bool        // no endpoint was added since ring was sorted
 	version    uint64      // of the latest list
+	withdrawn  withdrawals // endpoints that are forgotten
+
+	subset     subset
+	candidates []*endpoint // scratch space of chooseSubset
+	local      []*endpoint // the same, those of the own zone
 
-	subset  subset
 	served  decayingRate // attempts served
 	scanned int          // endpoints scanned by picks so far: work that tests count
 }
@@ -49,14 +53,22 @@
 
 // removeIf forgets the endpoints for which forget is true.
 func (s *endpointSet) removeIf(forget func(*endpoint) bool) {
-	s.listed = slices.DeleteFunc(s.listed, func(e *endpoint) bool {
-		if !forget(e) {
-			return false
+	found := false
+	for _, e := range s.listed {
+		if e.forgotten = forget(e); e.forgotten {
+			found = true
+			delete(s.byID, e.ID)
+			if e.drained || !s.cfg.Contract.OnlyDrainingBinds {
+				s.withdrawn.add(e)
+			}
 		}
-		delete(s.byID, e.ID)
-		return true
-	})
-	s.ring = slices.DeleteFunc(s.ring, func(e *endpoint) bool { return s.byID[e.ID] != e })
+	}
+	if !found { // as in most lists of changes
+		return
+	}
+	isForgotten := func(e *endpoint) bool { return e.forgotten }
+	s.listed = slices.DeleteFunc(s.listed, isForgotten)
+	s.ring = slices.DeleteFunc(s.ring, isForgotten)
 }
 
 // sortRing restores the order of the ring if endpoints were added.
@@ -81,10 +93,11 @@
 // newEndpointSet returns a set without endpoints. The health of endpoints decays in times of a latency objective.
 func newEndpointSet(cfg *Config, division *division, objective time.Duration) endpointSet {
 	return endpointSet{
-		cfg:      cfg,
-		division: division,
-		halfLife: penaltyHalfLife * objective.Seconds(),
-		byID:     map[EndpointID]*endpoint{},
-		served:   newDecayingRate(cfg.Contract.WarmUpPeriod),
+		cfg:       cfg,
+		division:  division,
+		halfLife:  penaltyHalfLife * objective.Seconds(),
+		byID:      map[EndpointID]*endpoint{},
+		withdrawn: withdrawals{},
+		served:    newDecayingRate(cfg.Contract.WarmUpPeriod),
 	}
 }
--- a/proxy/discovery.go
+++ b/proxy/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"ryerill/balancer"
 	"ryerill/config"
@@ -14,17 +15,17 @@
 // lists the endpoints there is no client.
 type discoveryWatch struct {
 	client *discovery.Client
-	stop   context.CancelFunc
 
 	// listed is closed once discovery has answered, or there is none.
 	listed     chan struct{}
 	markListed func() // closes it, once
+
+	failingSince time.Time // of several failures in a row the first; zero is none. The pool's mutex guards it.
 }
 
 func newDiscoveryWatch() discoveryWatch {
 	listed := make(chan struct{})
 	return discoveryWatch{
-		stop:       func() {},
 		listed:     listed,
 		markListed: sync.OnceFunc(func() { close(listed) }),
 	}
@@ -36,8 +37,7 @@
 		w.markListed()
 		return
 	}
-	life, stop := context.WithCancel(context.Background()) // until the pool's last response
-	w.stop = stop
+	life := context.Background() // until the pool's last response
 	if cfg.Settings.PushedDiscovery {
 		w.client = discovery.NewAgentClient(life, cfg.Discovery, known, buffers, c)
 	} else {
@@ -45,6 +45,32 @@
 	}
 }
 
+// stop ends the watch for a pool. It goes on for another pool that shares the client.
+func (w *discoveryWatch) stop(c *core) {
+	if w.client != nil {
+		w.client.Leave(c)
+	}
+}
+
+// beginOutage records that a call has failed, and reports whether the one before had not.
+func (w *discoveryWatch) beginOutage() bool {
+	first := w.failingSince.IsZero()
+	if first {
+		w.failingSince = time.Now()
+	}
+	return first
+}
+
+// endOutage records that a list was received, and returns for how long calls had failed before.
+func (w *discoveryWatch) endOutage() time.Duration {
+	if w.failingSince.IsZero() {
+		return 0
+	}
+	outage := time.Since(w.failingSince)
+	w.failingSince = time.Time{}
+	return outage
+}
+
 func (w *discoveryWatch) subscribe(enabled bool) {
 	if w.client != nil {
 		w.client.Subscribe(enabled)
@@ -74,22 +100,17 @@
 	c.applyListLocked(kind, list)
 	c.endpoints.discovered = true
 	c.discovery.markListed()
-}
-
-// discoveredList returns the list in force; ok is false while it is only the configuration's.
-func (c *core) discoveredList() (list discovery.EndpointList, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.endpoints.discovered {
-		return discovery.EndpointList{}, false
+	if outage := c.discovery.endOutage(); outage > 0 {
+		c.log.Info("endpoint list received again", "duration", outage.Round(time.Millisecond))
 	}
-	return c.endpoints.list(), true
 }
 
-// ListingFailed implements [discovery.Listener].
+// ListingFailed implements [discovery.Listener]. The first of several failures in a row is logged.
 func (c *core) ListingFailed(err error) {
-	c.log.Warn("endpoint list not received", "err", err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.discovery.beginOutage() {
+		c.log.Warn("endpoint list not received", "err", err)
+	}
 	c.dispatchLocked(balancer.Event{Kind: balancer.EndpointListUpdated, ListKind: balancer.ListFailed})
 }
--- a/proxy/pools.go
+++ b/proxy/pools.go
@@ -1,12 +1,13 @@
 package proxy
 
 import (
+	"context"
 	"iter"
 	"maps"
 	"slices"
+	"time"
 
 	"ryerill/config"
-	"ryerill/discovery"
 )
 
 // poolSet holds the pools of a proxy. The proxy's mutex guards it.
@@ -38,6 +39,28 @@
 	return slices.Collect(maps.Values(p.pools.active))
 }
 
+// pushedListTimeout bounds how long a start waits for lists that are pushed: whatever discovery does, the proxy is
+// ready soon after.
+const pushedListTimeout = time.Second
+
+// awaitPushedLists waits until each pool whose list is pushed has received it. What an agent has counts as known from
+// the first moment of the process, and the list in the configuration may be older. An agent that is silent is not
+// waited for long.
+func (p *Proxy) awaitPushedLists(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pushedListTimeout)
+	defer cancel()
+	for _, c := range p.activePools() {
+		if !c.settings.PushedDiscovery {
+			continue
+		}
+		select {
+		case <-c.discovery.listed:
+		case <-ctx.Done():
+			p.log.Warn("discovery did not answer in time, using the endpoint list known before", "pool", c.name)
+		}
+	}
+}
+
 // hasPool reports whether routes lead to a pool of a name.
 func (p *Proxy) hasPool(name string) bool {
 	p.mu.Lock()
@@ -49,23 +72,17 @@
 // replaces another of the same endpoints begins with the list that is in force there: the configuration's may be as old
 // as the file.
 func (p *Proxy) newPoolLocked(cfg config.Pool, index int, refetch bool) *core {
-	var inherited *discovery.EndpointList
-	if predecessor := p.predecessorLocked(cfg); predecessor != nil {
-		if list, ok := predecessor.discoveredList(); ok {
-			inherited = &list
-		}
-	}
 	return newCore(cfg, coreConfig{
-		seed:      p.cfg.Seed + uint64(index),
-		resources: p.resources.pool(cfg.Name),
-		buffers:   p.buffers,
-		log:       p.log,
-		clock:     p.clock,
-		counters:  &p.counters,
-		overrides: p.overrides,
-		refetch:   refetch,
-		inherited: inherited,
-		shared:    p.cfg.Fleet != nil,
+		seed:        p.cfg.Seed + uint64(index),
+		resources:   p.resources.pool(cfg.Name),
+		buffers:     p.buffers,
+		log:         p.log,
+		clock:       p.clock,
+		counters:    &p.counters,
+		overrides:   p.overrides,
+		refetch:     refetch,
+		predecessor: p.predecessorLocked(cfg),
+		shared:      p.cfg.Fleet != nil,
 	})
 }
 
