--- a/downstream/server.go
+++ b/downstream/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -29,12 +30,21 @@
 	overloadRetryAfter = time.Second // advice to clients that are rejected for lack of capacity
 )
 
+// clientListener is the part of a net.TCPListener that a server needs. Tests inject system-call errors in its place.
+type clientListener interface {
+	net.Listener
+	AcceptTCP() (*net.TCPConn, error)
+	SyscallConn() (syscall.RawConn, error)
+	SetDeadline(t time.Time) error
+}
+
 // Server accepts the connections of clients and speaks HTTP/1.1 on them.
 type Server struct {
-	listener    *net.TCPListener
+	listener    clientListener
 	router      Router
 	buffers     *buffer.Pool
 	descriptors *socket.Reserve
+	fileConn    func(*os.File) (net.Conn, error) // net.FileConn, outside of tests
 
 	// mu guards what follows, and the state of each connection.
 	mu             sync.Mutex
@@ -70,6 +80,7 @@
 		buffers:        buffers,
 		maxConnections: withoutReserve(maxConnections),
 		descriptors:    socket.NewReserve(reservedDescriptors),
+		fileConn:       net.FileConn,
 		conns:          make(map[*conn]struct{}),
 		openIDs:        make(map[string]*conn),
 	}
@@ -156,23 +167,29 @@
 	var backoff socket.Backoff
 	for end := time.Now().Add(newConnectionGrace); time.Now().Before(end); {
 		fd, err := acceptRaw(raw)
-		switch {
-		case socket.OutOfDescriptors(err): // who waits there has connected: a descriptor is worth the wait
-			s.freeDescriptor()
+		if errors.Is(err, unix.EAGAIN) || isClosed(err) {
+			return
+		}
+		if err != nil { // who waits there has connected: a pause is worth it
+			if socket.OutOfDescriptors(err) {
+				s.freeDescriptor()
+			}
 			time.Sleep(backoff.Next())
 			continue
-		case errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNABORTED):
-			continue
-		case err != nil:
-			return
 		}
-		if nc := s.connOf(fd); nc != nil {
+		if nc := s.connOf(fd, end); nc != nil {
 			backoff.Reset()
 			s.addConn(nc, false)
 		}
 	}
 }
 
+// isClosed reports whether an error of accept says that the listener accepts nobody any more. Any other says nothing of
+// those who wait behind: the system reports faults of one connection there, such as EPROTO or EHOSTUNREACH.
+func isClosed(err error) bool {
+	return errors.Is(err, net.ErrClosed) || errors.Is(err, unix.EBADF) || errors.Is(err, unix.EINVAL)
+}
+
 // rawListener is the part of syscall.RawConn that accepting needs.
 type rawListener interface {
 	Control(func(fd uintptr)) error
@@ -187,18 +204,24 @@
 	return fd, errors.Join(controlErr, err)
 }
 
-// connOf makes a connection of a descriptor, or nil if that can't be.
-func (s *Server) connOf(fd int) *net.TCPConn {
+// connOf makes a connection of a descriptor, or nil if that can't be. It needs a second descriptor for a moment, and
+// waits for one until the deadline: who is accepted has connected.
+func (s *Server) connOf(fd int, deadline time.Time) *net.TCPConn {
 	file := os.NewFile(uintptr(fd), "consumer")
 	defer file.Close()
-	nc, err := net.FileConn(file)
-	if socket.OutOfDescriptors(err) && s.freeDescriptor() { // it needs a second one for a moment
-		nc, err = net.FileConn(file)
-	}
-	if err != nil {
-		return nil
+	var backoff socket.Backoff
+	for {
+		nc, err := s.fileConn(file)
+		if err == nil {
+			return nc.(*net.TCPConn)
+		}
+		if !socket.OutOfDescriptors(err) || time.Now().After(deadline) {
+			return nil
+		}
+		if !s.freeDescriptor() {
+			time.Sleep(backoff.Next())
+		}
 	}
-	return nc.(*net.TCPConn)
 }
 
 // awaitConnections returns when all connections have ended.
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -19,6 +18,9 @@
 	// WriteDeadline is when the last byte of the request has to be written; zero is no bound. A request part of whose
 	// body is still to be received may take longer.
 	WriteDeadline time.Time
+	// StreamTimeout is how long the client waits from the last byte on of a request that streams. Its deadline includes
+	// the time of the upload, which the endpoint must not be told.
+	StreamTimeout time.Duration
 	MaySend       func() bool // called right before the first byte is written; false prevents that
 
 	// OnWritten is called once the last byte is written, and returns the new deadline; zero keeps the present one. It
@@ -94,7 +96,7 @@
 }
 
 // dial opens a connection, unless the attempt is cancelled or its time is over.
-func (a *Attempt) dial(timeout time.Duration) (net.Conn, error) {
+func (a *Attempt) dial(dial dialFunc, timeout time.Duration) (transport, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), a.lastWrite())
 	defer cancel()
 	a.mu.Lock()
@@ -103,8 +105,7 @@
 		cancel()
 	}
 	a.mu.Unlock()
-	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1}
-	opened, err := dialer.DialContext(ctx, "tcp", a.Address)
+	opened, err := dial(ctx, timeout, a.Address)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.cancelDial = nil
@@ -128,3 +129,12 @@
 	a.conn = nil
 	return a.cancelled
 }
+
+// timeLeft is how long the endpoint is told that the proxy waits.
+func (a *Attempt) timeLeft() time.Duration {
+	left := time.Until(a.Deadline)
+	if a.Request.Stream != nil {
+		return min(left, a.StreamTimeout)
+	}
+	return left
+}
