--- a/balancer/listpoll.go
+++ b/balancer/listpoll.go
@@ -15,7 +15,7 @@
 	// A request may leave this long after it was decided.
 	maxSendDelay = 150 * time.Millisecond
 
-	pollsBeforeBreach = 8    // polls, at least, from a change that no answer tells of to its breach
+	pollsBeforeBreach = 3    // polls, at least, from a change that no answer tells of to its breach
 	firstPollShare    = 0.25 // of the longest wait: the first one, doubled with each further failure
 	minPollWait       = 0.1  // of the wait passes at least; jitter adds up to the whole of it
 )
@@ -49,10 +49,7 @@
 	grace := max(contract.DrainGrace-maxSendDelay, 0)
 	breach := min(contract.MaxPollInterval, unseenChangeBinds) + grace
 	longest := breach / pollsBeforeBreach
-	share := firstPollShare
-	if now >= p.answeredAt+grace {
-		share *= math.Exp2(float64(max(p.failures-1, 0)))
-	}
+	share := firstPollShare * math.Exp2(float64(max(p.failures-1, 0)))
 	return time.Duration(min(share, 1) * float64(longest))
 }
 
