--- a/balancer/listpoll.go
+++ b/balancer/listpoll.go
@@ -50,6 +50,9 @@
 	breach := min(contract.MaxPollInterval, unseenChangeBinds) + grace
 	longest := breach / pollsBeforeBreach
 	share := firstPollShare * math.Exp2(float64(max(p.failures-1, 0)))
+	if now < p.answeredAt+grace {
+		share = 3.0 / 32
+	}
 	return time.Duration(min(share, 1) * float64(longest))
 }
 
