Hold a list's names in one map, and ask once whether a source is current

Cause: source.hold built a second map of all names of each whole list to find those that it leaves out, and notify took the client's mutex a second time for what newsOf had just seen. Change: names are struck out of the map before; newsOf says whether the source is the current one. No behaviour changes.

--- a/discovery/client.go
+++ b/discovery/client.go
@@ -159,14 +159,14 @@
 func (c *Client) notify(ctx context.Context, conn *connection, list receivedList, err error) bool {
 	c.notifying.Lock()
 	defer c.notifying.Unlock()
-	news, obsolete := c.newsOf(conn.source, list, err)
+	news, isCurrent, obsolete := c.newsOf(conn.source, list, err)
 	if obsolete || ctx.Err() != nil {
 		return false
 	}
 	if err != nil {
 		err = fmt.Errorf("directory %s: %w", conn.source.address, err)
 	}
-	if err == nil && conn.source != c.currentSource() && !news.Snapshot && len(news.Endpoints) == 0 {
+	if !isCurrent && !news.Snapshot && len(news.Endpoints) == 0 {
 		return true // nothing changed, and it says nothing of how the new service is
 	}
 	for _, listener := range c.listeners {
@@ -185,9 +185,9 @@
 	return c.current
 }
 
-// newsOf returns what a list of a source tells the listeners; obsolete is whether the call to it does not matter any
-// more. A watch that stands ends that of the service before.
-func (c *Client) newsOf(s *source, list receivedList, err error) (news EndpointList, obsolete bool) {
+// newsOf returns what a list of a source tells the listeners, and whether that source is the current one; obsolete is
+// whether the call to it does not matter any more. A watch that stands ends that of the service before.
+func (c *Client) newsOf(s *source, list receivedList, err error) (news EndpointList, isCurrent, obsolete bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -195,11 +195,11 @@
 		if err == nil && s.answers >= answersOfStandingWatch {
 			c.dropPreviousLocked()
 		}
-		return list.EndpointList, false
+		return list.EndpointList, true, false
 	case s != c.previous || err != nil:
-		return EndpointList{}, true
+		return EndpointList{}, false, true
 	case c.current.answers > 0: // the whole list of the new service counts; this one may lack endpoints of it
-		return EndpointList{Index: c.current.index, Endpoints: list.withdrawn}, false
+		return EndpointList{Index: c.current.index, Endpoints: list.withdrawn}, false, false
 	}
-	return list.EndpointList, false
+	return list.EndpointList, false, false
 }
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -27,11 +27,13 @@
 
 // hold takes over the names of a list that follows the one held, and returns the entries that it withdraws.
 func (s *source) hold(list EndpointList) (withdrawn []Endpoint) {
-	previous := s.ready
-	if list.Snapshot || previous == nil {
+	var unnamed map[string]struct{} // ready before, and not in the whole list so far
+	if list.Snapshot || s.ready == nil {
+		unnamed = s.ready
 		s.ready = make(map[string]struct{}, len(list.Endpoints))
 	}
 	for _, entry := range list.Endpoints {
+		delete(unnamed, entry.Name)
 		if entry.Status == Ready {
 			s.ready[entry.Name] = struct{}{}
 			continue
@@ -39,17 +41,8 @@
 		withdrawn = append(withdrawn, entry)
 		delete(s.ready, entry.Name)
 	}
-	if !list.Snapshot {
-		return withdrawn
-	}
-	named := make(map[string]struct{}, len(list.Endpoints))
-	for _, entry := range list.Endpoints {
-		named[entry.Name] = struct{}{}
-	}
-	for name := range previous {
-		if _, isNamed := named[name]; !isNamed {
-			withdrawn = append(withdrawn, Endpoint{Name: name, Status: Gone})
-		}
+	for name := range unnamed {
+		withdrawn = append(withdrawn, Endpoint{Name: name, Status: Gone})
 	}
 	return withdrawn
 }
