Move reserved descriptors to low numbers, which a lowered limit still allows

TestDescriptorsRunOutAndComeBack failed in about one run of thirty, and then hung for ten minutes, as its end waited for requests that the endpoint still held. A trace of the descriptors in such a run: the limit was lowered to 16 while the two in reserve had the numbers 17 and 18, taken while many connections were open. A reserve above the limit frees nothing when it is lent, so no connection was accepted and /ready was not answered for 30 s, until the limit was raised.

Reserve.Fill, called when a connection closes, now moves the highest of the reserve to the lowest free number. The test of the program releases those who are held before it closes their endpoint, so that a failure shows at once.

--- a/cmd/proxy/exhaustion_test.go
+++ b/cmd/proxy/exhaustion_test.go
@@ -18,7 +18,7 @@
 )
 
 // echo is an endpoint that answers all requests, save those that ask to be held: it
-// sends on held for each of these, and answers one for each value on let.
+// sends on held for each of these, and answers one for each value on let, and all at the test's end.
 func echo(t *testing.T) (s *httptest.Server, held, let chan struct{}) {
 	t.Helper()
 	held, let = make(chan struct{}, 64), make(chan struct{}, 64)
@@ -29,7 +29,10 @@
 		}
 		io.WriteString(w, "fine")
 	}))
-	t.Cleanup(s.Close)
+	t.Cleanup(func() {
+		close(let) // a test that fails must not wait for those who are held
+		s.Close()
+	})
 	return s, held, let
 }
 
--- a/internal/socket/reserve.go
+++ b/internal/socket/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -48,10 +49,13 @@
 	return true
 }
 
-// Fill takes back what was lent, as far as there are descriptors. It reports whether the reserve is full.
+// Fill takes back what was lent, as far as there are descriptors, and moves the reserve to low numbers that have become
+// free: a limit that is lowered later allows those below it alone, and to free another brings nothing. It reports
+// whether the reserve is full.
 func (r *Reserve) Fill() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.lowerAllLocked()
 	for len(r.descriptors) < r.size {
 		fd, err := unix.Open("/dev/null", unix.O_RDONLY|unix.O_CLOEXEC, 0)
 		if err != nil {
@@ -73,6 +77,24 @@
 	r.size = 0
 }
 
+// lowerAllLocked moves descriptors to lower numbers, the highest first, as long as there are any. r.mu is held.
+func (r *Reserve) lowerAllLocked() {
+	for range r.descriptors {
+		slices.Sort(r.descriptors)
+		highest := len(r.descriptors) - 1
+		lowest, err := unix.FcntlInt(uintptr(r.descriptors[highest]), unix.F_DUPFD_CLOEXEC, 0)
+		if err != nil { // not even one is free
+			return
+		}
+		if lowest > r.descriptors[highest] {
+			closeDescriptor(lowest)
+			return
+		}
+		closeDescriptor(r.descriptors[highest])
+		r.descriptors[highest] = lowest
+	}
+}
+
 // closeDescriptor closes a descriptor of /dev/null, which can't fail in a way that matters.
 func closeDescriptor(fd int) { _ = unix.Close(fd) }
 
