Begin the watch of a service that a reload moves to before its whole list is asked for

A moved proxy asked the new discovery service for the whole list first and then for its watch: two calls that had to be let in. Where all that move crowd that service, it rejects most calls, though none that continues a watch.

The first call is now that of a watch, from version 0. Its answer, the whole list or changes, makes the watch stand, and nothing that changes from then on is missed. The whole list is requested besides, if that was not the answer, and again after growing pauses; one that is older than what the watch has told is not taken. Recording a list and notifying the listeners of it are one step now, so that two calls to one service can't cross. An agent, which answers all calls, is asked for its whole list first as before.

--- a/discovery/connection.go
+++ b/discovery/connection.go
@@ -36,10 +36,10 @@
 	reserve *socket.Reserve // the client's
 }
 
-// newConnectionLocked returns a connection to the present service, not yet opened. c.mu is held.
-func (c *Client) newConnectionLocked() *connection {
+// newConnection returns a connection to a service, not yet opened.
+func (c *Client) newConnection(s *source) *connection {
 	return &connection{
-		source:  c.current,
+		source:  s,
 		timing:  c.timing,
 		buffers: c.buffers,
 		reserve: c.reserve,
@@ -79,30 +79,24 @@
 	c.reader = nil
 }
 
-// get makes one call and records the version of the list that answers it. wait is how long the service may wait before
-// it answers; none is a call for the whole list.
-func (c *Client) get(
-	ctx context.Context, conn *connection, target string, wait time.Duration,
-) (receivedList, error) {
+// get makes one call and returns the list that answers it.
+func (c *Client) get(ctx context.Context, conn *connection, call listCall) (EndpointList, error) {
 	began := time.Now()
 	if err := conn.openBy(ctx, began.Add(c.timing.answer)); err != nil {
-		return receivedList{}, err
+		return EndpointList{}, err
 	}
 	opened := conn.conn
 	defer context.AfterFunc(ctx, func() { opened.SetDeadline(socket.PastDeadline) })()
 	answer := conn.answer
-	answer.begin(ctx, began.Add(wait+c.firstByteTimeout(conn.source)))
-	list, reusable, err := conn.exchange(target)
-	if wait == 0 && ctx.Err() == nil {
+	answer.begin(ctx, began.Add(call.wait+c.firstByteTimeout(conn.source)))
+	list, reusable, err := conn.exchange(call.target)
+	if call.wholeList && ctx.Err() == nil {
 		c.recordWholeListCall(conn.source, err, answer.hasBegun())
 	}
 	if err != nil || !reusable {
 		conn.close()
 	}
-	if err != nil {
-		return receivedList{}, err
-	}
-	return c.recordList(conn.source, list)
+	return list, err
 }
 
 // firstByteTimeout is how long the first byte of an answer may take now, beyond what its call may wait.
@@ -124,20 +118,6 @@
 	}
 }
 
-// recordList accepts a list that follows the one held of its source; changes of another history are an error.
-func (c *Client) recordList(s *source, list EndpointList) (receivedList, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !list.Snapshot && (!s.holdsList || list.Index < s.index) {
-		s.holdsList = false // the next call asks for the whole list
-		return receivedList{}, fmt.Errorf("changes up to version %d do not follow what is held", list.Index)
-	}
-	s.holdsList = true
-	s.index = list.Index
-	s.answers++
-	return receivedList{EndpointList: list, withdrawn: s.hold(list)}, nil
-}
-
 // exchange writes one request and reads its answer. It reports whether the connection may be used again.
 func (c *connection) exchange(target string) (list EndpointList, reusable bool, err error) {
 	request := "GET " + target + " HTTP/1.1\r\nHost: " + c.source.address + "\r\n\r\n"
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -1,18 +1,59 @@
 package discovery
 
-import "context"
+import (
+	"context"
+	"errors"
+	"fmt"
+)
 
 // source is a discovery service as the client knows it. The client's mutex guards it.
 type source struct {
 	address      string
-	holdsList    bool                // a list of it is known, so that changes of that can be requested
-	index        uint64              // version of that list; any number may be one, 0 too
-	answers      int                 // lists that it has given
+	holdsList    bool                // a whole list of it is known
+	watchedFirst bool                // its watch begins before its whole list is known, which is requested besides
+	index        uint64              // version of what it has told; any number may be one, 0 too
+	watchAnswers int                 // lists that its watches have brought
 	overdueCalls int                 // for a whole list in a row, whose answer did not begin in time
 	ready        map[string]struct{} // names that the list held states to be ready
 	watch        *watch              // nil while there is none: it has failed and is not yet started again
 }
 
+// errListOutdated is the error for a whole list that is older than what a watch of its service has told meanwhile.
+var errListOutdated = errors.New("whole list is older than what the watch has told")
+
+// recordWatched accepts a list that a watch has brought.
+func (s *source) recordWatched(list EndpointList) (receivedList, error) {
+	received, err := s.record(list)
+	if err == nil {
+		s.watchAnswers++
+	}
+	return received, err
+}
+
+// recordFetched accepts a list that was requested besides the watch.
+func (s *source) recordFetched(list EndpointList) (receivedList, error) {
+	if list.Snapshot && s.watchedFirst && !s.holdsList && list.Index < s.index {
+		return receivedList{}, errListOutdated
+	}
+	return s.record(list)
+}
+
+// record accepts a list that follows what is held; changes of another history are an error.
+func (s *source) record(list EndpointList) (receivedList, error) {
+	followed := s.holdsList || s.watchedFirst
+	if !list.Snapshot && (!followed || list.Index < s.index) {
+		s.holdsList = false
+		s.watchedFirst = false // the next call asks for the whole list
+		return receivedList{}, fmt.Errorf("changes up to version %d do not follow what is held", list.Index)
+	}
+	s.holdsList = s.holdsList || list.Snapshot
+	s.index = list.Index
+	return receivedList{EndpointList: list, withdrawn: s.hold(list)}, nil
+}
+
+// hasAnswered reports whether it has told anything.
+func (s *source) hasAnswered() bool { return s.holdsList || s.watchAnswers > 0 }
+
 // watch is a sequence of calls to one source, which ends when it is stopped or when a call fails.
 type watch struct {
 	stop context.CancelFunc
