Let a watch go on at the service that a reload moves to, one call at a time

Root cause of drains that were broken hundreds of times at once: after a reload that moves discovery, each proxy opened a new watch at the new address while the call of its old one was still out. The protocol has a watch go on as long as its next call comes within 200 ms of the last answer, so a service that is the same at another address saw all proxies begin anew, and rejected most of them for seconds: nobody learned what changed.

The watch now moves with its next call: of the two services one has a call out at a time (watchTurn), the new one asks once the old one has answered, and the old one is watched on whenever the new one rejects. The whole list, where the first answer is not that, is asked for 5 to 10 s later.

TestMove wants the new service called only after the old one's answer and within 150 ms of it, and the old one while the new one rejects; what it wanted of withdrawals and of the end of the old watch it still wants. TestSilentServiceHoldsUpNoMove is new.

--- a/discovery/client.go
+++ b/discovery/client.go
@@ -40,8 +40,10 @@
 	// mu guards all that follows. It may be taken while notifying is held, not the other way round.
 	mu          sync.Mutex
 	current     *source
-	previous    *source // the one before, which is watched on until the current one has answered; nil is none
+	previous    *source // the one before, which is watched on until the current one's watch stands; nil is none
 	watchWanted bool    // also while a watch that failed is not yet started again
+
+	turn watchTurn // of the watches of both
 }
 
 // NewClient returns a client of the service at address, whose calls end with ctx, or once its last listener has left.
@@ -58,6 +60,7 @@
 		ctx:       ctx,
 		end:       end,
 		current:   &source{address: address, holdsList: known.Snapshot, index: known.Index},
+		turn:      newWatchTurn(),
 	}
 	c.current.hold(known)
 	context.AfterFunc(ctx, c.reserve.Close)
@@ -114,14 +117,16 @@
 	}
 }
 
-// SetAddress replaces the service by the one at address. A watch begins there at once, from version 0, since another
-// service may count its versions otherwise; unless its first answer is the whole list, that is requested besides. All
-// that move may crowd the new service, which then rejects most calls, but not those that continue a watch: so a single
-// call that is let in suffices to be told what changes. The service before it, if it was being watched, is watched on
-// until the new watch stands. Once the new service has answered, the old one can only withdraw endpoints, and once the
-// new watch stands, the listener is notified of nothing more from an old one.
+// SetAddress replaces the service by the one at address. The watch moves there with its next call, once the one that
+// is out has been answered: a service that is reached at another address sees the same watch go on, and does not reject
+// it however crowded it is by all that move. It asks from version 0, since another service may count its versions
+// otherwise; unless the answer is the whole list, that is requested besides, later.
+//
+// Until the new watch stands, the service before it is watched on whenever a call to the new one fails. Once the new
+// one has answered, the old one can only withdraw endpoints, and once the new watch stands, the listener is notified of
+// nothing more from an old one.
 //
-// An agent answers all calls, and is asked for the whole list first.
+// An agent answers all calls at once, and is asked for its whole list first, while the one before is watched on.
 func (c *Client) SetAddress(address string) {
 	c.notifying.Lock()
 	defer c.notifying.Unlock()
@@ -158,8 +163,8 @@
 	}()
 }
 
-// answersOfStandingWatch is how many lists a watch has brought once it stands: the answer to the call that began it, and
-// that to the next one.
+// answersOfStandingWatch is how many lists a watch has brought once it stands: the answer to the call that began it,
+// and that to the next one.
 const answersOfStandingWatch = 2
 
 // errObsolete is the error for a list of a service that doesn't matter any more.
--- a/discovery/timing.go
+++ b/discovery/timing.go
@@ -16,6 +16,10 @@
 	// That time is doubled this often for whole lists that did not begin in time: a service may need long to make one,
 	// and to ask anew only makes it start again.
 	answerDoublings = 1
+	// Bounds of the pause before the whole list is requested of a service that is watched without it. The watch tells
+	// what changes, so this is not urgent, and a service that all move to may be crowded by those who have no watch.
+	listPause    = 10 * time.Second
+	maxListPause = time.Minute
 
 	// An agent on this machine answers at once and at no cost, and what it knows binds the proxy as if it had been
 	// read. So it is watched in short calls, and called again well within the time in which a drain must take effect.
@@ -38,6 +42,8 @@
 	answer          time.Duration // until the first byte, beyond the wait
 	answerDoublings int           // of answer, after calls for a whole list that brought none
 	stall           time.Duration // between two bytes
+	listPause       time.Duration // before the first call for the whole list of a service that is watched without it
+	maxListPause    time.Duration // to which that grows
 }
 
 var (
@@ -46,6 +52,8 @@
 		answer:          answerTimeout,
 		answerDoublings: answerDoublings,
 		stall:           answerTimeout,
+		listPause:       listPause,
+		maxListPause:    maxListPause,
 	}
 	agentTiming = callTiming{
 		watchWait:       agentWatchWait,
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -8,17 +8,6 @@
 	"time"
 )
 
-// A watch of a service that has given no whole list begins with a call that waits no longer than this: its answer shows
-// that the watch stands.
-const beginWait = time.Millisecond
-
-// Bounds of the pause before the whole list is requested again of a service that is watched without it. The watch tells
-// what changes, and a service that rejects the call is crowded.
-const (
-	minListPause = 500 * time.Millisecond
-	maxListPause = 8 * time.Second
-)
-
 // listCall is a call to a discovery service.
 type listCall struct {
 	target    string
@@ -47,7 +36,11 @@
 	go func() {
 		defer stop() // also when the watch fails: its context must not outlive it
 		defer conn.close()
-		c.watch(ctx, started, conn)
+		if c.agent {
+			c.watchAgent(ctx, started, conn)
+		} else {
+			c.watch(ctx, started, conn)
+		}
 	}()
 }
 
@@ -55,9 +48,10 @@
 // change in between still binds the proxy.
 func (c *Client) watch(ctx context.Context, running *watch, conn *connection) {
 	s := conn.source
-	agentPause := agentMinPause
+	turn := turnOf{turn: c.turn}
+	defer turn.pass()
 	fetching := false
-	for {
+	for c.awaitTurn(ctx, s, &turn) {
 		call := c.nextCall(s)
 		began := time.Now()
 		list, err := c.get(ctx, conn, call)
@@ -67,19 +61,9 @@
 		if errors.Is(err, errObsolete) {
 			return
 		}
-		if err != nil && c.agent && s == c.currentSource() {
-			if agentPause == agentMinPause {
-				c.notifyFailure(ctx, s, err)
-			}
-			if !sleep(ctx, agentPause) {
-				return
-			}
-			agentPause = min(2*agentPause, agentMaxPause)
-			continue
-		}
-		agentPause = agentMinPause
 		if err != nil {
 			c.watchEnded(s, running)
+			turn.pass()
 			c.notifyFailure(ctx, s, err)
 			return
 		}
@@ -87,26 +71,83 @@
 			fetching = true
 			go c.fetchMissingList(ctx, s)
 		}
-		earlyAndEmpty := len(list.Endpoints) == 0 && time.Since(began) < call.wait/2
-		if earlyAndEmpty && !sleep(ctx, emptyPause) {
+		if !pauseAfter(ctx, call, list, began) {
+			return
+		}
+	}
+}
+
+// watchAgent watches an agent. Its watch goes on by itself, whatever fails; the listener is notified of only the first
+// of several failures in a row.
+func (c *Client) watchAgent(ctx context.Context, running *watch, conn *connection) {
+	s := conn.source
+	pause := agentMinPause
+	for {
+		call := c.nextCall(s)
+		began := time.Now()
+		list, err := c.get(ctx, conn, call)
+		if err == nil {
+			err = c.accept(ctx, s, list, s.recordWatched)
+		}
+		if errors.Is(err, errObsolete) {
+			return
+		}
+		if err != nil && s != c.currentSource() {
+			c.watchEnded(s, running)
+			return
+		}
+		if err != nil {
+			if pause == agentMinPause {
+				c.notifyFailure(ctx, s, err)
+			}
+			if !sleep(ctx, pause) {
+				return
+			}
+			pause = min(2*pause, agentMaxPause)
+			continue
+		}
+		pause = agentMinPause
+		if !pauseAfter(ctx, call, list, began) {
 			return
 		}
 	}
 }
 
+// awaitTurn waits until the watch of a service may call, and reports false if it has ended before. The watch of a
+// service that has been replaced gives the turn on after each call; one whose call is overdue is ended.
+func (c *Client) awaitTurn(ctx context.Context, s *source, turn *turnOf) bool {
+	if s != c.currentSource() {
+		turn.pass()
+		return turn.await(ctx, nil)
+	}
+	inTime := turn.await(ctx, time.After(c.timing.watchWait+maxTurnDelay))
+	if inTime || ctx.Err() != nil {
+		return inTime
+	}
+	c.mu.Lock()
+	c.dropPreviousLocked()
+	c.mu.Unlock()
+	return turn.await(ctx, nil)
+}
+
+// pauseAfter waits after an answer without changes that came early. It reports false if ctx has ended before.
+func pauseAfter(ctx context.Context, call listCall, list EndpointList, began time.Time) bool {
+	if len(list.Endpoints) > 0 || time.Since(began) >= call.wait/2 {
+		return true
+	}
+	return sleep(ctx, emptyPause)
+}
+
 // nextCall returns the next call of a watch.
 func (c *Client) nextCall(s *source) listCall {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch {
-	case s.holdsList, s.watchedFirst && s.watchAnswers > 0:
-		return watchCall(s.index, c.timing.watchWait)
-	case s.watchedFirst:
-		first := watchCall(s.index, beginWait)
-		first.wholeList = true
-		return first
+	if !s.holdsList && !s.watchedFirst {
+		return wholeListCall
 	}
-	return wholeListCall
+	call := watchCall(s.index, c.timing.watchWait)
+	call.wholeList = !s.hasAnswered()
+	return call
 }
 
 // lacksList reports whether a service is watched without its whole list.
@@ -121,13 +162,13 @@
 func (c *Client) fetchMissingList(ctx context.Context, s *source) {
 	conn := c.newConnection(s)
 	defer conn.close()
-	for pause := minListPause; c.lacksList(s); pause = min(2*pause, maxListPause) {
+	for pause := c.timing.listPause; c.lacksList(s); pause = min(2*pause, c.timing.maxListPause) {
+		if !sleep(ctx, pause/2+rand.N(pause/2)) {
+			return
+		}
 		list, err := c.get(ctx, conn, wholeListCall)
 		if err == nil {
-			err = c.accept(ctx, s, list, s.recordFetched)
-		}
-		if err == nil || !sleep(ctx, pause/2+rand.N(pause/2)) {
-			return
+			_ = c.accept(ctx, s, list, s.recordFetched) // a list that is outdated is requested again
 		}
 	}
 }
