Ask a client whose end no read notices before each attempt writes

A client that had sent more behind its request, or was in an upload, was looked at every 0.1 s alone, so an attempt could begin 0.1 s after the client had left, and later on a busy machine. A client found gone ends its request at once, so nothing is sent again. The connection itself is looked at as soon as more has come in and every 50 ms, which frees what it holds.

--- a/downstream/conn.go
+++ b/downstream/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"ryerill/internal/buffer"
@@ -30,8 +31,8 @@
 	// An evicted connection lingers only this long: another one waits for its slot.
 	shortLingerPeriod = 5 * time.Millisecond
 
-	// How often a client that can't be read is polled: 0.3 s after it has left nothing of it may be sent on.
-	clientPollInterval = 100 * time.Millisecond
+	// How often a client that can't be read is polled. No attempt begins meanwhile: each asks Left before it writes.
+	clientPollInterval = 50 * time.Millisecond
 )
 
 // connState is the state of a connection.
@@ -61,6 +62,8 @@
 	requestClass string // that the present request states; empty if none is known
 	pacing       bodyPacing
 
+	unwatched atomic.Bool // no read notices at once that the client leaves: more of it has been, or is to be, received
+
 	// Guarded by server.mu:
 	state           connState
 	stateSince      time.Time
--- a/downstream/lifecycle_test.go
+++ b/downstream/lifecycle_test.go
@@ -279,6 +279,50 @@
 	}
 }
 
+// Where no read notices that a client leaves, right before an attempt it is asked: behind more bytes and in an upload.
+// What it is told of at once is the end of the request too, and that is not noticed a second time.
+func TestClientsThatLeaveAreNoticedBeforeAnAttempt(t *testing.T) {
+	const upload = "POST /burn HTTP/1.1\r\nHost: x\r\nReq-Id: %d\r\nContent-Length: 9000000\r\n\r\n"
+	h := newHolding(time.Minute)
+	s, _ := serving(t, h, 64)
+	id := 0
+	later := "" // sent once the request is open
+	for name, text := range map[string]func() string{
+		"one byte behind":   func() string { return get(id, "") + "x" },
+		"more than is held": func() string { return get(id, "") + strings.Repeat("x", 64<<10) },
+		"one byte later":    func() string { later = "x"; return get(id, "") },
+		"a request behind":  func() string { return get(id, "") + get(-id, "") },
+		"in an upload":      func() string { return fmt.Sprintf(upload, id) + strings.Repeat("y", 80<<10) },
+	} {
+		for how, leave := range map[string]func(*net.TCPConn){
+			"closes":        func(c *net.TCPConn) { c.Close() },
+			"resets":        func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+			"ends its side": func(c *net.TCPConn) { c.CloseWrite() },
+		} {
+			t.Run(name+", "+how, func(t *testing.T) {
+				id++
+				later = ""
+				c, _ := connect(t, s.Address())
+				send(t, c, text())
+				client := came(t, h.taken, "the request").Outgoing.Client
+				send(t, c, later)
+				time.Sleep(10 * time.Millisecond) // until its bytes have been seen
+				if client.Left() {
+					t.Fatal("it has not left")
+				}
+				leave(c)
+				left := time.Now()
+				for !client.Left() {
+					if took := time.Since(left); took > 100*time.Millisecond {
+						t.Fatalf("not noticed in %v", took)
+					}
+				}
+				came(t, h.left, "the client has left")
+			})
+		}
+	}
+}
+
 // One that has sent much of a request that nobody reads yet is noticed too.
 func TestClientsThatLeaveDuringAnUpload(t *testing.T) {
 	for name, leave := range map[string]func(*net.TCPConn){
--- a/downstream/serve.go
+++ b/downstream/serve.go
@@ -54,6 +54,8 @@
 	remaining := request.Remaining // the request is its service's once it is accepted
 	stream, _ := request.Outgoing.Stream.(*upload)
 	closes := req.Close || c.http10
+	request.Outgoing.Client = c
+	c.unwatched.Store(stream != nil || c.reader.Buffered() > 0)
 	request.Reply = func(result message.Result) { go c.writeResult(result, id, closes, stream, written) }
 	if stream == nil {
 		c.watchFrom(request.ReceivedAt, remaining)
@@ -161,14 +163,28 @@
 		}
 		return <-written, false
 	}
-	for {
+	c.unwatched.Store(true)
+	for len(written) > 0 || !socket.PeerClosed(c.nc) {
 		select {
 		case goesOn := <-written:
 			return goesOn, false
 		case <-time.After(clientPollInterval):
-			if socket.PeerClosed(c.nc) {
-				return false, true
-			}
 		}
 	}
+	return false, true
+}
+
+// Left implements [message.Client]. Where a read waits for the client's end it costs nothing; otherwise the system is
+// asked, also behind bytes that nobody has read, and a request that is open is ended.
+func (c *conn) Left() bool {
+	if !c.unwatched.Load() || !socket.PeerClosed(c.nc) {
+		return false
+	}
+	c.server.mu.Lock()
+	open := c.open
+	c.server.mu.Unlock()
+	if open.service != nil { // else it is being accepted; the poll ends it
+		open.service.ClientLeft(open.ticket)
+	}
+	return true
 }
--- a/message/message.go
+++ b/message/message.go
@@ -28,6 +28,13 @@
 	Consumed() bool
 }
 
+// Client is who waits for a request's result.
+type Client interface {
+	// Left reports whether the client has closed its connection, as far as that is not noticed at once anyway; then the
+	// request has ended, too. It is asked right before the first byte of each attempt, and must not block.
+	Left() bool
+}
+
 // OutgoingRequest is what each attempt sends to an endpoint; only the time left differs between attempts. The names of
 // its header are in canonical form; Body may be nil.
 type OutgoingRequest struct {
@@ -38,11 +45,15 @@
 	Body   *buffer.Body // the whole body, or its beginning if there is a Stream
 	Stream Upload       // what follows Body; nil is nothing
 	Length int64        // bytes of Body and Stream together, or UnknownLength; without Stream it means nothing
+	Client Client       // nil never leaves
 
 	// OnFree is called once by Free; it may be nil.
 	OnFree func()
 }
 
+// ClientLeft reports whether nobody waits for the result any more, as Client.Left does.
+func (r *OutgoingRequest) ClientLeft() bool { return r.Client != nil && r.Client.Left() }
+
 // Free releases the body once no attempt needs it any more.
 func (r *OutgoingRequest) Free() {
 	if r == nil {
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -77,7 +77,7 @@
 
 // beginWrite reports whether the request may be written, and from then on it counts as being written.
 func (a *Attempt) beginWrite() bool {
-	if !a.MaySend() || a.tooLate() {
+	if !a.MaySend() || a.tooLate() || a.Request.ClientLeft() {
 		return false
 	}
 	a.mu.Lock()
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -12,6 +12,11 @@
 	"ryerill/internal/buffer"
 )
 
+// departed is a client that has left.
+type departed struct{}
+
+func (departed) Left() bool { return true }
+
 // Whatever comes between the choice of an endpoint and the first byte is looked at right
 // before that byte: a call that is not wanted any more, or comes too late to be harmless,
 // is not written, never ran, and leaves the connection to others or closed.
@@ -27,6 +32,7 @@
 		{"cancelled", func(c *Attempt) bool { c.Cancel(); return true }, balancer.NotSent, 0},
 		{"withdrawn", func(c *Attempt) bool { c.Withdraw(); return true }, balancer.NotSent, 0},
 		{"its time is over", func(c *Attempt) bool { c.WriteDeadline = time.Now(); return true }, balancer.NotSent, 1},
+		{"its client has left", func(c *Attempt) bool { c.Request.Client = departed{}; return true }, balancer.NotSent, 1},
 		{"cancelled and the endpoint drains", func(c *Attempt) bool { c.Cancel(); return false }, balancer.NotSent, 0},
 	} {
 		for _, idle := range []bool{false, true} {
