Answer a client that stops in the middle of a body within 2.5 s of its last byte

A body had 2.5 s and a second more for each 32 KiB received, and the credit of what had come did not end: a client that stopped after 64,000 bytes was answered after 4.3 s, one that stopped after 900,000 or in a chunk behind 640 KiB not within 20 s, where the term is 3 s. A read of a body now ends after 2.5 s without a byte; one that pauses for less goes on as before.

--- a/downstream/upload.go
+++ b/downstream/upload.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// A body has this time, and more for each byte of it that is received: half the pace that clients are allowed.
+	// A body has this time, and more for each byte of it that is received: half the pace that clients are allowed. But
+	// a client that stops in its middle is told after this time without a byte, however much it has sent before.
 	bodyGrace             = 2500 * time.Millisecond
 	minBodyBytesPerSecond = 32 << 10
 )
@@ -25,10 +26,10 @@
 	bytes int64
 }
 
-// deadline is until when more must be received.
+// deadline is until when more must be received by a read that begins now.
 func (p *bodyPacing) deadline() time.Time {
 	earned := float64(p.bytes) / minBodyBytesPerSecond * float64(time.Second)
-	return p.began.Add(bodyGrace + time.Duration(earned))
+	return earlier(p.began.Add(bodyGrace+time.Duration(earned)), time.Now().Add(bodyGrace))
 }
 
 // upload is the remainder of a long body while it is received. Until it has ended only its reader reads the connection.
