Test retries that fail at once, idle connections that go, and hanging endpoints at the end

On the real proxy now: every attempt fails and each further one at once, over and over (four first failures, refused and reset retries, three classes), and an endpoint that serves again is found; the same during ten configurations with a discovery service that hangs; bursts after a quiet time in which endpoints went, closed and reset their idle connections; endpoints that hang through a whole shutdown, where each client is answered before the kill. No fault was found in them.

--- /dev/null
+++ b/proxy/trouble_test.go
@@ -0,0 +1,271 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"ryerill/config"
+	"ryerill/discovery"
+)
+
+// atOnce bounds an answer that waits for nothing, on a busy machine.
+const atOnce = time.Second
+
+// response is what a client got: the status, 0 for none, -1 for a response that is torn.
+type response struct {
+	status int
+	took   time.Duration
+}
+
+// tryOnce sends a request on a new connection and returns what came of it.
+func tryOnce(address, text string) response {
+	began := time.Now()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return response{0, time.Since(began)}
+	}
+	defer c.Close()
+	c.SetDeadline(began.Add(testTimeout))
+	go io.WriteString(c, text) // a long one may not be taken
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return response{0, time.Since(began)}
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return response{-1, time.Since(began)}
+	}
+	return response{resp.StatusCode, time.Since(began)}
+}
+
+// resetting is an endpoint that resets each connection as soon as it is there.
+func resetting(t *testing.T) *backend {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+		}
+	}()
+	return &backend{Listener: l}
+}
+
+// refusing is an endpoint at whose address nobody listens.
+func refusing(t *testing.T) *backend {
+	t.Helper()
+	b := newBackend(t, responds(okay))
+	b.Close()
+	return b
+}
+
+// firstAnswers are what the first endpoint does with a request, and whether that says that it surely did not run.
+var firstAnswers = map[string]struct {
+	behave   func(net.Conn, *http.Request)
+	neverRan bool
+}{
+	"declines": {responds("HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"), true},
+	"fails":    {responds("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"), false},
+	"closes":   {func(c net.Conn, _ *http.Request) { c.Close() }, false},
+	"resets":   {func(c net.Conn, _ *http.Request) { c.(*net.TCPConn).SetLinger(0); c.Close() }, false},
+}
+
+// Every attempt fails, and each further one at once, over and over: each request has its one answer at once, none runs
+// more often than its class allows, and once an endpoint serves again all are served.
+func TestRetriesThatFailAtOnce(t *testing.T) {
+	t.Parallel()
+	for first, answer := range firstAnswers {
+		for retry, others := range map[string]func(*testing.T) *backend{"refused": refusing, "reset": resetting} {
+			for _, class := range []string{"read", "pay", "burn"} {
+				t.Run(fmt.Sprintf("%s, retry %s, %s", first, retry, class), func(t *testing.T) {
+					t.Parallel()
+					x, y, z := newBackend(t, answer.behave), others(t), others(t)
+					p := run(t, managed(""), x.endpoint("x", 1), y.endpoint("y", 1), z.endpoint("z", 1))
+					const requests = 20
+					for range requests {
+						got := tryOnce(p.Address(), request(class, 2000))
+						if !slices.Contains(failures, got.status) || got.took > atOnce {
+							t.Fatalf("answered %d after %v", got.status, got.took)
+						}
+					}
+					if n := x.requests.Load(); n > requests {
+						t.Errorf("the one endpoint had %d requests of %d", n, requests)
+					}
+					checkAllEnded(t, p, class, requests)
+					p.activePools()[0].EndpointsListed(discovery.EndpointList{Index: 2, Snapshot: true,
+						Endpoints: []discovery.Endpoint{newBackend(t, responds(okay)).endpoint("w", 1)}})
+					if got := tryOnce(p.Address(), request(class, 10_000)); got.status != http.StatusOK {
+						t.Errorf("then answered %d", got.status)
+					}
+				})
+			}
+		}
+	}
+}
+
+// checkAllEnded checks that so many requests of a class have ended, each once, and that nothing of them is left.
+func checkAllEnded(t *testing.T, p *Proxy, class string, want int64) {
+	t.Helper()
+	until(t, "the end of all", func() bool { return statsOf(t, p).InFlight == 0 })
+	counted := p.Stats().Requests[class]
+	if total := counted.Served + counted.Shed + counted.Failed; total != want {
+		t.Errorf("%d requests are recorded as ended, %d did: %+v", total, want, counted)
+	}
+}
+
+// The same with configurations in a row, and a discovery service that hangs: no request is lost to any of it.
+func TestRetriesThatFailAtOnceDuringReloads(t *testing.T) {
+	t.Parallel()
+	slow := newDiscoveryServer(t) // which no list ever leaves
+	decline := firstAnswers["declines"].behave
+	x, y, z := newBackend(t, decline), refusing(t), newBackend(t, responds(okay))
+	p := run(t, func(cfg *config.Config) {
+		managed(t.TempDir())(cfg)
+		cfg.Pools[0].Discovery = slow.Listener.Addr().String()
+	}, x.endpoint("x", 1), y.endpoint("y", 1), z.endpoint("z", 1))
+	until(t, "ready", func() bool { return p.Readiness() == nil })
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	var answered atomic.Int64
+	for range 4 {
+		clients.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				got := tryOnce(p.Address(), request("burn", 10_000))
+				if got.status != http.StatusOK {
+					t.Errorf("answered %d after %v", got.status, got.took)
+					return
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	for i := range 10 {
+		p.mu.Lock()
+		cfg := p.cfg
+		p.mu.Unlock()
+		cfg.Pools = slices.Clone(cfg.Pools)
+		b := &cfg.Pools[0].Settings.Balancer
+		b.Classes = slices.Clone(b.Classes)
+		b.Classes[0].PriorityWeight = float64(2 + i)
+		if err := p.Reload(cfg); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	close(stop)
+	clients.Wait()
+	if answered.Load() < 10 {
+		t.Errorf("only %d requests were made", answered.Load())
+	}
+}
+
+// After a quiet time, in which one endpoint has gone, another has closed and a third has reset its idle connections, and
+// discovery has not answered, the first requests, all at once, are served as ever.
+func TestTroubleAfterAQuietTime(t *testing.T) {
+	t.Parallel()
+	const together = 12 // requests, so that each endpoint has idle connections
+	slowly := func(c net.Conn, _ *http.Request) { time.Sleep(50 * time.Millisecond); io.WriteString(c, okay) }
+	gone, closing, reset := newBackend(t, slowly), newBackend(t, slowly), newBackend(t, slowly)
+	slow := newDiscoveryServer(t)
+	p := run(t, func(cfg *config.Config) {
+		managed("")(cfg)
+		cfg.Pools[0].Discovery = slow.Listener.Addr().String()
+	}, gone.endpoint("gone", 1), closing.endpoint("closing", 1), reset.endpoint("reset", 1))
+	burst := func(when string) {
+		var all sync.WaitGroup
+		for i := range together {
+			class := []string{"read", "pay", "burn"}[i%3]
+			all.Go(func() {
+				if got := tryOnce(p.Address(), request(class, 10_000)); got.status != http.StatusOK {
+					t.Errorf("%s: %s answered %d after %v", when, class, got.status, got.took)
+				}
+			})
+		}
+		all.Wait()
+	}
+	burst("before")
+	if gone.conns.Load() == 0 || closing.conns.Load() == 0 || reset.conns.Load() == 0 {
+		t.Fatal("an endpoint has no idle connections")
+	}
+	gone.CloseAll()
+	closing.closeIdle(false)
+	reset.closeIdle(true)
+	time.Sleep(600 * time.Millisecond)
+	burst("after")
+	burst("then")
+}
+
+// closeIdle closes or resets the endpoint's connections.
+func (b *backend) closeIdle(reset bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.all {
+		if reset {
+			c.(*net.TCPConn).SetLinger(0)
+		}
+		c.Close()
+	}
+	b.all = nil
+}
+
+// Endpoints that hang through a whole shutdown: each client has its answer before the process is killed, also one whose
+// request comes during it; and the process ends by itself.
+func TestEndpointsThatHangThroughAShutdown(t *testing.T) {
+	t.Parallel()
+	const killed = 3700 * time.Millisecond // after the longest deadline that counts, and the grace
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	hang := raw(t, func(net.Conn, *bufio.Reader, *http.Request) { <-release }) // and never reads on
+	p, stop := runUntil(t, nil, hang.endpoint("hang", 1))
+	until(t, "ready", func() bool { return p.Readiness() == nil })
+	body := strings.Repeat("y", 48<<20) // more than the sockets on the way hold
+	head, _, _ := strings.Cut(request("burn", 15_000), "Content-Length")
+	upload := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	var clients sync.WaitGroup
+	var stopped atomic.Int64
+	ask := func(what, text string) {
+		clients.Go(func() {
+			got := tryOnce(p.Address(), text)
+			ended := time.Duration(time.Now().UnixNano() - stopped.Load())
+			if !slices.Contains(failures, got.status) || ended > killed {
+				t.Errorf("%s: got %d, %v after the signal", what, got.status, ended)
+			}
+		})
+	}
+	for _, class := range []string{"read", "pay", "burn"} {
+		ask(class, request(class, 15_000))
+	}
+	ask("an upload that nobody takes", upload)
+	until(t, "all at the endpoint", func() bool { return hang.requests.Load() == 4 })
+	stopped.Store(time.Now().UnixNano())
+	over := make(chan struct{})
+	go func() { stop(); close(over) }()
+	time.Sleep(300 * time.Millisecond)
+	ask("during it", request("read", 15_000))
+	await(t, over, "the end")
+	if took := time.Duration(time.Now().UnixNano() - stopped.Load()); took > killed {
+		t.Errorf("ended %v after the signal, killed after %v", took, killed)
+	}
+	clients.Wait()
+}
