Test what can't be inspected of a connection, and overrides whose read fails

Errors of peek and poll on a connection had no test, and no fault was injected at the read of the overrides' file, only at its open. Connections whose descriptor is closed, unknown or no socket are inspected now: broken for peek, and gone for poll only if they are closed here; each state of a sound one is told from the others, behind bytes too. The read fails with the EIO that /proc/self/mem gives at its beginning.

--- a/internal/overridestore/faults_test.go
+++ b/internal/overridestore/faults_test.go
@@ -45,8 +45,8 @@
 	failed atomic.Int64 // calls that have failed
 }
 
-// openFaulty opens a store on path. While faults are due, its calls of a kind ("open", "write" or "rename") fail with
-// fault; a failing write leaves half of the text behind, as a full disk does.
+// openFaulty opens a store on path. While faults are due, its calls of a kind ("open", "read", "write" or "rename") fail with
+// fault, and reads with EIO; a failing write leaves half of the text behind, as a full disk does.
 func openFaulty(path, kind string, fault syscall.Errno) *faultyStore {
 	s := &faultyStore{}
 	s.Store = Open(path, slog.New(slog.NewTextHandler(&s.log, nil)), func(override.Set) {})
@@ -62,6 +62,9 @@
 		if due("open") {
 			return nil, &fs.PathError{Op: "open", Path: name, Err: fault}
 		}
+		if due("read") {
+			return os.Open("/proc/self/mem") // whose beginning can't be read, with EIO
+		}
 		return os.OpenFile(name, flag, mode)
 	}
 	s.calls.writeFile = func(name string, text []byte, mode fs.FileMode) error {
@@ -159,11 +162,17 @@
 	}
 }
 
-// A file that can't be opened for a fault of the disk does not count as read, and is not written over: it is read once
-// the fault is over.
+// A file that can't be opened or read for a fault of the disk does not count as read, and is not written over: it is
+// read once the fault is over.
 func TestOverridesThatCannotBeReadNow(t *testing.T) {
+	for _, kind := range []string{"open", "read"} {
+		t.Run(kind, func(t *testing.T) { failToRead(t, kind) })
+	}
+}
+
+func failToRead(t *testing.T, kind string) {
 	path := Path(t.TempDir(), "n1", "127.0.0.1:1")
-	s, other := openFaulty(path, "open", syscall.EIO), Open(path, quiet, func(override.Set) {})
+	s, other := openFaulty(path, kind, syscall.EIO), Open(path, quiet, func(override.Set) {})
 	if err := other.Update(takeDown("a")); err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/socket/peek_test.go
@@ -0,0 +1,120 @@
+package socket
+
+import (
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// faultyConn is a connection whose descriptor can't be had, or is no sound socket.
+type faultyConn struct {
+	connErr, controlErr error
+	fd                  uintptr
+}
+
+func (f faultyConn) SyscallConn() (syscall.RawConn, error) { return f, f.connErr }
+
+func (f faultyConn) Control(use func(fd uintptr)) error {
+	if f.controlErr == nil {
+		use(f.fd)
+	}
+	return f.controlErr
+}
+
+func (f faultyConn) Read(func(uintptr) bool) error  { return errors.ErrUnsupported }
+func (f faultyConn) Write(func(uintptr) bool) error { return errors.ErrUnsupported }
+
+// pair returns both ends of a connection.
+func pair(t testing.TB) (own, peer *net.TCPConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	dialed, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { dialed.Close(); accepted.Close() })
+	return accepted.(*net.TCPConn), dialed.(*net.TCPConn)
+}
+
+// What can't be inspected is broken, so nothing is sent over it; and a client counts as gone only if the system says so
+// or the connection is closed here.
+func TestInspectingWhatCannotBeInspected(t *testing.T) {
+	file, err := os.Open("/dev/null")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	const noDescriptor = 1 << 30
+	for name, tc := range map[string]struct {
+		conn   faultyConn
+		closed bool
+	}{
+		"closed here":               {faultyConn{connErr: net.ErrClosed}, true},
+		"closed here meanwhile":     {faultyConn{controlErr: net.ErrClosed}, true},
+		"EBADF":                     {faultyConn{fd: noDescriptor}, false},
+		"ENOTSOCK, always readable": {faultyConn{fd: file.Fd()}, false},
+	} {
+		if state := Peek(tc.conn); state != Broken {
+			t.Errorf("%s: state %d", name, state)
+		}
+		if closed := PeerClosed(tc.conn); closed != tc.closed {
+			t.Errorf("%s: closed %v", name, closed)
+		}
+		Discard(tc.conn, 1<<10) // which ends
+	}
+}
+
+// Each state of a connection is told from the others, by both, and nothing is taken from it.
+func TestStatesOfAConnection(t *testing.T) {
+	for name, tc := range map[string]struct {
+		peer   func(*net.TCPConn)
+		state  State
+		closed bool
+	}{
+		"quiet":                  {func(*net.TCPConn) {}, Quiet, false},
+		"waiting":                {func(c *net.TCPConn) { c.Write([]byte("xy")) }, Waiting, false},
+		"ended":                  {func(c *net.TCPConn) { c.Close() }, Ended, true},
+		"half closed":            {func(c *net.TCPConn) { c.CloseWrite() }, Ended, true},
+		"ended behind bytes":     {func(c *net.TCPConn) { c.Write([]byte("xy")); c.Close() }, Waiting, true},
+		"reset":                  {func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, Broken, true},
+		"reset behind bytes":     {func(c *net.TCPConn) { c.Write([]byte("xy")); c.SetLinger(0); c.Close() }, Waiting, true},
+		"half closed with bytes": {func(c *net.TCPConn) { c.Write([]byte("xy")); c.CloseWrite() }, Waiting, true},
+	} {
+		own, peer := pair(t)
+		tc.peer(peer)
+		for end := time.Now().Add(time.Second); PeerClosed(own) != tc.closed && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		if closed := PeerClosed(own); closed != tc.closed {
+			t.Errorf("%s: closed %v", name, closed)
+		}
+		if state := Peek(own); state != tc.state {
+			t.Errorf("%s: state %d, want %d", name, state, tc.state)
+		}
+		if closed := PeerClosed(own); closed != tc.closed {
+			t.Errorf("%s: closed %v once it was inspected", name, closed)
+		}
+	}
+}
+
+// BenchmarkPeerClosed is what it costs to ask for a client behind unread bytes.
+func BenchmarkPeerClosed(b *testing.B) {
+	own, _ := pair(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		if PeerClosed(own) {
+			b.Fatal("it has not left")
+		}
+	}
+}
