Count a restore and a drain by the monotonic clock once a process has seen them

Overrides keep the wall time of the order. After the wall clock had been set back by an hour, a restored endpoint counted as started an hour before and was not warmed up; and a listener that a reload opened after a step worked the drain's start out anew, an hour late or from the beginning. A restore that is new to a running process counts from then now, by the clock of the decisions, and goes on counting so; the drain's start is worked out once. The stored form, and what a process finds at its start, stay as they are. Both tests were seen to fail without their mend, for steps of an hour and of 3 s both ways.

--- a/override/overrides.go
+++ b/override/overrides.go
@@ -111,6 +111,24 @@
 	return down
 }
 
+// Observed returns the set as it counts in a process that finds it in the place of another at a time of its own clock:
+// stated is that other set, and counted is how it counted. A restore that is new is of now, as the wall clock by which
+// it was ordered may have stepped since the process started. One that is known goes on counting as it did.
+func (s Set) Observed(stated, counted Set, now time.Duration) Set {
+	if len(s.Restored) == 0 {
+		return s
+	}
+	restored := make(map[string]time.Duration, len(s.Restored))
+	for name, at := range s.Restored {
+		restored[name] = now
+		if known, ok := stated.Restored[name]; ok && known == at {
+			restored[name] = counted.Restored[name]
+		}
+	}
+	s.Restored = restored
+	return s
+}
+
 // Apply returns an endpoint of the list as it counts under the overrides: one that is down
 // is draining, and one that was restored started then at the earliest, so that it warms up.
 func (s Set) Apply(name string, endpoint balancer.Endpoint) balancer.Endpoint {
--- a/proxy/overrides.go
+++ b/proxy/overrides.go
@@ -58,6 +58,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	previous := p.overrides
+	stated := p.statedOverrides
+	p.statedOverrides = overrides
+	overrides = overrides.Observed(stated, previous, p.clock.now())
 	p.overrides = overrides
 	for c := range p.pools.all() {
 		c.setOverrides(overrides)
@@ -76,13 +79,23 @@
 	}
 }
 
+// drainStart is when a drain began, by the monotonic clock of this process.
+type drainStart struct {
+	ordered time.Duration // as the overrides state it: Unix time
+	at      time.Time
+}
+
 // drainStartLocked is when the drain began that is ordered; zero is none. It
 // may have been ordered at another process of this proxy, whose clock reads the same Unix time.
+// It is worked out once: a listener that opens after the wall clock has stepped follows the others.
 func (p *Proxy) drainStartLocked() time.Time {
 	if p.overrides.DrainSince == 0 {
 		return time.Time{}
 	}
-	now := time.Now()
-	elapsed := time.Duration(now.UnixNano()) - p.overrides.DrainSince
-	return now.Add(-max(elapsed, 0))
+	if p.drainStart.ordered != p.overrides.DrainSince {
+		now := time.Now()
+		elapsed := time.Duration(now.UnixNano()) - p.overrides.DrainSince
+		p.drainStart = drainStart{ordered: p.overrides.DrainSince, at: now.Add(-max(elapsed, 0))}
+	}
+	return p.drainStart.at
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -58,14 +58,16 @@
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
-	cfg       config.Config
-	clock     clock // set by Run
-	listeners []*listener
-	pools     poolSet
-	overrides override.Set
-	life      context.Context // of Run; nil before
-	ready     bool            // it has lists and listens
-	ending    bool            // Run waits for the last results: nothing new begins
+	cfg             config.Config
+	clock           clock // set by Run
+	listeners       []*listener
+	pools           poolSet
+	overrides       override.Set    // those that came since the start with their restores by clock
+	statedOverrides override.Set    // the same as they are stored
+	drainStart      drainStart      // of the latest drain
+	life            context.Context // of Run; nil before
+	ready           bool            // it has lists and listens
+	ending          bool            // Run waits for the last results: nothing new begins
 }
 
 // Option changes how a proxy is made.
@@ -130,6 +132,7 @@
 	}
 	p.store = overridestore.Open(path, p.log, p.setOverrides)
 	p.overrides = p.store.Current()
+	p.statedOverrides = p.overrides
 	var err error
 	p.processes.registry, err = handover.Register(path, p.log)
 	if err != nil {
