Announce a replica set only once it is persisted and loans fit it

Cause: messages of shared state and of rollouts carried the digest of the replica set that the tracker holds now, not of the one that the state file holds.

Change: all messages carry the announced digest, and after a write a set is announced only if it is still the present one and what is lent fits its division.

--- a/fleet/membership_host.go
+++ b/fleet/membership_host.go
@@ -97,7 +97,7 @@
 		From:             f.list.Self().State,
 		Target:           name,
 		Digest:           f.list.Digest(),
-		ReplicaSetDigest: f.positions.tracker.ReplicaSetDigest(),
+		ReplicaSetDigest: f.persisted.digest, // as the list's own messages: see announceReplicaSet
 		Payload:          payload,
 	})
 }
--- a/fleet/persistence.go
+++ b/fleet/persistence.go
@@ -127,7 +127,9 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.persisted.writing = false
-		if written {
+		// The set may have changed before or during the write. Then what is lent may not fit, and the next update of
+		// the positions has the set persisted again.
+		if written && state.replicaSetDigest == f.positions.tracker.ReplicaSetDigest() && f.loansFit() {
 			f.announceReplicaSet(state.replicaSetDigest, state.Confirmed)
 		}
 	})
