Send nothing from a process that a later one has displaced

Cause: after an upgrade the process before goes on for as long as it drains, and went on sending counters, evidence and messages of rollouts under its earlier epoch. After ten seconds every other replica logged an error that two processes have one name and that one of them needs another: an alarm about an upgrade that went as it should.

Change: messages of other packages than membership end with the displacement. Receivers dropped them before, so nothing else is lost.

Result: the new test counted one datagram of a displaced host before, and counts none now.

--- a/fleet/membership_host.go
+++ b/fleet/membership_host.go
@@ -86,10 +86,11 @@
 }
 
 // sendToReplica sends a message of another package to a member, if its address is
-// known. The mutex is held.
+// known. A displaced process sends none: it is not part of the fleet any more. The mutex
+// is held.
 func (f *Fleet) sendToReplica(name string, kind membership.MessageKind, payload []byte) {
 	r, known := f.list.Find(name)
-	if !known || r.Tags == nil {
+	if !known || r.Tags == nil || f.list.Displaced() {
 		return
 	}
 	f.transport.send(name, r.Tags.Address, &membership.Message{
