Divide messages about quotas among packets that fit into datagrams

Cause: all messages about quotas that a replica had for one peer went into one packet, whatever its size. A message takes some 120 bytes and a datagram 1,200: with more than eight or so tenants in need at once the packet was too large, the host counted it as unsent, and the next ones were as large. Nothing was lent for any tenant; the log showed only that a datagram can't be sent.

--- a/fleet/statesync/packet.go
+++ b/fleet/statesync/packet.go
@@ -26,6 +26,9 @@
 	itemBytes    = 48
 	countsBytes  = 34
 	minItemBytes = 60 // an item takes at least so much
+
+	quotaMessageBytes = 120 // at most
+	quotaListBytes    = 8   // of the packet and of the list, at most
 )
 
 // Packet is what one replica sends another, encoded as CBOR.
@@ -35,6 +38,22 @@
 	Evidence []aged[outlier.Evidence] `cbor:"3,keyasint,omitempty"`
 }
 
+// packQuotas divides messages among as many packets as they need.
+func packQuotas(messages []quota.Message) (packets []*Packet) {
+	remaining := 0
+	for _, message := range messages {
+		size := quotaMessageBytes + len(message.Request.Replica) + len(message.From) + len(message.Quota)
+		if len(packets) == 0 || size > remaining {
+			packets = append(packets, &Packet{})
+			remaining = maxPacketBytes - quotaListBytes
+		}
+		packet := packets[len(packets)-1]
+		packet.Quotas = append(packet.Quotas, message)
+		remaining -= size
+	}
+	return packets
+}
+
 // aged is an item with the age that it had when it was sent.
 type aged[T any] struct {
 	AgeMS int64 `cbor:"1,keyasint,omitempty"`
--- a/fleet/statesync/syncer.go
+++ b/fleet/statesync/syncer.go
@@ -113,13 +113,13 @@
 	s.advance(now)
 	s.peers = peers
 	s.budget.refill(s.now)
-	quotaPackets := s.quotaPackets()
+	quotaMessages := s.quotaMessages()
 	s.queueCounters()
 	s.queueEvidence()
 
 	var out []Outgoing
-	for _, to := range slices.Sorted(maps.Keys(quotaPackets)) {
-		out = s.send(out, to, quotaPackets[to])
+	for _, to := range slices.Sorted(maps.Keys(quotaMessages)) {
+		out = s.sendQuotas(out, to, quotaMessages[to])
 	}
 	for range min(fanout, len(peers)) {
 		if s.queue.empty() || s.budget.exhausted() {
@@ -169,21 +169,16 @@
 
 func (s *Syncer) advance(now time.Duration) { s.now = max(s.now, now) }
 
-// quotaPackets returns the messages about quotas that are due, by receiver.
-func (s *Syncer) quotaPackets() map[string]*Packet {
-	packets := map[string]*Packet{}
+// quotaMessages returns the messages about quotas that are due, by receiver.
+func (s *Syncer) quotaMessages() map[string][]quota.Message {
+	messages := map[string][]quota.Message{}
 	if !s.config.Quotas {
-		return packets
+		return messages
 	}
 	for _, action := range s.Quotas.Tick(s.now, nil) {
-		packet := packets[action.To]
-		if packet == nil {
-			packet = &Packet{}
-			packets[action.To] = packet
-		}
-		packet.Quotas = append(packet.Quotas, action.Message)
+		messages[action.To] = append(messages[action.To], action.Message)
 	}
-	return packets
+	return messages
 }
 
 // queueCounters queues this replica's counters, and the sums of its zone if it is the sender for it. In a larger zone
@@ -226,18 +221,15 @@
 
 // receiveQuotas handles messages about quotas and returns the answers to their sender.
 func (s *Syncer) receiveQuotas(from string, messages []quota.Message) []Outgoing {
-	var answer Packet
+	var answers []quota.Message
 	for _, message := range messages {
 		for _, action := range s.Quotas.Handle(s.now, from, message, nil) {
 			if action.To == from {
-				answer.Quotas = append(answer.Quotas, action.Message)
+				answers = append(answers, action.Message)
 			}
 		}
 	}
-	if len(answer.Quotas) == 0 {
-		return nil
-	}
-	return s.send(nil, from, &answer)
+	return s.sendQuotas(nil, from, answers)
 }
 
 // receiveCounters merges counters, and queues them for others if they are new.
@@ -265,6 +257,14 @@
 	s.queue.put(item)
 }
 
+// sendQuotas encodes messages about quotas and appends the packets to out.
+func (s *Syncer) sendQuotas(out []Outgoing, to string, messages []quota.Message) []Outgoing {
+	for _, packet := range packQuotas(messages) {
+		out = s.send(out, to, packet)
+	}
+	return out
+}
+
 // send encodes a packet and appends it to out.
 func (s *Syncer) send(out []Outgoing, to string, packet *Packet) []Outgoing {
 	payload, err := cbor.Marshal(packet)
--- a/fleet/statesync/syncer_test.go
+++ b/fleet/statesync/syncer_test.go
@@ -21,6 +21,7 @@
 	now     time.Duration
 	rng     *rand.Rand
 	loss    float64
+	lost    func(payload []byte) bool // whether a packet is lost in any case; nil is none
 }
 
 func newCluster(t testing.TB, n, zones int, budget int) *cluster {
@@ -48,6 +49,9 @@
 func (c *cluster) deliver(from int, out []Outgoing) {
 	for _, o := range out {
 		var to int
+		if c.lost != nil && c.lost(o.Payload) {
+			continue
+		}
 		if fmt.Sscanf(o.To, "c%d", &to); c.rng.Float64() >= c.loss {
 			c.deliver(to, c.syncers[to].Receive(c.now, fmt.Sprintf("c%04d", from), o.Payload))
 		}
