Keep what is lent of a limit that is not listed any more until its leases end

Cause: a reload that takes a tenant out of the settings dropped its limit together with the loans, and one that puts it back within a lease of 4 s gave the lender its whole share again, while the borrower still had the loan. A replica that left meanwhile did not wait for such loans either, although others may still list the tenant and divide its quota without it.

Change: the loans of limits that are not listed are kept, 1,024 limits at most, until they end; of more the replica withholds as much as after a restart. They count where others are about to rely on a smaller share.

--- a/fleet/quota/cluster_test.go
+++ b/fleet/quota/cluster_test.go
@@ -134,13 +134,27 @@
 // Over any schedule of losses, duplicates, delays of an hour, partitions, crashes, restarts, suspensions and clocks that
 // drift, all replicas together never may spend more than the total.
 func TestReplicasNeverExceedTheTotal(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
+	rapid.Check(t, neverExceedTheTotal(faults))
+}
+
+// Nor while reloads take the tenant out of the settings and put it back.
+func TestReplicasNeverExceedTheTotalThroughReloads(t *testing.T) {
+	rapid.Check(t, neverExceedTheTotal(append(slices.Clone(faults), "reload", "reload")))
+}
+
+// faults are what a schedule may do in a step.
+var faults = []string{
+	"want", "want", "want", "spend", "kill", "restart", "stop", "continue", "cut", "one way", "split", "heal", "bad", "old", "good",
+}
+
+func neverExceedTheTotal(steps []string) func(t *rapid.T) {
+	return func(t *rapid.T) {
 		n := rapid.IntRange(2, 6).Draw(t, "replicas")
 		m := newCluster(n, faultnet.New(faultnet.Link{Delay: time.Millisecond}, rapid.Uint64().Draw(t, "seed")), 100)
 		for range rapid.IntRange(5, 60).Draw(t, "steps") {
 			i := rapid.IntRange(0, n-1).Draw(t, "whom")
 			c := m.replicas[i]
-			switch rapid.SampledFrom([]string{"want", "want", "want", "spend", "kill", "restart", "stop", "continue", "cut", "one way", "split", "heal", "bad", "old", "good"}).Draw(t, "what") {
+			switch rapid.SampledFrom(steps).Draw(t, "what") {
 			case "want":
 				m.demand[i] = rapid.SampledFrom([]float64{0, 1, 20, 300}).Draw(t, "units")
 			case "spend":
@@ -177,6 +191,11 @@
 					m.inFlight = append(m.inFlight, p)
 				}
 				m.net.Usual(faultnet.Link{Duplicate: 0.5, Delay: 3 * time.Second, Jitter: 5 * time.Second})
+			case "reload":
+				if c.up && !c.suspended {
+					c.manager.SetLimits(m.clock(i), m.limits[1:])
+					c.manager.SetLimits(m.clock(i), m.limits)
+				}
 			case "good":
 				m.net.Usual(faultnet.Link{Delay: time.Millisecond})
 			}
@@ -187,7 +206,7 @@
 				}
 			}
 		}
-	})
+	}
 }
 
 // A connected fleet with uneven demand grants nearly what one central limit would.
--- a/fleet/quota/manager.go
+++ b/fleet/quota/manager.go
@@ -36,6 +36,7 @@
 	demandHeadroom     = 1.15 // factor on the measured demand that a replica keeps or asks for, as demand moves
 	maxLoans           = 4096 // lent, and borrowed, for each limit
 	maxAnswers         = 4096 // requests whose answers are kept
+	maxDelisted        = 1024 // limits that are not listed any more and of which something is lent
 	minLoanFraction    = 0.02 // of a guaranteed share: less isn't worth a message
 	maxUnits           = 1e12 // that one message or observation may name
 	rateTolerance      = 1e-9 // for rounding, in comparisons of rates
@@ -70,7 +71,8 @@
 	peers        []string
 
 	accounts map[string]*account
-	order    []string // names of the accounts, sorted
+	order    []string            // names of the accounts, sorted
+	delisted map[string]*account // of limits that are not listed any more, until their loans end
 
 	lastSeq uint64 // of the requests that this process sent
 	answers answerLog
@@ -91,11 +93,13 @@
 		startedAt: now,
 		now:       now,
 		accounts:  map[string]*account{},
+		delisted:  map[string]*account{},
 	}
 }
 
-// SetLimits states which limits there are. Those without a positive, finite total are ignored. One whose kind changes
-// begins anew, but what has been lent of it stays lent until the leases end: it may become a rate limit again before.
+// SetLimits states which limits there are. Those without a positive, finite total are ignored. One whose kind changes,
+// or that was not listed before, begins anew, but what has been lent of it stays lent until the leases end: the
+// borrower may not have noticed.
 func (m *Manager) SetLimits(now time.Duration, limits []Limit) {
 	m.advance(now)
 	m.order = m.order[:0]
@@ -109,6 +113,10 @@
 			existing.Total = limit.Total
 			continue
 		}
+		if existing == nil {
+			existing = m.delisted[limit.Name]
+			delete(m.delisted, limit.Name)
+		}
 		created := newAccount(limit, m.now)
 		if existing != nil {
 			created.lent = existing.lent
@@ -116,9 +124,33 @@
 		m.accounts[limit.Name] = created
 	}
 	slices.Sort(m.order)
-	for name := range m.accounts {
+	for name, account := range m.accounts {
 		if _, listed := slices.BinarySearch(m.order, name); !listed {
 			delete(m.accounts, name)
+			m.delist(account)
+		}
+	}
+}
+
+// delist keeps what has been lent of a limit that is not listed any more. If there is no room for it the replica
+// withholds as much as one that has restarted.
+func (m *Manager) delist(account *account) {
+	switch {
+	case account.debit(m.now) == 0:
+	case len(m.delisted) < maxDelisted:
+		m.delisted[account.Name] = account
+	default:
+		m.restarted = true
+		m.startedAt = m.now
+	}
+}
+
+// expireDelisted drops what was kept of limits whose last loan has ended.
+func (m *Manager) expireDelisted() {
+	for name, account := range m.delisted {
+		account.expire(m.now)
+		if len(account.lent) == 0 {
+			delete(m.delisted, name)
 		}
 	}
 }
@@ -154,6 +186,12 @@
 			return false
 		}
 	}
+	for _, account := range m.delisted { // others may still list them
+		share := account.Total / float64(max(replicaCount, 1))
+		if account.debit(m.now) > share+rateTolerance {
+			return false
+		}
+	}
 	return true
 }
 
@@ -209,6 +247,7 @@
 			m.borrow(account)
 		}
 	}
+	m.expireDelisted()
 	m.answers.expire(m.now)
 	return m.takeActions()
 }
--- a/fleet/quota/manager_test.go
+++ b/fleet/quota/manager_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -152,3 +153,60 @@
 		t.Errorf("the lender may spend %v once the lease is over, want 5", rate)
 	}
 }
+
+// A limit that isn't listed for a moment, as while a tenant is taken out of the settings and put back, is still lent until
+// its leases end. Meanwhile nobody may rely on a smaller share of this replica, also if it isn't listed at all any more.
+func TestLoansOutlastTheRemovalOfTheirLimit(t *testing.T) {
+	l, b := newLenderAndBorrower(1)
+	b.AddDemand(0, "r", 100)
+	for _, request := range b.Tick(0, nil) {
+		for _, grant := range l.Handle(0, "b", request.Message, nil) {
+			b.Handle(0, "l", grant.Message, nil)
+		}
+	}
+	if b.Rate(0, "r") <= 5 {
+		t.Fatalf("nothing is lent: the borrower may spend %v", b.Rate(0, "r"))
+	}
+	l.SetLimits(0, []Limit{{"s", Amount, 10}})
+	l.Tick(0, nil)
+	if l.Rate(0, "r") != 0 {
+		t.Errorf("%v a second of a limit that is not listed", l.Rate(0, "r"))
+	}
+	if l.FitsWithin(0, 3) {
+		t.Error("what is lent of the removed limit counts as nothing")
+	}
+	l.SetLimits(0, []Limit{{"r", Rate, 10}, {"s", Amount, 10}})
+	if sum := l.Rate(0, "r") + b.Rate(0, "r"); sum > 10.0001 {
+		t.Errorf("both may spend %v of 10", sum)
+	}
+	if rate := l.Rate(2*Lease, "r"); rate != 5 {
+		t.Errorf("the lender may spend %v once the lease is over, want 5", rate)
+	}
+	l.SetLimits(2*Lease, nil)
+	l.Tick(2*Lease, nil)
+	if !l.FitsWithin(2*Lease, 3) || len(l.delisted) > 0 {
+		t.Errorf("the leases are over, and %d limits are kept", len(l.delisted))
+	}
+}
+
+// Of more removed limits than are kept the loans are withheld as after a restart.
+func TestLoansOfManyRemovedLimitsAreWithheld(t *testing.T) {
+	l, _ := newLenderAndBorrower(1)
+	for i := range maxDelisted + 1 {
+		name := fmt.Sprint("limit", i)
+		l.SetLimits(0, []Limit{{"r", Rate, 10}, {name, Rate, 10}})
+		request := Message{Request: RequestID{"b", 1, uint64(i + 1)}, Quota: name, Amount: 4}
+		if granted := l.Handle(0, "b", request, nil); len(granted) != 1 || granted[0].Message.Amount != 4 {
+			t.Fatalf("%s: %+v", name, granted)
+		}
+	}
+	l.SetLimits(0, []Limit{{"r", Rate, 10}})
+	if len(l.delisted) > maxDelisted {
+		t.Errorf("%d removed limits are kept", len(l.delisted))
+	}
+	last := fmt.Sprint("limit", maxDelisted)
+	l.SetLimits(0, []Limit{{last, Rate, 10}})
+	if rate := l.Rate(0, last); rate > 1.0001 {
+		t.Errorf("it may spend %v of its 5, and has lent 4", rate)
+	}
+}
