Count frames of earlier processes once, and answer them seldom and briefly

Cause: the filter for frames that were seen before kept one epoch of a sender and passed whatever was of an earlier one. Once a replica had restarted, anybody who had recorded a datagram of its earlier process could send it as often as it liked, without the key and from any address: each was answered with up to 1,200 bytes of updates, a recorded request for a whole view with all of it, and each had the error logged that two processes have one name.

Change: the filter keeps the four latest epochs of a sender. A replaced process is answered once a second at most, with the one record that shows it that it is, without tags and updates.

Result: of four processes of one name each frame counts once, where before all but the latest process's counted each time; 300 datagrams in 3 s get 3 answers of one record each, where before they got 300 that carried further updates. Both new tests failed with the mend taken out.

--- a/fleet/codec/codec.go
+++ b/fleet/codec/codec.go
@@ -55,7 +55,7 @@
 		fleetID: [fleetSize]byte(sum[:fleetSize]),
 		keys:    ring,
 		wire:    wire,
-		replays: replayFilter{windows: map[string]*replayWindow{}},
+		replays: replayFilter{windows: map[string][]*replayWindow{}},
 	}, nil
 }
 
--- a/fleet/codec/codec_test.go
+++ b/fleet/codec/codec_test.go
@@ -159,6 +159,44 @@
 	}
 }
 
+// A frame of an earlier process counts once too, whatever has started under its name since: it may have been recorded and
+// be sent again.
+func TestFramesOfEarlierProcessesCountOnce(t *testing.T) {
+	writer, reader := newCodec(t, "f", key1), newCodec(t, "f", key1)
+	frameOf := func(epoch uint64) []byte {
+		frame, err := writer.Encode(&membership.Message{
+			Kind: membership.Ping, From: membership.State{Name: "a", Epoch: epoch, Status: membership.Alive},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return frame
+	}
+	var frames [][]byte
+	for epoch := range uint64(windowsPerSender) {
+		frames = append(frames, frameOf(epoch+1))
+	}
+	slices.Reverse(frames[:2]) // an earlier process may be heard first after a later one
+	for round, want := range []error{nil, ErrReplayed, ErrReplayed} {
+		for i, frame := range frames {
+			if _, err := reader.Decode(frame, MaxDatagram); !errors.Is(err, want) {
+				t.Errorf("round %d, frame %d: %v, want %v", round, i, err, want)
+			}
+		}
+	}
+	if _, err := reader.Decode(frameOf(1), MaxDatagram); err != nil {
+		t.Errorf("another frame of the first process, which still runs: %v", err)
+	}
+	for epoch := range uint64(100) {
+		if _, err := reader.Decode(frameOf(epoch+10), MaxDatagram); err != nil {
+			t.Errorf("start %d: %v", epoch, err)
+		}
+	}
+	if kept := len(reader.replays.windows["a"]); kept > windowsPerSender {
+		t.Errorf("%d windows are kept of one sender", kept)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	c := newCodec(f, "f", key1)
 	good, err := c.Encode(largeMessage())
--- a/fleet/codec/replay.go
+++ b/fleet/codec/replay.go
@@ -1,10 +1,19 @@
 package codec
 
+import (
+	"cmp"
+	"slices"
+)
+
 const (
 	// maxSenders bounds the windows that are kept; beyond it all are dropped, and what was received before
 	// may count once more.
 	maxSenders = 16384
 
+	// windowsPerSender bounds the epochs of a sender that have a window, the latest ones: an earlier process may run
+	// beside the one that replaces it.
+	windowsPerSender = 4
+
 	bitsPerWord = 64
 	windowWords = 4
 	windowSpan  = windowWords * bitsPerWord // numbers
@@ -12,27 +21,29 @@
 
 // replayFilter distinguishes frames that were received before from new ones, by sender.
 type replayFilter struct {
-	windows map[string]*replayWindow
+	windows map[string][]*replayWindow // of a sender, those of later epochs first
 }
 
 // firstUse reports whether a number of a sender's epoch was not used before, and takes
 // note that it is now.
 func (f *replayFilter) firstUse(sender string, epoch, number uint64) bool {
-	w := f.windows[sender]
-	if w == nil {
-		if len(f.windows) >= maxSenders {
-			clear(f.windows)
-		}
-		w = &replayWindow{epoch: epoch}
-		f.windows[sender] = w
+	known := f.windows[sender]
+	if known == nil && len(f.windows) >= maxSenders {
+		clear(f.windows)
 	}
-	if epoch < w.epoch {
-		return true // of an earlier process: membership finds that out, and answers it
+	index, found := slices.BinarySearchFunc(known, epoch, func(w *replayWindow, epoch uint64) int {
+		return cmp.Compare(epoch, w.epoch)
+	})
+	if found {
+		return known[index].firstUse(number)
 	}
-	if epoch > w.epoch {
-		*w = replayWindow{epoch: epoch}
+	if index >= windowsPerSender {
+		return true // of a process that several have replaced: membership finds that out, and seldom answers it
 	}
-	return w.firstUse(number)
+	window := &replayWindow{epoch: epoch}
+	known = slices.Insert(known, index, window)
+	f.windows[sender] = known[:min(len(known), windowsPerSender)]
+	return window.firstUse(number)
 }
 
 // replayWindow holds which numbers of one epoch of a sender were used. Those that are
--- a/fleet/membership/member.go
+++ b/fleet/membership/member.go
@@ -27,6 +27,7 @@
 	suspectedLocally           bool          // the suspicion under way began with a probe of this member
 	falseSuspicions            int           // suspicions that began here and were refuted in this epoch, bounded
 	localSuspicionBlockedUntil time.Duration // until when a failed probe does not begin a suspicion
+	conflictAnswerBlockedUntil time.Duration // until when an earlier process of its name is not answered
 }
 
 // startEpoch forgets what is known about an earlier process of the member.
--- a/fleet/membership/receive.go
+++ b/fleet/membership/receive.go
@@ -6,6 +6,10 @@
 // until that is reported.
 const displacedGrace = 10 * time.Second
 
+// conflictAnswerInterval is the time between two answers to processes that a later one of their name has replaced.
+// Their frames may have been recorded: who sends them again, from whatever address, must not get more than it sends.
+const conflictAnswerInterval = time.Second
+
 // receive handles a datagram that came from an address.
 func (l *List) receive(message *Message, address string) {
 	if l.displaced || message == nil || message.From.Name == "" {
@@ -112,7 +116,11 @@
 	if l.now-m.statusSince > displacedGrace && m.Status == Alive {
 		l.emit(Action{Kind: NameConflict, Record: m.Record})
 	}
-	if address != "" && address != m.Tags.Address {
-		l.sendTo("", address, newGossip(m.Record))
+	if address == "" || address == m.Tags.Address || l.now < m.conflictAnswerBlockedUntil {
+		return
 	}
+	m.conflictAnswerBlockedUntil = l.now + conflictAnswerInterval
+	answer := newGossip(m.withoutTags()) // without updates: it is not a member
+	l.stamp(answer)
+	l.emit(Action{Kind: Send, Address: address, Message: answer})
 }
--- /dev/null
+++ b/fleet/membership/receive_test.go
@@ -0,0 +1,35 @@
+package membership
+
+import (
+	"testing"
+	"time"
+)
+
+// A process that a later one of its name has replaced learns that, but frames of it that somebody sends again and again are
+// not answered with more than they bring.
+func TestReplacedProcessIsAnsweredSeldomAndBriefly(t *testing.T) {
+	l := newStarted(t)
+	for _, name := range []string{"c", "d", "e"} { // updates that a message could carry
+		news := Record{State: State{Name: name, Epoch: 1, Status: Alive}, Tags: &Tags{Address: name}}
+		l.Handle(0, gossipFrom(State{Name: "b", Epoch: 5, Incarnation: 1, Status: Alive}, news), nil)
+	}
+	replaced := gossipFrom(State{Name: "b", Epoch: 4, Status: Alive})
+	replaced.From = "elsewhere"
+	answers := 0
+	const span = 3 * time.Second
+	for now := time.Duration(0); now < span; now += 10 * time.Millisecond {
+		for _, action := range l.Handle(now, replaced, nil) {
+			if action.Kind != Send || action.Address != "elsewhere" {
+				continue
+			}
+			answers++
+			updates := action.Message.Updates
+			if len(updates) != 1 || updates[0].Name != "b" || updates[0].Epoch != 5 || updates[0].Tags != nil {
+				t.Fatalf("answered with %+v", updates)
+			}
+		}
+	}
+	if want := int(span / conflictAnswerInterval); answers != want {
+		t.Errorf("%d answers in %v, want %d", answers, span, want)
+	}
+}
