Check the sender of a message and the records of a view before they are believed

Cause: what messages say of others was checked, what they say of their own sender and the records of a request for a whole view were not. One datagram with this member's name, a later epoch and a status that does not exist displaced it: it left the fleet and gave up its quota fraction until its restart. It takes the fleet's key, so a faulty program of the fleet is enough.

Change: a sender or a record of a view that can't be true is counted with the others of that kind and ignored.

--- a/fleet/membership/learn_test.go
+++ b/fleet/membership/learn_test.go
@@ -73,6 +73,41 @@
 	}
 }
 
+// What a message says of its sender is checked as what it says of others: it neither displaces this member nor counts as
+// a message of its sender.
+func TestSendersThatCanNotBeTrueAreIgnored(t *testing.T) {
+	self := State{Name: "a", Epoch: 9, Status: Alive}
+	for name, tc := range map[string]struct {
+		event EventKind
+		from  State
+		view  []Record // besides
+	}{
+		"unknown status":       {event: MessageReceived, from: State{Name: "a", Epoch: 9, Status: Left + 1}},
+		"no status":            {event: MessageReceived, from: State{Name: "a", Epoch: 9}},
+		"of another":           {event: MessageReceived, from: State{Name: "b", Epoch: 5, Status: Left + 1}},
+		"forged incarnation":   {event: MessageReceived, from: State{Name: "a", Epoch: 9, Status: Alive, Incarnation: maxIncarnation}},
+		"in a view":            {event: SyncRequested, from: self, view: []Record{{State: State{Name: "a", Epoch: 9, Status: Left + 1}}}},
+		"in a view, no status": {event: SyncRequested, from: self, view: []Record{{State: State{Name: "a", Epoch: 9}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newStarted(t)
+			l.joined = true
+			before := l.members.byName["b"].lastHeard
+			message := &Message{Kind: Ping, Target: "a", From: tc.from, Updates: tc.view}
+			l.Handle(time.Millisecond, Event{Kind: tc.event, Message: message, From: "elsewhere"}, nil)
+			if l.Displaced() || l.Self().Epoch != 5 || l.Self().Incarnation != 0 {
+				t.Errorf("displaced %v, %+v", l.Displaced(), l.Self())
+			}
+			if l.members.byName["b"].lastHeard != before {
+				t.Error("it counts as heard from")
+			}
+			if l.Stats.InvalidRecords != 1 {
+				t.Errorf("%d counted", l.Stats.InvalidRecords)
+			}
+		})
+	}
+}
+
 // The reason of a change follows from the record, for the log.
 func TestReasonsOfChanges(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/fleet/membership/receive.go
+++ b/fleet/membership/receive.go
@@ -18,6 +18,10 @@
 	if message.From.Name == l.self.Name && message.From.Epoch == l.self.Epoch {
 		return
 	}
+	if !message.From.valid() {
+		l.Stats.InvalidRecords++
+		return
+	}
 	for i := range message.Updates {
 		l.learn(&message.Updates[i], "")
 	}
--- a/fleet/membership/record.go
+++ b/fleet/membership/record.go
@@ -67,14 +67,20 @@
 // never comes near, so a greater one is forged or corrupt.
 const maxIncarnation = 1 << 30
 
-// valid reports whether a record can be true at all.
-func (r *Record) valid() bool {
+// valid reports whether a state can be true at all.
+func (s *State) valid() bool {
 	switch {
-	case r.Name == "" || len(r.Name) > MaxName || len(r.ReportedBy) > MaxName:
+	case s.Name == "" || len(s.Name) > MaxName:
 		return false
-	case r.Status < Alive || r.Status > Left:
+	case s.Status < Alive || s.Status > Left:
 		return false
-	case r.TagsIncarnation > r.Incarnation || r.Incarnation >= maxIncarnation:
+	}
+	return s.TagsIncarnation <= s.Incarnation && s.Incarnation < maxIncarnation
+}
+
+// valid reports whether a record can be true at all.
+func (r *Record) valid() bool {
+	if !r.State.valid() || len(r.ReportedBy) > MaxName {
 		return false
 	}
 	return r.Tags == nil || r.Tags.valid()
--- a/fleet/membership/sync.go
+++ b/fleet/membership/sync.go
@@ -135,6 +135,10 @@
 	named := make(map[string]bool, len(request.Updates))
 	for i := range request.Updates {
 		record := &request.Updates[i]
+		if !record.valid() {
+			l.Stats.InvalidRecords++
+			continue
+		}
 		named[record.Name] = true
 		l.compareRecord(record, response)
 	}
