Let the case without an endpoint fault be cut too in the simulation of sharing

Cause: without a fault the text of the scenario was shortened by the length of an empty list, which removed the wrong lines where a partition stood behind it: such a case never parsed and its runs counted as failed.

Change: the faults of a case are lines of their own, and the list is left out if there are none.

--- a/lab/statesyncsim/play.go
+++ b/lab/statesyncsim/play.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"ryerill/lab/scenario"
@@ -36,8 +37,7 @@
 	rateOfMany     = 900.0
 	requestsACore  = 200 // a second
 	fewestCores    = 2
-	partitionFault = "\n  - {kind: split, at: 10s, for: 15s, part: 0.3334}"
-	noFaults       = "troubles:\n  []"
+	partitionFault = "  - {kind: split, at: 10s, for: 15s, part: 0.3334}"
 )
 
 // endpointFaults are the lines of the scenario file by Case.Fault.
@@ -45,11 +45,10 @@
 	"err":  "  - {kind: err, at: 12s, for: 18s, part: 0.125, factor: 0.9}",
 	"hang": "  - {kind: hang, at: 12s, for: 18s, part: 0.125}",
 	"slow": "  - {kind: slow, at: 12s, for: 18s, part: 0.125, factor: 12}",
-	"none": "  []",
+	"none": "",
 }
 
-// scenarioFile takes length, proxies, providers, cores, rate, the endpoint's fault and the
-// partition.
+// scenarioFile takes length, proxies, providers, cores, rate and the faults.
 const scenarioFile = `
 name: sharing
 length: %v
@@ -61,8 +60,22 @@
   - {name: read, share: 1, work: 20ms, spread: 0.5, aim: 500ms, deadline: 2s, worth: 1, late: 0}
 load: {rate: %g}
 consumers: {retries: 1, try: 0.6, wait: 100ms, honour: 0.3}
-troubles:
-%s%s`
+%s`
+
+// faults are the lines of the scenario file about faults; none if there is no fault.
+func (c Case) faults() string {
+	lines := []string{"troubles:"}
+	if endpointFault := endpointFaults[c.Fault]; endpointFault != "" {
+		lines = append(lines, endpointFault)
+	}
+	if c.Cut {
+		lines = append(lines, partitionFault)
+	}
+	if len(lines) == 1 {
+		return ""
+	}
+	return strings.Join(lines, "\n")
+}
 
 func (c Case) scenario() (*scenario.Scenario, error) {
 	requestRate := rate
@@ -70,15 +83,7 @@
 		requestRate = rateOfMany
 	}
 	cores := int(requestRate/requestsACore) + fewestCores
-	partition := ""
-	if c.Cut {
-		partition = partitionFault
-	}
-	text := fmt.Sprintf(scenarioFile, length, c.Replicas, endpoints, cores, requestRate,
-		endpointFaults[c.Fault], partition)
-	if c.Fault == "none" {
-		text = text[:len(text)-len(noFaults)] // with Cut it removes the wrong lines, and Parse fails
-	}
+	text := fmt.Sprintf(scenarioFile, length, c.Replicas, endpoints, cores, requestRate, c.faults())
 	return scenario.Parse("sharing", []byte(text))
 }
 
