Add the bounds of sums and shared evidence in a fixed order

Cause: the margins of a sum over all replicas and the failures at a replica's other endpoints were added in the order of a map: the last bits differed from run to run, and so could a comparison of evidence with a threshold, in runs of the simulation that must be equal.

Change: both are added in the order of names and of endpoints, which evidence was sorted by already.

--- a/fleet/counter/estimate.go
+++ b/fleet/counter/estimate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -22,7 +23,8 @@
 	Stale    bool          // some counts in it are too old to rely on
 }
 
-// Sum adds up over all replicas what pick returns for the counts of matching keys. A nil match takes all keys.
+// Sum adds up over all replicas what pick returns, a whole number, for the counts of matching keys. A nil match takes
+// all keys. It adds in the order of names, since the bounds are rounded and depend on it.
 func (s *Set) Sum(now time.Duration, match func(Key) bool, pick func(Counts) float64) Value {
 	s.advance(now)
 	total := func(counts map[Key]Counts) float64 {
@@ -36,11 +38,10 @@
 	}
 	local := total(s.own)
 	value := Value{Estimate: local, Lower: local, Upper: local, Replicas: 1}
-	for _, e := range s.replicas.entries {
-		value.add(s.now, e, total)
-	}
-	for _, e := range s.zones.entries {
-		value.add(s.now, e, total)
+	for _, table := range []updateTable{s.replicas, s.zones} {
+		for _, sender := range slices.Sorted(maps.Keys(table.entries)) {
+			value.add(s.now, table.entries[sender], total)
+		}
 	}
 	return value
 }
--- /dev/null
+++ b/fleet/counter/order_test.go
@@ -0,0 +1,32 @@
+package counter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// The same updates give the same sum to the last bit, in every run.
+func TestSumsDoNotDependOnTheOrderOfMaps(t *testing.T) {
+	sum := func() Value {
+		r := New("r", "z", 1)
+		for second := range 2 {
+			for i := range 30 {
+				at := time.Duration(second)*time.Second + time.Duration(i*i*(1+second))*1371*time.Microsecond
+				counts := map[Key]Counts{mainPool: {Arrivals: uint64(1000*second + 7*i)}, {Pool: "other"}: {Arrivals: uint64(i)}}
+				zone := ""
+				if i%3 == 0 {
+					zone = fmt.Sprint("zone", i)
+				}
+				r.Merge(at, Update{Name: fmt.Sprint("c", i), Epoch: 1, Version: uint64(second + 1), Zone: zone, Counts: counts})
+			}
+		}
+		return r.Sum(7*time.Second, nil, arrivals)
+	}
+	want := sum()
+	for run := range 30 {
+		if got := sum(); got != want {
+			t.Fatalf("run %d: %+v, and before %+v", run, got, want)
+		}
+	}
+}
--- a/fleet/outlier/local.go
+++ b/fleet/outlier/local.go
@@ -112,10 +112,10 @@
 // when it last published, and on those that others reported, since it may have seen them succeed.
 func (d *Detector) PendingEvidence(now time.Duration) []Evidence {
 	d.advance(now)
-	attempts, failures := d.decayLocal()
+	endpoints, attempts, failures := d.decayLocal()
 	d.version++
 	var pending []Evidence
-	for _, id := range slices.Sorted(maps.Keys(d.local)) {
+	for _, id := range endpoints {
 		local := d.local[id]
 		evidence := local.evidence()
 		evidence.Reporter = d.name
@@ -140,18 +140,21 @@
 	return pending
 }
 
-// decayLocal decays this replica's evidence, drops what is negligible, and returns all attempts and failures.
-func (d *Detector) decayLocal() (attempts, failures float64) {
-	for id, local := range d.local {
+// decayLocal decays this replica's evidence, drops what is negligible, and returns the endpoints that it is on, sorted,
+// and all attempts and failures. They are added in that order: sums of rounded numbers depend on it.
+func (d *Detector) decayLocal() (endpoints []uint64, attempts, failures float64) {
+	for _, id := range slices.Sorted(maps.Keys(d.local)) {
+		local := d.local[id]
 		local.decay(d.now)
 		if local.attempts < negligibleAttempts {
 			delete(d.local, id)
 			continue
 		}
+		endpoints = append(endpoints, id)
 		attempts += local.attempts
 		failures += local.failures()
 	}
-	return attempts, failures
+	return endpoints, attempts, failures
 }
 
 // shouldPublish reports whether evidence is to be sent now: at once if it has changed sides, and otherwise seldom, as
