Restore from the state file whatever a replica has written to it

Cause: tags that only a later program knows are bytes, and were written as a JSON text, which replaces each byte that is no UTF-8 by another character. After a restart they were wrong and were no longer passed on to members that join; from 43 such bytes on they exceeded their bound, the member was not restored at all, and the replica divided quotas among fewer. And a file of over 4 MiB, as a fleet at its bound can have, was written but never read.

Change: such tags are written with a character for each byte, spoilt ones are left out when they are read, and a file may have 16 MiB. ASCII tags and the recordings stay as they are.

--- a/fleet/codec/codec_test.go
+++ b/fleet/codec/codec_test.go
@@ -159,8 +159,8 @@
 	}
 }
 
-// A frame of an earlier process counts once too, whatever has started under its name since: it may have been recorded and
-// be sent again.
+// A frame of an earlier process counts once too, whatever has started under its name since: it may have been recorded
+// and be sent again.
 func TestFramesOfEarlierProcessesCountOnce(t *testing.T) {
 	writer, reader := newCodec(t, "f", key1), newCodec(t, "f", key1)
 	frameOf := func(epoch uint64) []byte {
--- a/fleet/counter/order_test.go
+++ b/fleet/counter/order_test.go
@@ -13,12 +13,14 @@
 		for second := range 2 {
 			for i := range 30 {
 				at := time.Duration(second)*time.Second + time.Duration(i*i*(1+second))*1371*time.Microsecond
-				counts := map[Key]Counts{mainPool: {Arrivals: uint64(1000*second + 7*i)}, {Pool: "other"}: {Arrivals: uint64(i)}}
-				zone := ""
+				update := Update{Name: fmt.Sprint("c", i), Epoch: 1, Version: uint64(second + 1), Counts: map[Key]Counts{
+					mainPool:        {Arrivals: uint64(1000*second + 7*i)},
+					{Pool: "other"}: {Arrivals: uint64(i)},
+				}}
 				if i%3 == 0 {
-					zone = fmt.Sprint("zone", i)
+					update.Zone = fmt.Sprint("zone", i)
 				}
-				r.Merge(at, Update{Name: fmt.Sprint("c", i), Epoch: 1, Version: uint64(second + 1), Zone: zone, Counts: counts})
+				r.Merge(at, update)
 			}
 		}
 		return r.Sum(7*time.Second, nil, arrivals)
--- a/fleet/membership/learn_test.go
+++ b/fleet/membership/learn_test.go
@@ -73,21 +73,25 @@
 	}
 }
 
-// What a message says of its sender is checked as what it says of others: it neither displaces this member nor counts as
-// a message of its sender.
+// What a message says of its sender is checked as what it says of others: it neither displaces this member nor counts
+// as a message of its sender.
 func TestSendersThatCanNotBeTrueAreIgnored(t *testing.T) {
 	self := State{Name: "a", Epoch: 9, Status: Alive}
+	forged := self
+	forged.Incarnation = maxIncarnation
+	later := State{Name: "a", Epoch: 9, Status: Left + 1}
+	noStatus := State{Name: "a", Epoch: 9}
 	for name, tc := range map[string]struct {
 		event EventKind
 		from  State
 		view  []Record // besides
 	}{
-		"unknown status":       {event: MessageReceived, from: State{Name: "a", Epoch: 9, Status: Left + 1}},
-		"no status":            {event: MessageReceived, from: State{Name: "a", Epoch: 9}},
+		"unknown status":       {event: MessageReceived, from: later},
+		"no status":            {event: MessageReceived, from: noStatus},
 		"of another":           {event: MessageReceived, from: State{Name: "b", Epoch: 5, Status: Left + 1}},
-		"forged incarnation":   {event: MessageReceived, from: State{Name: "a", Epoch: 9, Status: Alive, Incarnation: maxIncarnation}},
-		"in a view":            {event: SyncRequested, from: self, view: []Record{{State: State{Name: "a", Epoch: 9, Status: Left + 1}}}},
-		"in a view, no status": {event: SyncRequested, from: self, view: []Record{{State: State{Name: "a", Epoch: 9}}}},
+		"forged incarnation":   {event: MessageReceived, from: forged},
+		"in a view":            {event: SyncRequested, from: self, view: []Record{{State: later}}},
+		"in a view, no status": {event: SyncRequested, from: self, view: []Record{{State: noStatus}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := newStarted(t)
--- a/fleet/membership/receive_test.go
+++ b/fleet/membership/receive_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// A process that a later one of its name has replaced learns that, but frames of it that somebody sends again and again are
-// not answered with more than they bring.
+// A process that a later one of its name has replaced learns that, but frames of it that somebody sends again and again
+// are not answered with more than they bring.
 func TestReplacedProcessIsAnsweredSeldomAndBriefly(t *testing.T) {
 	l := newStarted(t)
 	for _, name := range []string{"c", "d", "e"} { // updates that a message could carry
--- a/fleet/quota/cluster_test.go
+++ b/fleet/quota/cluster_test.go
@@ -144,7 +144,8 @@
 
 // faults are what a schedule may do in a step.
 var faults = []string{
-	"want", "want", "want", "spend", "kill", "restart", "stop", "continue", "cut", "one way", "split", "heal", "bad", "old", "good",
+	"want", "want", "want", "spend", "kill", "restart", "stop", "continue", "cut", "one way", "split", "heal",
+	"bad", "old", "good",
 }
 
 func neverExceedTheTotal(steps []string) func(t *rapid.T) {
--- a/fleet/quota/manager_test.go
+++ b/fleet/quota/manager_test.go
@@ -154,8 +154,8 @@
 	}
 }
 
-// A limit that isn't listed for a moment, as while a tenant is taken out of the settings and put back, is still lent until
-// its leases end. Meanwhile nobody may rely on a smaller share of this replica, also if it isn't listed at all any more.
+// A limit that isn't listed for a moment, as while a tenant is taken out of the settings and put back, is still lent
+// until its leases end. Meanwhile nobody may rely on a smaller share of this replica, also if it isn't listed any more.
 func TestLoansOutlastTheRemovalOfTheirLimit(t *testing.T) {
 	l, b := newLenderAndBorrower(1)
 	b.AddDemand(0, "r", 100)
--- a/fleet/state_file.go
+++ b/fleet/state_file.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,7 +19,7 @@
 )
 
 const (
-	maxStateFile     = 4 << 20 // bytes
+	maxStateFile     = 16 << 20 // bytes: a fleet at its bound, all of whose tags are as long as they may be
 	stateFileMode    = 0o600
 	stateFileHeading = "ryerill-fleet 1 %016x\n" // with the checksum of the rest
 )
@@ -51,7 +53,9 @@
 func (s *stateFile) write(state *persistedState) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	text, err := json.Marshal(state)
+	sealable := *state
+	sealable.Members = withTagsAsText(state.Members)
+	text, err := json.Marshal(&sealable)
 	if err != nil {
 		return err
 	}
@@ -79,9 +83,46 @@
 	if err := json.Unmarshal(text, &state); err != nil {
 		return persistedState{}, err
 	}
+	for _, record := range state.Members {
+		if record.Tags != nil {
+			record.Tags.Unknown = bytesOfText(record.Tags.Unknown)
+		}
+	}
 	return state, nil
 }
 
+// withTagsAsText returns records whose unknown tags, which are bytes, are a text that JSON keeps: it has a character
+// for each byte.
+func withTagsAsText(records []membership.Record) []membership.Record {
+	converted := slices.Clone(records)
+	for i := range converted {
+		if converted[i].Tags == nil || converted[i].Tags.Unknown == "" {
+			continue
+		}
+		tags := *converted[i].Tags
+		text := make([]rune, len(tags.Unknown))
+		for at := range text {
+			text[at] = rune(tags.Unknown[at])
+		}
+		tags.Unknown = string(text)
+		converted[i].Tags = &tags
+	}
+	return converted
+}
+
+// bytesOfText returns the bytes that withTagsAsText made a text of; none if it is not such a text, as earlier programs
+// wrote.
+func bytesOfText(text string) string {
+	unknown := make([]byte, 0, len(text))
+	for _, character := range text {
+		if character > math.MaxUint8 {
+			return ""
+		}
+		unknown = append(unknown, byte(character))
+	}
+	return string(unknown)
+}
+
 // seal puts a line with the version and a checksum before a text.
 func seal(text []byte) []byte {
 	return append(fmt.Appendf(nil, stateFileHeading, xxhash.Sum64(text)), text...)
--- a/fleet/statesync/quota_packets_test.go
+++ b/fleet/statesync/quota_packets_test.go
@@ -18,7 +18,8 @@
 	c := newCluster(t, 2, 1, 0)
 	var limits []quota.Limit
 	for i := range quotas {
-		limits = append(limits, quota.Limit{Name: fmt.Sprintf("a-pool-of-some-name/tenant-%02d", i), Kind: quota.Rate, Total: total})
+		name := fmt.Sprintf("a-pool-of-some-name/tenant-%02d", i)
+		limits = append(limits, quota.Limit{Name: name, Kind: quota.Rate, Total: total})
 	}
 	largest := 0
 	c.lost = func(payload []byte) bool { // as the host does with what is too large
@@ -50,7 +51,8 @@
 func TestPacketOfTheLargestMessagesFitsIntoADatagram(t *testing.T) {
 	long := strings.Repeat("x", 64)
 	largest := quota.Message{
-		Grant: true, Return: true, From: long, Quota: long, Epoch: math.MaxUint64, Amount: math.Pi, Renews: math.MaxUint64,
+		Grant: true, Return: true, From: long, Quota: long, Amount: math.Pi,
+		Epoch: math.MaxUint64, Renews: math.MaxUint64,
 		Request: quota.RequestID{Replica: long, Epoch: math.MaxUint64, Seq: math.MaxUint64},
 	}
 	messages := []quota.Message{largest, largest, largest, largest, largest}
