Let a member join the largest fleet however long the tags are

Cause: a synchronization sent all that the other member lacks in one message, and a message of over 2 MiB was refused by its own sender. In a fleet near its bound of 8,192 members, with tags at their bounds too, a new member was never told of the others.

Change: a message carries records up to 1.5 MiB, which leaves room for the names of those that are requested. While records are missing the digests differ, so the next synchronization, half a second to some seconds later, brings further ones.

--- a/fleet/membership/sync.go
+++ b/fleet/membership/sync.go
@@ -13,6 +13,7 @@
 	minSyncInterval        = 500 * time.Millisecond  // between synchronizations that this member starts
 	membersPerSyncInterval = 1000.0                  // above so many members the interval grows in proportion to them
 	syncTimeout            = 5 * time.Second         // a synchronization that has not ended by then is given up
+	maxSyncBytes           = 3 << 19                 // records in one message, which is under 2 MiB with the names
 )
 
 // syncer schedules push/pull synchronizations of whole views. At most one that was
@@ -151,6 +152,7 @@
 		}
 	}
 	sortByName(response.Updates)
+	response.Updates = whatFits(response.Updates)
 	l.synchronized(&request.From)
 	l.emit(Action{Kind: Reply, Message: response, Exchange: exchange})
 }
@@ -204,9 +206,23 @@
 			final.Updates = append(final.Updates, l.self)
 		}
 	}
+	final.Updates = whatFits(final.Updates)
 	l.emit(Action{Kind: Reply, Message: final, Exchange: exchange})
 }
 
+// whatFits returns the first records, as many as a message carries. While any are missing the digests differ, and the
+// next synchronization brings further ones.
+func whatFits(records []Record) []Record {
+	size := 0
+	for i := range records {
+		size += records[i].Size()
+		if size > maxSyncBytes {
+			return records[:i]
+		}
+	}
+	return records
+}
+
 // syncFinished merges the records that this member requested.
 func (l *List) syncFinished(final *Message) {
 	if l.displaced || final == nil {
