--- a/fleet/codec/largest_view_test.go
+++ b/fleet/codec/largest_view_test.go
@@ -78,8 +78,8 @@
 	return nil
 }
 
-// A member that joins the largest fleet receives the whole view, however long the tags are: what one message can't carry
-// comes with the next exchanges.
+// A member that joins the largest fleet receives the whole view, however long the tags are: what one message can't
+// carry comes with the next exchanges.
 func TestAMemberJoinsTheLargestFleet(t *testing.T) {
 	long := strings.Repeat("x", membership.MaxName)
 	for name, tc := range map[string]struct {
--- /dev/null
+++ b/fleet/membership/bounds_test.go
@@ -0,0 +1,141 @@
+package membership
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Beyond the greatest number of members a new one is refused, counted and reported; those that are known go on.
+func TestMembersBeyondTheBoundAreRefused(t *testing.T) {
+	const most = 8
+	l := New(Config{Name: "a", MaxMembers: most, Tags: Tags{Address: "a"}})
+	l.Handle(0, Event{Kind: Start}, nil)
+	recordOf := func(i int, epoch uint64) Record {
+		return Record{State: State{Name: fmt.Sprint("m", i), Epoch: epoch, Status: Alive}, Tags: &Tags{Address: "x"}}
+	}
+	sender := State{Name: "m0", Epoch: 1, Status: Alive}
+	reported := 0
+	for i := range most + 3 {
+		for _, action := range l.Handle(0, gossipFrom(sender, recordOf(i, 1)), nil) {
+			if action.Kind == TableFull {
+				reported++
+			}
+		}
+	}
+	if n := len(l.Members()); n != most+1 || l.Stats.TableFull != 3 || reported != 3 {
+		t.Errorf("%d members with itself, %d refused, %d reported", n, l.Stats.TableFull, reported)
+	}
+	l.Handle(0, gossipFrom(sender, recordOf(1, 2)), nil)
+	if r, _ := l.Find("m1"); r.Epoch != 2 {
+		t.Errorf("a restart of one that is known: %+v", r)
+	}
+}
+
+// Of more updates than the queue holds the one that was sent most often is dropped, never the latest.
+func TestFullQueueDropsWhatWasSentMostOften(t *testing.T) {
+	var q updateQueue
+	for i := range maxQueuedUpdates {
+		q.push(update(fmt.Sprint("m", i), Alive))
+	}
+	for i := range q.entries {
+		q.entries[i].transmits = 1
+	}
+	q.entries[len(q.entries)-1].transmits = 2
+	mostSent := q.entries[len(q.entries)-1].Name
+	q.push(update("latest", Dead))
+	if len(q.entries) != maxQueuedUpdates || q.entries[0].Name != "latest" {
+		t.Errorf("%d updates, the first is %s", len(q.entries), q.entries[0].Name)
+	}
+	for _, u := range q.entries {
+		if u.Name == mostSent {
+			t.Errorf("%s is still queued", mostSent)
+		}
+	}
+}
+
+// Indirect probes for others are bounded, and end.
+func TestIndirectProbesForOthersAreBounded(t *testing.T) {
+	l := newStarted(t)
+	requester := State{Name: "b", Epoch: 5, Incarnation: 1, Status: Alive}
+	for seq := range uint32(2 * maxRelays) {
+		request := &Message{Kind: PingReq, Seq: seq, From: requester, Target: "b"}
+		l.Handle(0, Event{Kind: MessageReceived, Message: request, From: "b"}, nil)
+	}
+	if n := len(l.relays); n != maxRelays {
+		t.Errorf("%d probes for others, want %d", n, maxRelays)
+	}
+	for now := time.Duration(0); now < 5*time.Second; now += 50 * time.Millisecond {
+		l.Handle(now, Event{Kind: Tick}, nil)
+	}
+	if n := len(l.relays); n != 0 {
+		t.Errorf("%d probes for others do not end", n)
+	}
+}
+
+// Tags that exceed their bounds are cut by who announces them: others would refuse the record.
+func TestTagsAreCutToTheirBounds(t *testing.T) {
+	long := strings.Repeat("x", MaxName+1)
+	for name, tags := range map[string]Tags{
+		"an address":     {Address: long},
+		"a zone":         {Zone: long},
+		"a version":      {ProgramVersion: long},
+		"settings":       {SettingsHash: long},
+		"unknown tags":   {Unknown: strings.Repeat("x", MaxUnknown+1)},
+		"too many pools": {Pools: make([]string, MaxPools+1)},
+		"long pools":     {Pools: []string{strings.Repeat("x", MaxPoolBytes), "y"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if tags.valid() {
+				t.Error("others accept them as they are")
+			}
+			if cut := tags.Bound(); !cut || !tags.valid() {
+				t.Errorf("cut %v, %+v", cut, tags)
+			}
+			if tags.Bound() {
+				t.Error("cut again")
+			}
+		})
+	}
+}
+
+// A neighbour that suspects a member in vain waits ever longer until it suspects it again, up to a bound.
+func TestRefutedSuspicionsAreBackedOff(t *testing.T) {
+	var m member
+	for i, want := range []time.Duration{1, 2, 4, 8, 16, 32, 32, 32} {
+		m.recordFalseSuspicion(time.Minute)
+		if got := m.localSuspicionBlockedUntil - time.Minute; got != want*time.Second {
+			t.Errorf("after refutation %d: %v, want %v", i+1, got, want*time.Second)
+		}
+	}
+	m.startEpoch()
+	if m.localSuspicionBlockedUntil != 0 || m.falseSuspicions != 0 {
+		t.Error("its next process inherits them")
+	}
+}
+
+// Whoever declares a member dead says who suspected it and who confirmed that.
+func TestReasonOfADeathNamesWhoSuspected(t *testing.T) {
+	l := newStarted(t)
+	for _, name := range []string{"c", "d", "e"} {
+		known := Record{State: State{Name: name, Epoch: 1, Status: Alive}, Tags: &Tags{Address: name}}
+		l.Handle(0, gossipFrom(State{Name: "c", Epoch: 1, Status: Alive}, known), nil)
+	}
+	suspected := State{Name: "b", Epoch: 5, Incarnation: 1, Status: Suspect}
+	for _, reporter := range []string{"d", "e", "c"} {
+		report := Record{State: suspected, ReportedBy: reporter}
+		l.Handle(0, gossipFrom(State{Name: reporter, Epoch: 1, Status: Alive}, report), nil)
+	}
+	for now := time.Duration(0); now < 10*time.Second; now += 20 * time.Millisecond {
+		for _, action := range l.Handle(now, Event{Kind: Tick}, nil) {
+			if action.Kind == MemberChanged && action.Record.Name == "b" && action.Record.Status == Dead {
+				if want := "suspected by d, e, c, did not refute"; action.Reason != want {
+					t.Errorf("%q, want %q", action.Reason, want)
+				}
+				return
+			}
+		}
+	}
+	t.Error("it is not declared dead")
+}
