Refuse sums over more replicas than there can be, and test nonsense and clocks

Cause: the number of replicas that an update of a zone claims to cover had no upper bound, and two such updates made the number that a sum covers negative.

Change: an update that claims more than 8,192 is counted as invalid.

--- a/fleet/counter/update.go
+++ b/fleet/counter/update.go
@@ -68,7 +68,10 @@
 func (u *Update) age() time.Duration { return time.Duration(u.AgeMS) * time.Millisecond }
 
 func (u *Update) valid() bool {
-	if u.Name == "" || len(u.Counts) > MaxKeys+1 || u.AgeMS < 0 || u.AgeMS > maxAgeMS || u.Members < 0 {
+	if u.Name == "" || len(u.Counts) > MaxKeys+1 || u.AgeMS < 0 || u.AgeMS > maxAgeMS {
+		return false
+	}
+	if u.Members < 0 || u.Members > MaxMembers {
 		return false
 	}
 	for _, counts := range u.Counts {
