Count under any number of pools and classes without losing or repeating any

Cause: a packet has room for some 20 keys (a pool, or a class of a pool). Those beyond were left out, so the sums over all replicas of proxies with several pools were too low, and lay outside of their own bounds. Beyond 64 keys a replica added its counts to the common key again with each record, five times a second, so its sums grew without anything being counted.

Change: a replica keeps its counts apart under 4,096 keys; an update, and a packet, have those that fit apart and the rest under the common key. A receiver takes over which keys are apart, so that what has moved under the common key does not count twice.

--- a/fleet/counter/set.go
+++ b/fleet/counter/set.go
@@ -5,17 +5,15 @@
 // doubled since it last sent its counts.
 package counter
 
-import (
-	"maps"
-	"time"
-)
+import "time"
 
 // Bounds of what is kept and sent.
 const (
-	MaxKeys    = 64   // that one replica counts apart; the others are counted under one common key
+	MaxKeys    = 64   // of an update; the counts of further ones are under one common key
 	MaxMembers = 8192 // replicas whose counts are kept
 	MaxZones   = 256  // whose sums are kept
 
+	maxOwnKeys = 4096           // that one replica counts; what it would count under further ones is not counted
 	maxExpired = 4 * MaxMembers // replicas of which an expired epoch is kept
 )
 
@@ -56,14 +54,11 @@
 	}
 }
 
-// Record sets what this replica counts under a key. Beyond MaxKeys counts are added up under one common key.
+// Record sets what this replica counts under a key.
 func (s *Set) Record(now time.Duration, key Key, counts Counts) {
 	s.advance(now)
-	if _, known := s.own[key]; !known && len(s.own) >= MaxKeys {
-		key = overflowKey
-		sum := s.own[key]
-		sum.add(counts)
-		counts = sum
+	if _, known := s.own[key]; !known && len(s.own) >= maxOwnKeys {
+		return
 	}
 	recorded := s.own[key]
 	recorded.merge(counts)
@@ -74,7 +69,9 @@
 func (s *Set) LocalUpdate(now time.Duration) Update {
 	s.advance(now)
 	s.version++
-	return Update{Name: s.name, Epoch: s.epoch, Version: s.version, Counts: maps.Clone(s.own)}
+	update := Update{Name: s.name, Epoch: s.epoch, Version: s.version, Counts: s.own}
+	update.Combine(MaxKeys)
+	return update
 }
 
 // ZoneUpdate returns the sum over the named replicas of this replica's zone and itself, to be sent to other zones. One
--- a/fleet/counter/update.go
+++ b/fleet/counter/update.go
@@ -1,7 +1,9 @@
 package counter
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -12,7 +14,16 @@
 	Tenant string
 }
 
-// overflowKey is where counts go beyond MaxKeys keys.
+// compare orders keys.
+func (k Key) compare(other Key) int {
+	return cmp.Or(
+		cmp.Compare(k.Pool, other.Pool),
+		cmp.Compare(k.Class, other.Class),
+		cmp.Compare(k.Tenant, other.Tenant),
+	)
+}
+
+// overflowKey is where the counts are of those keys that an update has no room for.
 var overflowKey = Key{Pool: "(other)"}
 
 // Counts are those of one key. All but InFlight only grow while a process lives.
@@ -82,10 +93,36 @@
 	return true
 }
 
+// Keys returns the keys under which the update counts apart, sorted.
+func (u *Update) Keys() []Key {
+	keys := slices.SortedFunc(maps.Keys(u.Counts), Key.compare)
+	return slices.DeleteFunc(keys, func(key Key) bool { return key == overflowKey })
+}
+
+// Combine adds up the counts of all keys but the first ones under the common key. The map of the update is replaced,
+// not changed.
+func (u *Update) Combine(keysApart int) {
+	combined := map[Key]Counts{}
+	if sum, counted := u.Counts[overflowKey]; counted {
+		combined[overflowKey] = sum
+	}
+	for i, key := range u.Keys() {
+		if i < keysApart {
+			combined[key] = u.Counts[key]
+			continue
+		}
+		sum := combined[overflowKey]
+		sum.add(u.Counts[key])
+		combined[overflowKey] = sum
+	}
+	u.Counts = combined
+}
+
 // addMember adds the counts of one replica to the sums of a zone.
 func (u *Update) addMember(counts map[Key]Counts) {
 	u.Members++
-	for key, c := range counts {
+	for _, key := range slices.SortedFunc(maps.Keys(counts), Key.compare) {
+		c := counts[key]
 		if _, known := u.Counts[key]; !known && len(u.Counts) >= MaxKeys {
 			key = overflowKey
 		}
@@ -130,12 +167,12 @@
 	e.validAt = validAt
 }
 
-// mergeCounts returns the counts of one process from an older and a newer update.
+// mergeCounts returns the counts of one process from an older and a newer update. A key that the newer one lacks is
+// counted under its common key.
 func mergeCounts(older, newer map[Key]Counts) map[Key]Counts {
 	merged := make(map[Key]Counts, len(newer))
-	maps.Copy(merged, older)
 	for key, counts := range newer {
-		sum := merged[key]
+		sum := older[key]
 		sum.merge(counts)
 		merged[key] = sum
 	}
--- a/fleet/statesync/packet.go
+++ b/fleet/statesync/packet.go
@@ -23,9 +23,11 @@
 
 // Estimated encoded sizes in bytes, without the names.
 const (
-	itemBytes    = 48
-	countsBytes  = 34
-	minItemBytes = 60 // an item takes at least so much
+	itemBytes   = 48
+	countsBytes = 34
+
+	commonKeyBytes = countsBytes + 16
+	minItemBytes   = 60 // an item takes at least so much
 
 	quotaMessageBytes = 120 // at most
 	quotaListBytes    = 8   // of the packet and of the list, at most
@@ -95,8 +97,8 @@
 	}.DecMode()
 }
 
-// newWireCounters returns an update as it is sent and its estimated size. Keys that don't fit into one packet are left
-// out, the last first.
+// newWireCounters returns an update as it is sent and its estimated size. The counts of keys that don't fit into one
+// packet, the last ones, are under one common key.
 func newWireCounters(update counter.Update) (counters *wireCounters, size int) {
 	counters = &wireCounters{
 		Name:    update.Name,
@@ -106,6 +108,7 @@
 		Members: update.Members,
 	}
 	size = itemBytes + len(update.Name) + len(update.Zone)
+	update.Combine(keysThatFit(&update, maxPacketBytes-size))
 	for key, counts := range update.Counts {
 		wire := wireCounts{
 			Pool:     key.Pool,
@@ -123,14 +126,23 @@
 	slices.SortFunc(counters.Counts, func(a, b wireCounts) int {
 		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Class, b.Class), cmp.Compare(a.Tenant, b.Tenant))
 	})
-	for size > maxPacketBytes && len(counters.Counts) > 0 {
-		last := len(counters.Counts) - 1
-		size -= counters.Counts[last].size()
-		counters.Counts = counters.Counts[:last]
-	}
 	return counters, size
 }
 
+// keysThatFit returns how many keys of an update, the first ones, fit into a number of bytes beside the common one.
+func keysThatFit(update *counter.Update, bytes int) int {
+	bytes -= commonKeyBytes
+	keys := update.Keys()
+	for i, key := range keys {
+		wire := wireCounts{Pool: key.Pool, Class: key.Class, Tenant: key.Tenant}
+		bytes -= wire.size()
+		if bytes < 0 {
+			return i
+		}
+	}
+	return len(keys)
+}
+
 func (w *wireCounts) size() int { return countsBytes + len(w.Pool) + len(w.Class) + len(w.Tenant) }
 
 // update returns the counters as package counter takes them.
