Leave counters and evidence their part of the bytes beside messages about quotas

Cause: messages about quotas are sent in any case and were paid from the budget that counters and evidence wait for. A replica that borrowed of many tenants never had anything left for them: it told nobody that an endpoint failed, and its counts were missing in all sums, as long as its demand lasted.

Change: messages about quotas take half of the budget at most. They are still sent in any case, beyond it too.

--- a/fleet/statesync/quota_packets_test.go
+++ b/fleet/statesync/quota_packets_test.go
@@ -1,7 +1,6 @@
 package statesync
 
 import (
-	"fmt"
 	"math"
 	"strings"
 	"testing"
@@ -14,22 +13,14 @@
 
 // However many quotas a replica borrows of at once, each packet fits into a datagram, and it gets what it demands.
 func TestMessagesAboutManyQuotasFitIntoDatagrams(t *testing.T) {
-	const quotas, total, demand = 64, 300.0, 200.0
+	const quotas, demand = 64, 200.0
 	c := newCluster(t, 2, 1, 0)
-	var limits []quota.Limit
-	for i := range quotas {
-		name := fmt.Sprintf("a-pool-of-some-name/tenant-%02d", i)
-		limits = append(limits, quota.Limit{Name: name, Kind: quota.Rate, Total: total})
-	}
 	largest := 0
 	c.lost = func(payload []byte) bool { // as the host does with what is too large
 		largest = max(largest, len(payload))
 		return len(payload) > maxPacketBytes
 	}
-	for i, s := range c.syncers {
-		s.Quotas.SetLimits(0, limits)
-		s.Quotas.SetReplicaCount(0, len(c.syncers), []string{c.peers[i][0].Name})
-	}
+	limits := shareQuotas(c, quotas)
 	c.play(5*time.Second, func(i int, s *Syncer) {
 		if i == 0 {
 			for _, limit := range limits {
--- a/fleet/statesync/syncer.go
+++ b/fleet/statesync/syncer.go
@@ -27,6 +27,7 @@
 	minCounterInterval    = time.Second
 	zoneSumInterval       = 2 * time.Second
 	counterBudgetFraction = 0.5 // of the byte budget is for counters, which would take all of it in a large fleet
+	quotaBudgetFraction   = 0.5 // of the byte budget is what messages about quotas take from all others at most
 )
 
 // Config says what a replica shares, and as whom.
@@ -127,7 +128,7 @@
 		}
 		peer := peers[s.random.Uint64()%uint64(len(peers))]
 		if packet := s.queue.pack(s.now, s.config.Zone, peer, len(peers)); packet != nil {
-			out = s.send(out, peer.Name, packet)
+			out = s.sendQueued(out, peer.Name, packet)
 		}
 	}
 	return out
@@ -260,39 +261,57 @@
 // sendQuotas encodes messages about quotas and appends the packets to out.
 func (s *Syncer) sendQuotas(out []Outgoing, to string, messages []quota.Message) []Outgoing {
 	for _, packet := range packQuotas(messages) {
-		out = s.send(out, to, packet)
+		var size int
+		out, size = s.send(out, to, packet)
+		s.budget.spendOnQuotas(size)
 	}
 	return out
 }
 
-// send encodes a packet and appends it to out.
-func (s *Syncer) send(out []Outgoing, to string, packet *Packet) []Outgoing {
+// sendQueued encodes a packet of queued items and appends it to out.
+func (s *Syncer) sendQueued(out []Outgoing, to string, packet *Packet) []Outgoing {
+	out, size := s.send(out, to, packet)
+	s.budget.spend(size)
+	return out
+}
+
+// send encodes a packet and appends it to out. It returns the size too.
+func (s *Syncer) send(out []Outgoing, to string, packet *Packet) (all []Outgoing, size int) {
 	payload, err := cbor.Marshal(packet)
 	if err != nil {
 		s.Stats.Unsent++
-		return out
+		return out, 0
 	}
-	s.budget.spend(len(payload))
 	s.Stats.PacketsOut++
 	s.Stats.BytesOut += uint64(len(payload))
-	return append(out, Outgoing{To: to, Payload: payload})
+	return append(out, Outgoing{To: to, Payload: payload}), len(payload)
 }
 
-// byteBudget limits the bytes sent on average. What is urgent is sent in any case and paid later.
+// byteBudget limits the bytes sent on average. Messages about quotas are sent in any case, and take a part of the
+// budget at most: what is queued needs the rest.
 type byteBudget struct {
 	perSecond float64
 	available float64
+	forQuotas float64 // of the available bytes, what messages about quotas may take
 	updatedAt time.Duration
 }
 
 const budgetBurstSeconds = 4 // that unused budget accumulates for
 
 func (b *byteBudget) refill(now time.Duration) {
-	b.available += b.perSecond * (now - b.updatedAt).Seconds()
-	b.available = min(b.available, budgetBurstSeconds*b.perSecond)
+	added := b.perSecond * (now - b.updatedAt).Seconds()
+	burst := budgetBurstSeconds * b.perSecond
+	b.available = min(b.available+added, burst)
+	b.forQuotas = min(b.forQuotas+quotaBudgetFraction*added, quotaBudgetFraction*burst)
 	b.updatedAt = now
 }
 
+func (b *byteBudget) spendOnQuotas(bytes int) {
+	taken := min(float64(bytes), b.forQuotas)
+	b.forQuotas -= taken
+	b.available -= taken
+}
+
 func (b *byteBudget) spend(bytes int) { b.available -= float64(bytes) }
 
 func (b *byteBudget) exhausted() bool { return b.available <= 0 }
