--- a/fleet/membership/bounds_test.go
+++ b/fleet/membership/bounds_test.go
@@ -74,6 +74,30 @@
 	}
 }
 
+// Members that others consider dead are asked to refute a number at a time, and no more than a bound wait for that; the
+// others come with a later synchronization.
+func TestDisputedDeathsAreBounded(t *testing.T) {
+	l := New(Config{Name: "a", Tags: Tags{Address: "a"}})
+	l.Handle(0, Event{Kind: Start}, nil)
+	var alive, dead []Record
+	for i := range 2 * maxDisputes {
+		record := update(fmt.Sprint("m", i), Alive)
+		record.Tags = &Tags{Address: "x"}
+		alive = append(alive, record)
+		record.Status = Dead
+		dead = append(dead, record.withoutTags())
+	}
+	l.Handle(0, gossipFrom(alive[0].State, alive...), nil)
+	view := &Message{Kind: SyncRequest, From: alive[0].State, Updates: dead}
+	l.Handle(0, Event{Kind: SyncRequested, Message: view}, nil)
+	if waiting := len(l.gossiper.disputes); waiting > maxDisputes || waiting < maxDisputes-disputesPerGossip {
+		t.Errorf("%d are waiting, and %d may", waiting, maxDisputes)
+	}
+	if _, _, dead := l.Count(); dead != 0 {
+		t.Errorf("%d are held for dead since another says so", dead)
+	}
+}
+
 // Tags that exceed their bounds are cut by who announces them: others would refuse the record.
 func TestTagsAreCutToTheirBounds(t *testing.T) {
 	long := strings.Repeat("x", MaxName+1)
--- a/lab/membershipsim/large_test.go
+++ b/lab/membershipsim/large_test.go
@@ -13,6 +13,8 @@
 	const (
 		n                = 300
 		maxExchangeBytes = 256 << 10 // that a replica passes over connections, at the start and at the heal
+		maxRate          = 2048      // bytes a second that a replica sends at rest, on average
+		rest             = 3 * time.Second
 	)
 	s := New(n, faultnet.New(lan, 1), 1)
 	for i := range n {
@@ -42,6 +44,14 @@
 	if before/n > maxExchangeBytes {
 		t.Errorf("%d bytes a replica over connections while they joined", before/n)
 	}
+	s.Run(s.Now + rest) // until all updates have been sent
+	sent := s.bytes()
+	s.Run(s.Now + rest)
+	if rate := float64(s.bytes()-sent) / n / rest.Seconds(); rate > maxRate {
+		t.Errorf("%.0f bytes a second a replica at rest", rate)
+	} else {
+		t.Logf("%.0f bytes a second a replica at rest", rate)
+	}
 	var half []string
 	for i := range n / 2 {
 		half = append(half, Name(i))
@@ -65,3 +75,11 @@
 		t.Errorf("%d bytes a replica over connections while they healed", (after-before)/n)
 	}
 }
+
+// bytes is what all replicas have sent as datagrams.
+func (s *Sim) bytes() (sum uint64) {
+	for _, r := range s.Replicas {
+		sum += r.Bytes
+	}
+	return sum
+}
