Give no quota fraction by a state file of over an hour ago before others are met

Cause: a replica that was down for over an hour is not confirmed any more, since an operator may have had it forgotten and another may have joined in its place. But while no more members than the configured number stood in its file it counted as one that has met them, and took its fraction at once: with the fractions of the others more than the whole, until it met one of them.

Change: an old file, or one of the future, restores the members to look for and no more.

--- a/fleet/persistence.go
+++ b/fleet/persistence.go
@@ -45,8 +45,9 @@
 		return persistedState{}
 	}
 	age := time.Since(state.Written)
-	if state.Confirmed && (age > maxConfirmationAge || age < -maxConfirmationAge) {
+	if age > maxConfirmationAge || age < -maxConfirmationAge {
 		state.Confirmed = false
+		state.outdated = true
 		f.log.Warn("fleet state file is old, this replica has no quota fraction until it has met all others",
 			"file", f.stateFile.path, "age", age.Round(time.Second))
 	}
--- a/fleet/positions.go
+++ b/fleet/positions.go
@@ -15,14 +15,14 @@
 	tracker       *placement.Tracker
 	publish       PositionsFunc // may be nil
 	updatedAt     time.Time
-	startedJoined bool // no view need be exchanged: there is no seed, or members were restored
+	startedJoined bool // no view need be exchanged: there is no seed, or those that may run were restored
 }
 
 func newPositions(cfg *Config, restored *persistedState, publish PositionsFunc) positions {
 	p := positions{
 		tracker:       placement.New(cfg.ReplicaCounts),
 		publish:       publish,
-		startedJoined: len(cfg.Seeds) == 0 || len(restored.Members) > 0 && !restored.Left,
+		startedJoined: len(cfg.Seeds) == 0 || restored.countsMembers(),
 	}
 	if restored.Confirmed {
 		p.tracker.RestoreConfirmed()
--- a/fleet/state_file.go
+++ b/fleet/state_file.go
@@ -38,8 +38,13 @@
 	Rollout   *rollout.State      `json:"rollout,omitempty"`
 
 	replicaSetDigest uint64 // of the members
+	outdated         bool   // an operator may have declared this replica to be gone since
 }
 
+// countsMembers reports whether the members are all that may run, as others count them. Others may have joined in the
+// place of a replica that left or that was declared gone.
+func (s *persistedState) countsMembers() bool { return len(s.Members) > 0 && !s.Left && !s.outdated }
+
 // stateFile is the file of a persisted state. It is safe for concurrent use.
 type stateFile struct {
 	path string // empty if nothing is persisted
