End each network fault of a simulation of sharing at its own time

Cause: the end of one partition healed the whole network, so faults that overlapped ended with the first of them and the rest of the scenario was milder than it states.

Change: where a fault begins or ends the network is healed and all faults that hold are applied anew.

Result: in the new test a replica that is cut off for 5 s and halves that are split for 4 s were both healed after 1 s, when a third fault ended; now each holds to its end. Scenarios without overlapping partitions play as before.

--- a/lab/statesyncsim/faults.go
+++ b/lab/statesyncsim/faults.go
@@ -1,34 +1,33 @@
 package statesyncsim
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"ryerill/lab/faultnet"
 	"ryerill/lab/scenario"
 )
 
-// networkFault is the begin or the end of a fault of the network between replicas.
+// networkFault is a fault of the network between replicas, from one time to another.
 type networkFault struct {
-	at      time.Duration
-	apply   func(*faultnet.Network)
-	applied bool
+	from, to time.Duration
+	apply    func(*faultnet.Network)
+	active   bool
 }
 
-// networkFaults returns a scenario's faults between proxies, by time.
+// networkFaults returns a scenario's faults between proxies.
 func networkFaults(sc *scenario.Scenario, replicaCount int) []networkFault {
 	var faults []networkFault
 	for _, fault := range sc.Faults {
 		if !fault.BetweenProxies() {
 			continue
 		}
-		begin, end := networkChanges(&fault, affected(fault.Fraction, replicaCount))
-		faults = append(faults,
-			networkFault{at: simulationStart + fault.At, apply: begin},
-			networkFault{at: simulationStart + fault.At + fault.For, apply: end})
+		from := simulationStart + fault.At
+		faults = append(faults, networkFault{
+			from:  from,
+			to:    from + fault.For,
+			apply: networkChange(&fault, affected(fault.Fraction, replicaCount)),
+		})
 	}
-	slices.SortStableFunc(faults, func(a, b networkFault) int { return cmp.Compare(a.at, b.at) })
 	return faults
 }
 
@@ -40,19 +39,40 @@
 	return names
 }
 
-// networkChanges returns what a fault does to the network, and what takes it back.
-func networkChanges(fault *scenario.Fault, names []string) (begin, end func(*faultnet.Network)) {
+// networkChange returns what a fault does to the network.
+func networkChange(fault *scenario.Fault, names []string) func(*faultnet.Network) {
 	switch fault.Kind {
 	case scenario.Split:
-		return func(n *faultnet.Network) { n.Split(names) }, (*faultnet.Network).Heal
+		return func(n *faultnet.Network) { n.Split(names) }
 	case scenario.Lossy:
-		return func(n *faultnet.Network) { n.Usual(fault.Link) }, func(n *faultnet.Network) { n.Usual(lan) }
+		return func(n *faultnet.Network) { n.Usual(fault.Link) }
 	default:
-		isolate := func(n *faultnet.Network) {
+		return func(n *faultnet.Network) {
 			for _, name := range names {
 				n.Isolate(name, fault.Kind == scenario.OneWay)
 			}
 		}
-		return isolate, (*faultnet.Network).Heal
+	}
+}
+
+// applyFaults has the network behave as the faults that hold now state. Where one begins or ends the others are applied
+// anew: what heals one partition heals all.
+func (h *hub) applyFaults() {
+	changed := false
+	for i := range h.faults {
+		fault := &h.faults[i]
+		active := h.now >= fault.from && h.now < fault.to
+		changed = changed || active != fault.active
+		fault.active = active
+	}
+	if !changed {
+		return
+	}
+	h.net.Heal()
+	h.net.Usual(lan)
+	for i := range h.faults {
+		if h.faults[i].active {
+			h.faults[i].apply(h.net)
+		}
 	}
 }
--- a/lab/statesyncsim/faults_test.go
+++ b/lab/statesyncsim/faults_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"testing"
+	"time"
 
+	"ryerill/lab/faultnet"
 	"ryerill/lab/scenario"
 	"ryerill/lab/sim"
 )
@@ -58,3 +60,43 @@
 		}
 	}
 }
+
+// A fault of the network ends at its own time, whatever other faults begin and end meanwhile.
+func TestOverlappingNetworkFaultsEndAtTheirOwnTimes(t *testing.T) {
+	lossy := scenario.Fault{Kind: scenario.Lossy, At: time.Second, For: 8 * time.Second, Link: faultnet.Link{Drop: 0.5}}
+	sc := &scenario.Scenario{Faults: []scenario.Fault{
+		{Kind: scenario.Split, At: 2 * time.Second, For: 4 * time.Second, Fraction: 0.5},
+		{Kind: scenario.OneWay, At: 3 * time.Second, For: time.Second, Fraction: 0.25},
+		{Kind: scenario.Cut, At: 3 * time.Second, For: 5 * time.Second, Fraction: 0.25},
+		lossy,
+	}}
+	h := newHub(shared, 1, 1)
+	h.faults = networkFaults(sc, 4)
+	first, second, last := replicaName(0), replicaName(1), replicaName(3)
+	for _, tc := range []struct {
+		at                  time.Duration
+		cut, split, lossyTo bool // the first replica from the second, the second from the last, any link
+	}{
+		{0, false, false, false},
+		{1 * time.Second, false, false, true},
+		{2 * time.Second, false, true, true},
+		{3 * time.Second, true, true, true},
+		{4 * time.Second, true, true, true}, // one way has ended
+		{6 * time.Second, true, false, true},
+		{8 * time.Second, false, false, true},
+		{9 * time.Second, false, false, false},
+	} {
+		h.now = simulationStart + tc.at
+		h.advance()
+		link := h.net.Link(second, last)
+		if got := h.net.Link(second, first).Partitioned; got != tc.cut {
+			t.Errorf("at %v the first is cut off: %v", tc.at, got)
+		}
+		if link.Partitioned != tc.split {
+			t.Errorf("at %v the halves are cut off: %v", tc.at, link.Partitioned)
+		}
+		if got := link.Drop > 0; got != tc.lossyTo {
+			t.Errorf("at %v datagrams are lost: %v", tc.at, got)
+		}
+	}
+}
--- a/lab/statesyncsim/hub.go
+++ b/lab/statesyncsim/hub.go
@@ -132,13 +132,7 @@
 // advance applies the network faults that are due, and has replicas synchronize whose
 // time has come.
 func (h *hub) advance() {
-	for i := range h.faults {
-		fault := &h.faults[i]
-		if !fault.applied && h.now >= fault.at {
-			fault.applied = true
-			fault.apply(h.net)
-		}
-	}
+	h.applyFaults()
 	if h.now < h.syncAt {
 		return
 	}
