Take nothing from the rate of datagrams for what is no frame of this fleet

Cause: each datagram that came took from the 2,000 a second that are decoded, before it was looked at. Whoever sent more of anything to a replica's address had the frames of members dropped with his own, so that others held the replica for dead, without knowing anything of the fleet.

Change: size, version, fleet and key are looked at first, which costs next to nothing; what shows a fault there is counted by it and takes nothing.

Frames forged with the head of one of this fleet still take from it.

--- a/fleet/codec/codec.go
+++ b/fleet/codec/codec.go
@@ -85,23 +85,32 @@
 	return append(frame, authenticationCode(c.keys.byID[c.keys.signing], c.fleet, frame)...), nil
 }
 
-// Decode returns the message of a frame of at most maxSize bytes. An error wraps one of
-// Errors.
-func (c *Codec) Decode(frame []byte, maxSize int) (*membership.Message, error) {
+// CheckHead returns which fault shows at the head of a frame of at most maxSize bytes, at next to no cost; nil if the
+// frame may be one of this fleet.
+func (c *Codec) CheckHead(frame []byte, maxSize int) error {
 	switch {
 	case len(frame) > maxSize:
-		return nil, ErrLarge
+		return ErrLarge
 	case len(frame) < headerSize+codeSize:
-		return nil, ErrMalformed
+		return ErrMalformed
 	case frame[versionAt] != Version:
-		return nil, ErrVersion
+		return ErrVersion
 	case [fleetSize]byte(frame[fleetAt:keyAt]) != c.fleetID:
-		return nil, ErrFleet
+		return ErrFleet
 	}
-	key, known := c.keys.byID[frame[keyAt]]
-	if !known {
-		return nil, ErrKey
+	if _, known := c.keys.byID[frame[keyAt]]; !known {
+		return ErrKey
+	}
+	return nil
+}
+
+// Decode returns the message of a frame of at most maxSize bytes. An error wraps one of
+// Errors.
+func (c *Codec) Decode(frame []byte, maxSize int) (*membership.Message, error) {
+	if err := c.CheckHead(frame, maxSize); err != nil {
+		return nil, err
 	}
+	key := c.keys.byID[frame[keyAt]]
 	codeAt := len(frame) - codeSize
 	if !hmac.Equal(frame[codeAt:], authenticationCode(key, c.fleet, frame[:codeAt])) {
 		return nil, ErrAuthentication
--- a/fleet/transport.go
+++ b/fleet/transport.go
@@ -204,6 +204,11 @@
 	defer t.mu.Unlock()
 	t.stats.FramesIn++
 	t.stats.BytesIn += uint64(len(frame))
+	// Only what may be a member's takes of the rate: strangers must not have members' frames dropped.
+	if err := t.codec.CheckHead(frame, codec.MaxDatagram); err != nil {
+		t.drop(err, from)
+		return nil
+	}
 	if !t.spendCredit() {
 		t.stats.Invalid[faultFlood]++
 		t.log.warnOccasionally("more fleet datagrams than are decoded are dropped", "limit", maxDatagramRate)
