Keep a replica that missed a plan's end from reviving it

Cause: voters did not look at how new a candidate's state was, so a replica that was stopped or cut off while a plan was aborted won the next election and took the plan up again; with 10 replicas 4.5 s after its return. A leader kept what it knew in an earlier term (orders, processes), so that a later plan could fail for it. Each change of leader made the history longer without a bound. All replicas that counted alike sent their state to the same peer, so that one that started without a state learned an outcome after 44 s among 40. Change: requests for votes carry the version of the candidate's state, in a field that there is, and voters with a newer one refuse and send it; older programs ignore it and are judged as before. A new term begins with nothing known; one place records history; peers take turns from each sender's own place.

--- a/fleet/rollout/election.go
+++ b/fleet/rollout/election.go
@@ -26,7 +26,8 @@
 
 // election is a replica's part in electing the leader. A candidate first asks in a pre-vote whether it would be
 // elected, then requests votes under a new fencing token. With the votes of a quorum it holds a lease, which it
-// renews by requesting votes again. The lease counts from the request and so ends before the votes do.
+// renews by requesting votes again. The lease counts from the request and so ends before the votes do. Requests carry
+// the head of the candidate's state of the plan: voters with a newer state refuse.
 type election struct {
 	highestToken uint64 // fencing token that was seen
 	vote         vote   // that this replica gave
@@ -111,7 +112,7 @@
 
 // considerCampaign starts a pre-vote when it is time. Without a quorum in sight a new token would only disturb those
 // that have one.
-func (e *election) considerCampaign(env *environment) {
+func (e *election) considerCampaign(env *environment, head *State) {
 	if e.nextCampaignAt == 0 {
 		e.deferCampaign(env)
 	}
@@ -121,13 +122,13 @@
 	// A candidacy without a chance would keep votes from others for a lease, so voters are asked first.
 	e.lastSeq++
 	e.preVote = ballot{seq: e.lastSeq, sentAt: env.now, voters: map[string]bool{env.name: true}}
-	env.sendToPeers(Message{Kind: PreVoteRequest, FencingToken: e.highestToken + 1, Seq: e.lastSeq})
+	env.sendToPeers(Message{Kind: PreVoteRequest, FencingToken: e.highestToken + 1, Seq: e.lastSeq, State: head})
 	e.deferCampaign(env)
-	e.campaignIfElectable(env)
+	e.campaignIfElectable(env, head)
 }
 
 // campaignIfElectable requests votes under a new token if a quorum would grant them.
-func (e *election) campaignIfElectable(env *environment) {
+func (e *election) campaignIfElectable(env *environment, head *State) {
 	if !env.replicas.isMajority(len(e.preVote.voters)) || e.token != 0 || !e.vote.allows(env.name, env.now) {
 		return
 	}
@@ -135,12 +136,12 @@
 	e.token = e.nextToken()
 	e.ballots = nil
 	e.leaseUntil = 0
-	e.requestVotes(env)
+	e.requestVotes(env, head)
 	e.nextCampaignAt = env.now + campaignTimeout
 }
 
 // maintain renews the votes of a candidate or leader, or has it step down.
-func (e *election) maintain(env *environment) {
+func (e *election) maintain(env *environment, head *State) {
 	won := e.leaseUntil != 0
 	switch {
 	case e.superseded():
@@ -150,12 +151,12 @@
 	case won && env.now >= e.leaseUntil+Lease: // lost: another may try
 		e.stepDown(env)
 	case env.now >= e.nextRenewalAt:
-		e.requestVotes(env)
+		e.requestVotes(env, head)
 	}
 }
 
 // requestVotes requests the votes of all, and votes for itself if it may.
-func (e *election) requestVotes(env *environment) {
+func (e *election) requestVotes(env *environment, head *State) {
 	e.nextRenewalAt = env.now + renewInterval
 	e.lastSeq++
 	added := ballot{seq: e.lastSeq, sentAt: env.now, voters: map[string]bool{}}
@@ -167,7 +168,7 @@
 	if len(e.ballots) > maxBallots {
 		e.ballots = e.ballots[1:]
 	}
-	env.sendToPeers(Message{Kind: VoteRequest, FencingToken: e.token, Seq: e.lastSeq})
+	env.sendToPeers(Message{Kind: VoteRequest, FencingToken: e.token, Seq: e.lastSeq, State: head})
 	e.count(env, &added)
 }
 
--- a/fleet/rollout/message.go
+++ b/fleet/rollout/message.go
@@ -10,7 +10,7 @@
 	Target       string      `json:"Target"` // ChangeOrder: the version to change to
 	RollBack     bool        `json:"Back"`   // ChangeOrder: change to the previous version
 	Plan         string      `json:"Plan"`   // ChangeOrder
-	State        *State      `json:"State"`  // StateUpdate
+	State        *State      `json:"State"`  // StateUpdate; of requests for votes the sender's version alone
 	Report       *Report     `json:"Report"` // ReportUpdate
 	Seq          uint64      `json:"Seq"`    // of a request for votes, and of the answers to it
 }
--- a/fleet/rollout/participant.go
+++ b/fleet/rollout/participant.go
@@ -95,7 +95,7 @@
 		History:      []string{"taken by " + p.env.name},
 	}
 	p.election.nextCampaignAt = p.env.now
-	p.stages.resetStatistics()
+	p.stages = newStageController()
 	return nil
 }
 
@@ -175,14 +175,18 @@
 	p.env.actions = append(out, p.env.actions...)
 	switch message.Kind {
 	case VoteRequest:
-		p.election.handleVoteRequest(&p.env, &message)
+		if !p.refuseOutdated(&message) {
+			p.election.handleVoteRequest(&p.env, &message)
+		}
 	case VoteGranted:
 		p.election.handleVote(&p.env, &message)
 	case PreVoteRequest:
-		p.election.handlePreVoteRequest(&p.env, &message)
+		if !p.refuseOutdated(&message) {
+			p.election.handlePreVoteRequest(&p.env, &message)
+		}
 	case PreVoteGranted:
 		if p.election.handlePreVote(&message) && !p.state.Phase.Ended() {
-			p.election.campaignIfElectable(&p.env)
+			p.election.campaignIfElectable(&p.env, p.state.head())
 		}
 	case StateUpdate:
 		p.handleState(&message)
@@ -199,13 +203,13 @@
 // advancePlan becomes a candidate, keeps the lease and, as leader, advances the plan.
 func (p *Participant) advancePlan() {
 	if p.election.token == 0 {
-		p.election.considerCampaign(&p.env)
+		p.election.considerCampaign(&p.env, p.state.head())
 		return
 	}
 	if p.election.superseded() {
 		p.stages.evaluator = nil
 	}
-	p.election.maintain(&p.env)
+	p.election.maintain(&p.env, p.state.head())
 	if !p.IsLeader() {
 		return
 	}
@@ -227,8 +231,8 @@
 	p.state.FencingToken = p.election.token
 	p.state.Version++
 	p.state.Leader = p.env.name
-	p.state.History = append(p.state.History, "led by "+p.env.name)
-	p.stages.resetStatistics() // they may be of another plan
+	p.state.record("led by " + p.env.name)
+	p.stages = newStageController() // what an earlier term knew may be of another plan, or of processes that are gone
 }
 
 // transition enters a phase, and logs and records why.
--- a/fleet/rollout/replication.go
+++ b/fleet/rollout/replication.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const periodicUpdateInterval = 2 * time.Second
 
@@ -29,8 +32,10 @@
 	}
 	p.replication.nextPeriodicUpdateAt = p.env.now + periodicUpdateInterval
 	p.replication.periodicUpdates++
+	// Each begins after itself, so that those that count alike don't all send to the same peer.
+	own := slices.IndexFunc(replicas, func(replica Replica) bool { return replica.Name == p.env.name })
 	for i := range replicas {
-		peer := &replicas[(p.replication.periodicUpdates+i)%len(replicas)]
+		peer := &replicas[(max(own, 0)+p.replication.periodicUpdates+i)%len(replicas)]
 		if peer.Alive && peer.Name != p.env.name {
 			p.env.send(peer.Name, p.stateUpdate())
 			return
@@ -49,3 +54,13 @@
 	}
 	p.election.sawToken(update.FencingToken)
 }
+
+// refuseOutdated refuses a candidate that has an older state than this replica, and sends it this one: as the leader it
+// would take up again what has ended since. Older programs don't state what they have.
+func (p *Participant) refuseOutdated(request *Message) bool {
+	if request.State == nil || !p.state.Newer(request.State) {
+		return false
+	}
+	p.env.send(request.From, p.stateUpdate())
+	return true
+}
--- a/fleet/rollout/stages.go
+++ b/fleet/rollout/stages.go
@@ -25,11 +25,6 @@
 	}
 }
 
-func (c *stageController) resetStatistics() {
-	c.evaluator = nil
-	c.baseline = NewBaseline()
-}
-
 // addReport adds a report to the statistics of the stage, and to the baseline if its replica isn't selected.
 func (c *stageController) addReport(now time.Duration, report *Report, selected []string) {
 	if c.evaluator != nil {
--- a/fleet/rollout/state.go
+++ b/fleet/rollout/state.go
@@ -69,12 +69,20 @@
 	s.Phase = phase
 	s.Reason = reason
 	s.Version++
-	s.History = append(s.History, phase.String()+": "+reason)
+	s.record(phase.String() + ": " + reason)
+}
+
+// record adds an entry to the history.
+func (s *State) record(entry string) {
+	s.History = append(s.History, entry)
 	if len(s.History) > maxHistory {
 		s.History = slices.Delete(s.History, 1, len(s.History)-maxHistory+1)
 	}
 }
 
+// head is what tells whether another state is newer.
+func (s *State) head() *State { return &State{FencingToken: s.FencingToken, Version: s.Version} }
+
 // observation is how long the current stage is observed at least.
 func (s *State) observation() time.Duration {
 	return s.Plan.Stages[min(s.Stage, len(s.Plan.Stages)-1)].Observation
--- /dev/null
+++ b/fleet/rollout/takeover_test.go
@@ -0,0 +1,175 @@
+package rollout
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// until steps until a condition holds, for a minute at most.
+func (c *fleet) until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := c.now + time.Minute; !holds(); {
+		if c.now > end {
+			t.Fatalf("after a minute: no %s", what)
+		}
+		c.step(100 * time.Millisecond)
+		if c.err != nil {
+			t.Fatal(c.err)
+		}
+	}
+}
+
+// leader returns the replica that leads; nil if none does.
+func (c *fleet) leader() *member {
+	i := slices.IndexFunc(c.members, func(m *member) bool { return m.up && !m.suspended && m.participant.IsLeader() })
+	if i < 0 {
+		return nil
+	}
+	return c.members[i]
+}
+
+// startPlan starts the fleet's plan at a replica, and waits until one leads that has chosen the first to change.
+func (c *fleet) startPlan(t *testing.T, at int) {
+	t.Helper()
+	if err := c.members[at].participant.Start(c.now, c.plan); err != nil {
+		t.Fatal(err)
+	}
+	c.until(t, "leader that changes replicas", func() bool {
+		leader := c.leader()
+		return leader != nil && len(leader.participant.state.Selected) > 0
+	})
+}
+
+// A replica that missed the end of a plan learns of it, and does not take the plan up again.
+func TestAPlanThatHasEndedIsNotRevived(t *testing.T) {
+	for _, size := range []int{3, 10, 40} {
+		for _, asleep := range []int{1, 2} {
+			t.Run(fmt.Sprintf("copy %d of %d was away", asleep, size), func(t *testing.T) {
+				t.Parallel()
+				c := newFleet(size, quickPlan)
+				c.step(4 * time.Second)
+				c.startPlan(t, 0)
+				away := c.members[asleep]
+				away.suspended = true
+				c.until(t, "leader without it", func() bool { return c.leader() != nil })
+				if err := c.members[0].participant.Command(c.now, commandAbort); err != nil {
+					t.Fatal(err)
+				}
+				ended := func(m *member) bool { return m == away || m.participant.state.Phase.Ended() }
+				c.until(t, "end of the plan", func() bool { return !slices.ContainsFunc(c.members, func(m *member) bool { return !ended(m) }) })
+				away.suspended = false
+				returned := c.now
+				for c.now < returned+time.Minute {
+					c.step(100 * time.Millisecond)
+					if state := away.participant.State(); c.now > returned+2*periodicUpdateInterval && !state.Phase.Ended() {
+						t.Fatalf("%v after its return it still holds the plan to be %v", c.now-returned, state.Phase)
+					}
+					for _, m := range c.members {
+						if state := m.participant.State(); !ended(m) {
+							t.Fatalf("%v after its return %s is %v: %q", c.now-returned, m.name, state.Phase, state.History)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
+// Where nobody has heard of the end but a majority's voters, a candidate with an older state gets no vote.
+func TestVotersRefuseACandidateWithAnOlderState(t *testing.T) {
+	plan := Plan{ID: "p", Kind: Settings, Target: target}
+	plan.Complete()
+	voter := New("v", 0)
+	voter.Restore(State{Plan: plan, FencingToken: 3, Version: 5, Phase: Aborted})
+	now := withMaxDrift(Lease) + 1
+	for _, tc := range []struct {
+		name  string
+		state *State
+		want  bool
+	}{
+		{"older by its token", &State{FencingToken: 2, Version: 9}, false},
+		{"older by its version", &State{FencingToken: 3, Version: 4}, false},
+		{"as new", &State{FencingToken: 3, Version: 5}, true},
+		{"newer", &State{FencingToken: 4, Version: 1}, true},
+		{"not stated, by an older program", nil, true},
+	} {
+		for request, grant := range map[MessageKind]MessageKind{PreVoteRequest: PreVoteGranted, VoteRequest: VoteGranted} {
+			voter.election.vote = vote{}
+			got, told := false, false
+			for _, a := range voter.Handle(now, Message{Kind: request, From: "a", FencingToken: voter.election.highestToken + 1, Seq: 1, State: tc.state}, nil) {
+				got = got || a.Message.Kind == grant && a.Message.Seq == 1
+				told = told || a.Message.Kind == StateUpdate && a.To == "a"
+			}
+			if got != tc.want || told == tc.want {
+				t.Errorf("%s, kind %d: voted %v, sent its state %v", tc.name, request, got, told)
+			}
+		}
+	}
+}
+
+// What a replica knew as the leader of one plan does not count when it leads again.
+func TestALeaderForgetsWhatItKnewInAnEarlierTerm(t *testing.T) {
+	c := newFleet(3, Plan{Stages: []Stage{{Fraction: 1, Observation: time.Second}}, MaxUnavailable: 1})
+	c.step(4 * time.Second)
+	c.startPlan(t, 0)
+	first := c.leader()
+	stages := &first.participant.stages
+	c.until(t, "order", func() bool { return len(stages.orderedAt) > 0 })
+	name := first.participant.state.Selected[0]
+	if err := first.participant.Command(c.now, commandPause); err != nil {
+		t.Fatal(err)
+	}
+	for range 10 {
+		c.step(100 * time.Millisecond)
+	}
+	stages.epochs[name] = 99 // of a process that has been replaced since
+	if err := first.participant.Command(c.now, commandResume); err != nil {
+		t.Fatal(err)
+	}
+	c.until(t, "leader", func() bool { return c.leader() != nil })
+	stages = &c.leader().participant.stages
+	if c.leader() != first {
+		t.Fatalf("%s leads, and not the first by name", c.leader().name)
+	}
+	if at, ordered := stages.orderedAt[name]; ordered || stages.epochs[name] == 99 {
+		t.Errorf("it still knows an order at %v, epoch %d", at, stages.epochs[name])
+	}
+}
+
+// The history stays bounded, however often the leader changes.
+func TestHistoryIsBoundedWhenLeadersChange(t *testing.T) {
+	participant := New("a", 0)
+	participant.state.History = []string{"taken by a"}
+	for range 10 * maxHistory {
+		participant.takeOver()
+	}
+	if history := participant.state.History; len(history) > maxHistory || history[0] != "taken by a" {
+		t.Errorf("%d entries, the first %q", len(history), history[0])
+	}
+}
+
+// A replica that starts without any state learns soon what the plan came to, also among many.
+func TestAReplicaWithoutStateLearnsTheOutcomeSoon(t *testing.T) {
+	c := newFleet(40, quickPlan)
+	c.step(4 * time.Second)
+	c.members[33].up = false
+	c.startPlan(t, 0)
+	if err := c.members[0].participant.Command(c.now, commandAbort); err != nil {
+		t.Fatal(err)
+	}
+	ended := func(m *member) bool { return !m.up || m.participant.state.Phase == RolledBack }
+	c.until(t, "end of the plan", func() bool {
+		return !slices.ContainsFunc(c.members, func(m *member) bool { return !ended(m) })
+	})
+	for range 50 {
+		c.step(100 * time.Millisecond)
+	}
+	c.start(33)
+	started := c.now
+	c.until(t, "outcome at the one that started", func() bool { return ended(c.members[33]) })
+	if took := c.now - started; took > 2*periodicUpdateInterval {
+		t.Errorf("it took %v", took)
+	}
+}
