Execute orders again when a plan is resumed or handed over again

Cause: a replica executes an order once and keeps why it refused, both by the plan's name. A plan that had stopped because a disk was full, say, failed at once with the old reason when it was resumed, or aborted and handed over again, until the proxies restarted. Change: a plan that begins, or goes on after it had stopped or ended, is a new attempt: replicas forget the orders that they executed and what they or others refused before; the late end of a change from an earlier attempt is logged only, and a report without a refusal ends an earlier one.

--- a/fleet/rollout/application.go
+++ b/fleet/rollout/application.go
@@ -17,6 +17,15 @@
 	completed bool  // this replica has since reached the ordered version
 }
 
+// isResting reports whether nothing follows from a phase before an operator decides.
+func isResting(phase Phase) bool { return phase.Ended() || phase == Stopped }
+
+// beginAttempt has orders executed that were executed in an earlier attempt at the plan, or at one of its name.
+func (p *Participant) beginAttempt() {
+	p.attempts++
+	p.application = application{}
+}
+
 // handleOrder executes an order of the leader.
 func (p *Participant) handleOrder(message *Message) {
 	if !p.election.acceptsOrder(message, p.env.now) {
@@ -29,8 +38,8 @@
 	p.apply(message.Target, message.RollBack)
 }
 
-// apply has this replica change as the plan orders: once for each order, and once more if it had reached the
-// ordered version and an operator has since changed it by hand.
+// apply has this replica change as the plan orders: once for each order in an attempt, and once more if it had reached
+// the ordered version and an operator has since changed it by hand.
 func (p *Participant) apply(target string, rollBack bool) {
 	plan := &p.state.Plan
 	ordered := order{plan: plan.ID, target: target}
--- /dev/null
+++ b/fleet/rollout/attempt_test.go
@@ -0,0 +1,71 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+)
+
+// An order that led to nothing is executed again when its plan is taken up again or handed over again, and once only
+// while it goes on.
+func TestAnOrderIsExecutedAgainInANewAttempt(t *testing.T) {
+	for _, between := range []Phase{Stopped, Aborted, RolledBack, Expired} {
+		t.Run(between.String(), func(t *testing.T) {
+			plan := Plan{ID: "p", Kind: Settings, Target: target}
+			plan.Complete()
+			now := withMaxDrift(Lease) + 1
+			replica := New("b", 0)
+			token := uint64(0)
+			enter := func(phase Phase) {
+				token++
+				state := State{Plan: plan, FencingToken: token, Version: 1, Phase: phase, Leader: "a"}
+				replica.Handle(now, Message{Kind: StateUpdate, From: "a", FencingToken: token, State: &state}, nil)
+				replica.Handle(now, Message{Kind: VoteRequest, From: "a", FencingToken: token, Seq: token}, nil)
+			}
+			executed := func() (count int) {
+				order := Message{Kind: ChangeOrder, From: "a", FencingToken: token, Plan: "p", Target: target}
+				for _, action := range replica.Handle(now, order, nil) {
+					if action.Kind == Apply {
+						count++
+					}
+				}
+				return count
+			}
+			enter(Changing)
+			attempts := replica.Attempts()
+			if executed() != 1 || executed() != 0 {
+				t.Error("the first order is not executed, or twice")
+			}
+			now += time.Second
+			enter(Changing) // under another leader
+			if executed() != 0 || replica.Attempts() != attempts {
+				t.Error("a change of the leader counts as another attempt")
+			}
+			enter(between)
+			enter(Changing)
+			if executed() != 1 || executed() != 0 || replica.Attempts() != attempts+1 {
+				t.Errorf("the order of the second attempt is not executed, or twice; attempts %d, then %d",
+					attempts, replica.Attempts())
+			}
+		})
+	}
+}
+
+// At the replica that an operator talks to, a command and a start count as well.
+func TestCommandsBeginAttempts(t *testing.T) {
+	plan := Plan{ID: "p", Kind: Settings, Target: target}
+	plan.Complete()
+	replica := New("a", 0)
+	replica.Tick(time.Second, []Replica{{Name: "a", Alive: true, Ready: true}}, nil)
+	if err := replica.Start(time.Second, plan); err != nil || replica.Attempts() != 1 {
+		t.Fatalf("%v, %d attempts", err, replica.Attempts())
+	}
+	replica.state.transition(Stopped, "a replica refused")
+	for _, command := range []string{commandResume, commandPause, commandResume} {
+		if err := replica.Command(time.Second, command); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if replica.Attempts() != 2 {
+		t.Errorf("%d attempts, want that of the start and that after the stop", replica.Attempts())
+	}
+}
--- a/fleet/rollout/participant.go
+++ b/fleet/rollout/participant.go
@@ -21,6 +21,7 @@
 	election    election
 	replication replication
 	application application
+	attempts    uint64 // see Attempts
 	stages      stageController
 }
 
@@ -37,6 +38,10 @@
 // State is the plan's progress as far as it is known here.
 func (p *Participant) State() State { return p.state }
 
+// Attempts counts how often a plan was begun, or taken up again after it had stopped, as far as this replica knows.
+// What replicas refused in an earlier attempt does not count in the present one.
+func (p *Participant) Attempts() uint64 { return p.attempts }
+
 // IsLeader reports whether this replica holds the lease.
 func (p *Participant) IsLeader() bool { return p.election.isLeader(p.env.now) }
 
@@ -96,6 +101,7 @@
 	}
 	p.election.nextCampaignAt = p.env.now
 	p.stages = newStageController()
+	p.beginAttempt()
 	return nil
 }
 
@@ -121,6 +127,7 @@
 	if state.Phase.Ended() {
 		return &PlanStateError{state.Plan.ID, state.Phase}
 	}
+	before := state.Phase
 	switch command {
 	case commandPause:
 		if state.Phase != Paused {
@@ -142,6 +149,9 @@
 	default:
 		return &CommandError{command}
 	}
+	if isResting(before) && !isResting(state.Phase) {
+		p.beginAttempt()
+	}
 	// The state with a new token supersedes that of any leader.
 	state.FencingToken = p.election.nextToken()
 	state.Version = 1
--- a/fleet/rollout/replication.go
+++ b/fleet/rollout/replication.go
@@ -49,8 +49,12 @@
 		return
 	}
 	if update.State.Newer(&p.state) {
+		before := p.state.Phase
 		p.state = *update.State
 		p.election.nextCampaignAt = 0
+		if isResting(before) && !isResting(p.state.Phase) {
+			p.beginAttempt()
+		}
 	}
 	p.election.sawToken(update.FencingToken)
 }
--- a/fleet/rollout_host.go
+++ b/fleet/rollout_host.go
@@ -62,6 +62,7 @@
 	reportedInterval uint64                  // number of the latest report
 	refusals         map[string]refusal      // by replica, the other ones
 	ownRefusal       refusal
+	attempt          uint64 // of the participant, that the refusals are of
 	desired          DesiredVersion
 
 	fetching      bool
@@ -132,6 +133,26 @@
 	return replica
 }
 
+// forgetRefusals forgets what was refused in an earlier attempt at a plan: its cause may be mended. The mutex is held.
+func (h *rolloutHost) forgetRefusals() {
+	attempt := h.participant.Attempts()
+	if attempt == h.attempt {
+		return
+	}
+	h.attempt = attempt
+	h.ownRefusal = refusal{}
+	clear(h.refusals)
+}
+
+// noteReport notes whether the replica that sent a report refuses the plan. The mutex is held.
+func (h *rolloutHost) noteReport(report *rollout.Report) {
+	if report.RefusedReason == "" {
+		delete(h.refusals, report.Name)
+		return
+	}
+	h.refusals[report.Name] = refusal{plan: report.Plan, reason: report.RefusedReason}
+}
+
 // replicas returns all replicas that may run. The mutex is held.
 func (f *Fleet) replicas() (all []rollout.Replica) {
 	state := f.rollouts.participant.State()
@@ -161,6 +182,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	h := f.rollouts
+	h.forgetRefusals()
 	f.executeRollout(h.participant.Tick(f.now(), f.replicas(), nil))
 	if interval := uint64(time.Now().UnixNano() / int64(reportInterval)); interval != h.reportedInterval {
 		h.reportedInterval = interval
@@ -200,6 +222,7 @@
 		"rolling_back", action.RollBack)
 	h.desired = DesiredVersion{Plan: action.Plan, Target: action.Target, RollingBack: action.RollBack}
 	kind := h.participant.State().Plan.Kind
+	attempt := h.participant.Attempts()
 	f.goroutines.Go(func() {
 		err := h.change(kind, action.Target, action.Settings, action.RollBack)
 		if err == nil {
@@ -208,7 +231,9 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.log.Error("this replica can't apply the fleet rollout", "plan", action.Plan, "err", err)
-		h.ownRefusal = refusal{plan: action.Plan, reason: err.Error()}
+		if h.participant.Attempts() == attempt {
+			h.ownRefusal = refusal{plan: action.Plan, reason: err.Error()}
+		}
 	})
 }
 
@@ -251,9 +276,8 @@
 		f.fetchIfNewer(sender, message.State)
 		return
 	}
-	report := message.Report
-	if message.Kind == rollout.ReportUpdate && report != nil && report.Name == sender && report.RefusedReason != "" {
-		f.rollouts.refusals[sender] = refusal{plan: report.Plan, reason: report.RefusedReason}
+	if report := message.Report; message.Kind == rollout.ReportUpdate && report != nil && report.Name == sender {
+		f.rollouts.noteReport(report)
 	}
 	f.executeRollout(f.rollouts.participant.Handle(f.now(), message, nil))
 }
--- /dev/null
+++ b/fleet/rollout_host_test.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"ryerill/fleet/membership"
+	"ryerill/fleet/rollout"
+)
+
+// newRolloutHost returns a host that does not run: it does only what a test has it do.
+func newRolloutHost(t *testing.T, change ChangeFunc) *Fleet {
+	t.Helper()
+	f, err := New(Config{Name: "a", Fleet: "f", Listen: "127.0.0.1:0", Keys: testKeys}, slog.New(slog.DiscardHandler), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.transport.close)
+	f.EnableRollouts(change, func() []PoolActivity { return nil })
+	f.Announce(membership.Serving, "old")
+	return f
+}
+
+// What was refused in one attempt at a plan does not fail the next one, also not where the change ends late.
+func TestRefusalsAreForgottenInANewAttempt(t *testing.T) {
+	changes := make(chan error, 1)
+	f := newRolloutHost(t, func(rollout.Kind, string, []byte, bool) error { return <-changes })
+	plan := rollout.Plan{ID: "p", Kind: rollout.Settings, Target: "new"}
+	plan.Complete()
+	start := func() {
+		t.Helper()
+		if err := f.StartRollout(plan); err != nil {
+			t.Fatal(err)
+		}
+		f.tickRollouts()
+	}
+	refusal := func() string {
+		status, _ := f.RolloutStatus()
+		return status.Replicas[0].RefusedReason
+	}
+	order := func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.applyVersion(rollout.Action{Kind: rollout.Apply, Plan: "p", Target: "new"})
+	}
+	abort := func() {
+		t.Helper()
+		if err := f.RolloutCommand("abort"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	start()
+	order()
+	changes <- errNoRollouts
+	f.goroutines.Wait()
+	if refusal() == "" {
+		t.Error("a refusal is not shown")
+	}
+	f.rollouts.noteReport(&rollout.Report{Name: "b", Plan: "p", RefusedReason: "disk full"})
+	abort()
+	start()
+	if refusal() != "" || len(f.rollouts.refusals) > 0 {
+		t.Errorf("refusals of the attempt before: %q, %v", refusal(), f.rollouts.refusals)
+	}
+	order()
+	abort()
+	start()
+	changes <- errNoRollouts
+	f.goroutines.Wait()
+	if refusal() != "" {
+		t.Errorf("the late end of an earlier attempt counts: %q", refusal())
+	}
+	f.rollouts.noteReport(&rollout.Report{Name: "b", Plan: "p", RefusedReason: "disk full"})
+	f.rollouts.noteReport(&rollout.Report{Name: "b", Interval: uint64(time.Now().Unix())})
+	if len(f.rollouts.refusals) > 0 {
+		t.Errorf("a replica that refuses no more: %v", f.rollouts.refusals)
+	}
+}
