Say for which replicas a rollout waits

Cause: while a leader changed replicas or rolled them back its status showed no evidence, so a plan that waited because too many replicas were away looked idle until it expired, without saying why. Change: the evidence names the replicas that are being changed, or those that are not there or not ready and how many may be; a plan that expires says the same.

--- a/fleet/rollout/participant.go
+++ b/fleet/rollout/participant.go
@@ -53,8 +53,8 @@
 		p.env.replicas.aliveCount(), len(p.env.replicas))
 }
 
-// Evidence is what the leader knows about the stage that is observed, as an explanation and by interval. On other
-// replicas it is empty, unless there can't be a leader.
+// Evidence is what the leader knows about the stage that is observed, as an explanation and by interval, or what it
+// waits for. On other replicas it is empty, unless there can't be a leader.
 func (p *Participant) Evidence() (explanation string, points []Point) {
 	switch {
 	case !p.state.Phase.Ended() && !p.env.replicas.hasQuorum():
@@ -64,6 +64,8 @@
 		return "", nil
 	case p.state.Phase == Changing && len(p.state.Selected) == 0:
 		return "how copies differ while all are alike is being watched", nil
+	case p.state.Phase == Changing || p.state.Phase == RollingBack:
+		return p.awaited(), nil
 	case p.stages.evaluator == nil:
 		return "", nil
 	}
--- a/fleet/rollout/stages.go
+++ b/fleet/rollout/stages.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -53,7 +55,7 @@
 func (p *Participant) advanceStage() {
 	state := &p.state
 	if state.Age > state.Plan.ExpiresAfter && state.Phase != RollingBack && state.Phase != Observing {
-		p.transition(Expired, "it was not through in time")
+		p.transition(Expired, p.expiredReason())
 		return
 	}
 	switch state.Phase {
@@ -99,6 +101,44 @@
 	}
 }
 
+// maxNamed is how many replicas an explanation names.
+const maxNamed = 5
+
+// awaited says for which replicas the leader waits while it changes replicas or rolls them back; empty if for none.
+func (p *Participant) awaited() string {
+	if ordered := slices.Sorted(maps.Keys(p.stages.orderedAt)); len(ordered) > 0 {
+		return "waiting for " + listNames(ordered)
+	}
+	var unavailable []string
+	for i := range p.env.replicas {
+		if replica := &p.env.replicas[i]; !replica.Alive || !replica.Ready {
+			unavailable = append(unavailable, replica.Name)
+		}
+	}
+	limit := p.state.Plan.MaxUnavailable
+	if len(unavailable) < limit {
+		return ""
+	}
+	slices.Sort(unavailable)
+	return fmt.Sprintf("not there or not ready: %s; at most %d may be away at once", listNames(unavailable), limit)
+}
+
+func (p *Participant) expiredReason() string {
+	const reason = "it was not through in time"
+	if awaited := p.awaited(); awaited != "" {
+		return reason + ": " + awaited
+	}
+	return reason
+}
+
+// listNames joins names, and counts those beyond the first ones.
+func listNames(names []string) string {
+	if len(names) <= maxNamed {
+		return strings.Join(names, ", ")
+	}
+	return fmt.Sprintf("%s and %d more", strings.Join(names[:maxNamed], ", "), len(names)-maxNamed)
+}
+
 // baselineObserved reports whether enough is known about how replicas differ while all are unchanged.
 func (p *Participant) baselineObserved() bool {
 	plan := &p.state.Plan
