--- a/cli/rolloutagent/agent_test.go
+++ b/cli/rolloutagent/agent_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"os"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -106,3 +108,52 @@
 		t.Errorf("reported %d times, want %d", refusals, failures+1)
 	}
 }
+
+// The command gets what is wanted in its environment; its exit status and its time decide whether it is a refusal.
+func TestTheCommandIsJudged(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		script  string
+		timeout time.Duration
+		refused string // part of the reason; empty if it is not refused
+	}{
+		{"it succeeds", `[ "$RYERILL_PLAN,$RYERILL_TARGET,$RYERILL_BACK" = p,v2,false ]`, testTimeout, ""},
+		{"it fails", "exit 3", testTimeout, "exit status 3"},
+		{"it takes too long", "exec sleep 60", 300 * time.Millisecond, "killed"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			output, err := os.OpenFile(os.DevNull, os.O_WRONLY, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer output.Close()
+			var reasons []string
+			agent := &Agent{
+				Proxy:   reasonProxy{reasons: &reasons},
+				Command: []string{"sh", "-c", tc.script},
+				Timeout: tc.timeout,
+				Output:  output,
+			}
+			agent.change(t.Context(), &fleet.RolloutStatus{
+				Kind: kindOfProgram, Target: "v2", Desired: fleet.DesiredVersion{Plan: "p", Target: "v2"},
+			})
+			switch refused := len(reasons) == 1; {
+			case refused != (tc.refused != "") || len(reasons) > 1:
+				t.Errorf("refused with %q", reasons)
+			case refused && !strings.Contains(reasons[0], tc.refused):
+				t.Errorf("refused with %q, want %q in it", reasons[0], tc.refused)
+			}
+		})
+	}
+}
+
+// reasonProxy notes the reasons of refusals.
+type reasonProxy struct{ reasons *[]string }
+
+func (p reasonProxy) Rollout() (fleet.RolloutStatus, error) { return fleet.RolloutStatus{}, nil }
+
+func (p reasonProxy) RefuseRollout(_, reason string) error {
+	*p.reasons = append(*p.reasons, reason)
+	return nil
+}
