--- a/lab/realtime/instance.go
+++ b/lab/realtime/instance.go
@@ -44,6 +44,8 @@
 	ended    chan struct{}      // closed at its end; set before start returns
 	killers  sync.WaitGroup     // goroutines that kill it should it not end by itself
 
+	reloading sync.Mutex // held while the proxy is given a configuration: faults may overlap
+
 	mu        sync.Mutex // guards the fields below
 	cmd       *exec.Cmd  // nil for an embedded proxy
 	err       error      // why it ended by itself
@@ -204,6 +206,8 @@
 
 // reload gives the proxy another variant of its configuration.
 func (i *instance) reload(variant int) error {
+	i.reloading.Lock()
+	defer i.reloading.Unlock()
 	if i.embedded != nil {
 		text, err := i.configuration(anyPort, variant) // as at its start
 		if err != nil {
