Refuse negative times of a scenario's crowd

Cause: crowd.after, rest and most were not checked, and negative ones made endpoints slow or well at once without a word.

--- a/lab/scenario/scenario_test.go
+++ b/lab/scenario/scenario_test.go
@@ -32,6 +32,9 @@
 		{"calls of the last tier", "providers: 2", "providers: 2, calls: 2", "tiers[0].calls"},
 		{"unknown fault", "load: {rate: 10}", "load: {rate: 10}\ntroubles: [{kind: flood, at: 1s, for: 1s}]", `w.yaml:8:19: troubles[0].kind: unexpected value "flood", want one of slow,`},
 		{"fault of an unknown tier", "load: {rate: 10}", "load: {rate: 10}\ntroubles: [{kind: slow, at: 1s, for: 1s, tier: two}]", `troubles[0].tier: unexpected value "two", want the name of a tier`},
+		{"negative time until a crowd counts", "load:", "node: {crowd: {at: 2, after: -1s}}\nload:", `w.yaml:4:5: tiers[0].node.crowd.after: unexpected value "-1s", want a time from 0s`},
+		{"negative rest of a crowd", "load:", "node: {crowd: {at: 2, rest: -1s}}\nload:", `tiers[0].node.crowd.rest: unexpected value "-1s"`},
+		{"negative limit of a crowd", "load:", "node: {crowd: {at: 2, most: -1s}}\nload:", `tiers[0].node.crowd.most: unexpected value "-1s"`},
 		{"negative rate", "rate: 10", "rate: -1", `w.yaml:7:14: load.rate: unexpected value "-1"`},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
