Report that an experiment has no variants instead of panicking

Cause: an expectation was compiled with the first variant as its example, also where there was none. Change: expectations are not compiled then; that arms is empty is reported already. Measured: the new test panicked before and passes. Results hold the limit and the attempts in flight of the deciders shared and oracle: a test says so, and passed at once.

--- a/lab/experiment/experiment_test.go
+++ b/lab/experiment/experiment_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -180,3 +181,31 @@
 		}
 	}
 }
+
+func TestNoVariantsAreReportedWhateverIsExpected(t *testing.T) {
+	start, _, _ := strings.Cut(validExperiment, "arms:")
+	_, err := Read(write(t, start+"arms: []\nexpect:\n  - goodput(a) >= 0.5\n"), false)
+	if err == nil || !strings.Contains(err.Error(), `arms: unexpected value "0", want one arm or more`) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// Results hold the limit and the attempts in flight of each decider, those whose replicas share state among them.
+func TestResultsHoldTheConcurrencyOfEveryDecider(t *testing.T) {
+	for _, decider := range append([]string{productDecider, "p2c/fixed:20"}, sharingDeciders...) {
+		e, err := Read(write(t, strings.Replace(validExperiment, "decider: p2c", "decider: "+decider, 1)), true)
+		if err != nil {
+			t.Fatal(err)
+		}
+		result, err := Virtual(t.Context(), e.Scenarios[1], e.Variants[1], 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if limits := result.Series.Limit; len(limits) == 0 || slices.Max(limits) <= 0 {
+			t.Errorf("%s: limits %v", decider, limits)
+		}
+		if inFlight := result.Series.InFlight; len(inFlight) == 0 || slices.Max(inFlight) <= 0 {
+			t.Errorf("%s: in flight %v", decider, inFlight)
+		}
+	}
+}
--- a/lab/experiment/read.go
+++ b/lab/experiment/read.go
@@ -163,7 +163,11 @@
 	}
 }
 
+// compileExpectations needs a variant to compile for; that there is none is reported already.
 func (c *checker) compileExpectations() {
+	if len(c.Variants) == 0 {
+		return
+	}
 	for i, text := range c.Expect {
 		compiled, err := compile(text, c.Variants)
 		if err != nil {
