Compare runs of the measuring commands by seed

Cause: values stood in the order in which runs ended, and sharing compared them by index, so that its intervals paired different seeds; it counted the failed runs of the first fleet size only. The command night printed <nil> after the name of a file. Change: values stand in the order of their seeds, pairs are of one seed, all sizes count, and night names the file or why it was not written.

--- a/lab/cli/chaos.go
+++ b/lab/cli/chaos.go
@@ -213,7 +213,14 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.violations++
-	//nolint:errorlint // err is part of the text, also where it is nil; the violation is what is wrapped
-	b.violation = fmt.Errorf("%w; %d troubles are enough, written to %s %v", violation, len(smaller.Steps), file, err)
+	b.violation = foundViolation(violation, len(smaller.Steps), file, err)
 	fmt.Fprintln(b.stdout, b.violation)
 }
+
+// foundViolation says what was found, and where the schedule that shows it was written, or why it was not.
+func foundViolation(violation *chaos.Violation, steps int, file string, err error) error {
+	if err != nil {
+		return fmt.Errorf("%w; %d troubles are enough, not written: %w", violation, steps, err)
+	}
+	return fmt.Errorf("%w; %d troubles are enough, written to %s", violation, steps, file)
+}
--- a/lab/cli/sampler.go
+++ b/lab/cli/sampler.go
@@ -1,8 +1,10 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"runtime"
+	"slices"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -19,7 +21,7 @@
 // addFunc adds values to a sampler.
 type addFunc[K comparable] func(key K, values ...float64)
 
-// sampler runs measurements on all cores and collects their values, in the order in which they are added.
+// sampler runs measurements on all cores and collects their values. Which run ends first does not show in them.
 type sampler[K comparable] struct {
 	workers errgroup.Group
 
@@ -53,9 +55,10 @@
 // wait returns once all measurements have ended. Only then may values be read.
 func (s *sampler[K]) wait() {
 	_ = s.workers.Wait() // measurements return no errors
+	slices.SortStableFunc(s.samples, func(a, b sample[K]) int { return cmp.Compare(a.seed, b.seed) })
 }
 
-// values returns what was measured of a fleet size.
+// values returns what was measured of a fleet size, in the order of the seeds.
 func (s *sampler[K]) values(key K, replicas int) []float64 {
 	var values []float64
 	for _, sample := range s.samples {
@@ -65,3 +68,20 @@
 	}
 	return values
 }
+
+// paired returns of two keys the values of those seeds for which both were measured, in the same order.
+func (s *sampler[K]) paired(key, other K, replicas int) (values, others []float64) {
+	bySeed := map[uint64]float64{}
+	for _, sample := range s.samples {
+		if sample.key == other && sample.replicas == replicas {
+			bySeed[sample.seed] = sample.value
+		}
+	}
+	for _, sample := range s.samples {
+		if value, ok := bySeed[sample.seed]; ok && sample.key == key && sample.replicas == replicas {
+			values = append(values, sample.value)
+			others = append(others, value)
+		}
+	}
+	return values, others
+}
--- a/lab/cli/sampler_test.go
+++ b/lab/cli/sampler_test.go
@@ -40,3 +40,28 @@
 	s.start(ctx, 3, 1, func(addFunc[string]) { t.Error("a measurement was started") })
 	s.wait()
 }
+
+// Which run ends first does not show: values stand in the order of the seeds, and are compared by seed where a run failed.
+func TestSamplerOrdersAndPairsBySeed(t *testing.T) {
+	s := newSampler[string]()
+	add := func(seed uint64, key string, value float64) {
+		s.samples = append(s.samples, sample[string]{key: key, replicas: 3, seed: seed, value: value})
+	}
+	for _, seed := range []uint64{4, 2, 0, 3, 1} {
+		add(seed, "on", float64(10+seed))
+	}
+	for _, seed := range []uint64{1, 4, 3, 0} { // the run of seed 2 failed
+		add(seed, "off", float64(seed))
+	}
+	s.wait()
+	if on := s.values("on", 3); !slices.Equal(on, []float64{10, 11, 12, 13, 14}) {
+		t.Errorf("values %v", on)
+	}
+	on, off := s.paired("on", "off", 3)
+	if !slices.Equal(on, []float64{10, 11, 13, 14}) || !slices.Equal(off, []float64{0, 1, 3, 4}) {
+		t.Errorf("pairs %v and %v", on, off)
+	}
+	if on, _ := s.paired("on", "off", 30); len(on) > 0 {
+		t.Errorf("pairs of another size: %v", on)
+	}
+}
--- a/lab/cli/sharing.go
+++ b/lab/cli/sharing.go
@@ -94,12 +94,20 @@
 	}
 	samples.wait()
 	text := sharingReport(cases, samples)
-	if failed := len(samples.values(failedRun, sizes[0])); failed > 0 {
+	if failed := failedRuns(samples, sizes); failed > 0 {
 		text += fmt.Sprintf("%d runs failed.\n", failed)
 	}
 	return printAndSaveTable(out, text, stdout)
 }
 
+// failedRuns counts the runs of all fleet sizes that failed.
+func failedRuns(samples *sampler[sharingMetric], sizes []int) (failed int) {
+	for _, replicas := range sizes {
+		failed += len(samples.values(failedRun, replicas))
+	}
+	return failed
+}
+
 // measure plays the case once.
 func (c *sharingCase) measure(ctx context.Context, seed uint64, add addFunc[sharingMetric]) {
 	result, err := statesyncsim.Play(ctx, c.Case, c.variant, seed)
@@ -137,7 +145,7 @@
 	values := func(name string) []float64 { return samples.values(c.metric(name), c.Replicas) }
 	mean := func(name string) float64 { return experiment.Mean(values(name)) }
 	off := sharingCase{c.Case, sharingOff}
-	gain := experiment.Differ(values("goodput"), samples.values(off.metric("goodput"), c.Replicas))
+	gain := experiment.Differ(samples.paired(c.metric("goodput"), off.metric("goodput"), c.Replicas))
 	lost := values("lost")
 	low, high := experiment.Interval(lost)
 	cut := "no"
