Test rollouts without traffic, with faults of a zone, and paused

Cause: several hard cases of rollouts stood in no test: too little traffic to know, then a resume; a fault that hits all alike or the zone of the first replica alone; load that doubles; a leader in the smaller half; a pause; how stages grow and spread over zones. Change: a case each, and six more planted faults.

--- a/fleet/rollout/evaluator_test.go
+++ b/fleet/rollout/evaluator_test.go
@@ -54,6 +54,44 @@
 				r.ServedWeight *= 0.85
 			}
 		}, Passed, ""},
+		{"a fault that hits all alike", func(r *Report, _ bool) {
+			if r.Interval > 50 && r.Interval < 70 {
+				r.ServedWeight *= 0.5
+				r.ResponseSeconds *= 4
+			}
+		}, Passed, ""},
+		{"a fault of the zone of the first changed one", func(r *Report, _ bool) {
+			r.Zone = "z1"
+			if r.Name < "c03" { // the changed ones and another
+				r.Zone = "z0"
+			}
+			if r.Interval > 40 && r.Zone == "z0" {
+				r.ServedWeight *= 0.85
+			}
+		}, Passed, ""},
+		{"load that doubles in the middle", func(r *Report, _ bool) {
+			if r.Interval > 50 {
+				r.OfferedWeight, r.ServedWeight = 2*r.OfferedWeight, 2*r.ServedWeight
+			}
+		}, Passed, ""},
+		{"what costs once load doubles", func(r *Report, changed bool) {
+			if r.Interval > 50 {
+				r.OfferedWeight, r.ServedWeight = 2*r.OfferedWeight, 2*r.ServedWeight
+			}
+			if changed && r.Interval > 50 {
+				r.ServedWeight *= 0.8
+			}
+		}, Regressed, "goodput is lower"},
+		{"hardly any traffic", func(r *Report, _ bool) {
+			r.OfferedWeight, r.ServedWeight = 0.02*r.OfferedWeight, 0.02*r.ServedWeight
+			r.Responses, r.ResponseSeconds = 0.02*r.Responses, 0.02*r.ResponseSeconds
+			r.Requests, r.Attempts = 0.02*r.Requests, 0.02*r.Attempts
+		}, Undecided, ""},
+		{"no traffic at the changed ones", func(r *Report, changed bool) {
+			if changed {
+				r.OfferedWeight, r.ServedWeight, r.Responses, r.ResponseSeconds, r.Requests, r.Attempts = 0, 0, 0, 0, 0, 0
+			}
+		}, Undecided, ""},
 		{"invalid reports", func(r *Report, changed bool) {
 			if changed {
 				r.ServedWeight = -1
--- a/fleet/rollout/fleet_test.go
+++ b/fleet/rollout/fleet_test.go
@@ -17,6 +17,7 @@
 	plan     Plan
 	command  string // that an operator gave, or another event that happens once
 
+	quiet       bool // there is no traffic
 	deadly      bool // the target kills a replica that takes it
 	deadlyLater bool // but some time after it is ready
 	partition   int  // replicas below this index reach only each other; 0 is no partition
@@ -199,6 +200,9 @@
 			good -= cost
 		}
 		rep := Report{Name: h.name, Zone: c.zone(i), Pool: "main", Interval: span, OfferedWeight: 50, ServedWeight: 50 * good, Responses: 50, ResponseSeconds: 5}
+		if c.quiet {
+			rep.OfferedWeight, rep.ServedWeight, rep.Responses, rep.ResponseSeconds = 0, 0, 0, 0
+		}
 		for j, to := range c.members {
 			if to.up && to.participant.IsLeader() && c.reaches(i, j) {
 				c.act(j, to.participant.Handle(c.now, Message{Kind: ReportUpdate, From: h.name, Report: &rep}, nil))
--- a/fleet/rollout/mutants_test.go
+++ b/fleet/rollout/mutants_test.go
@@ -7,7 +7,7 @@
 )
 
 func TestMutantsAreFound(t *testing.T) {
-	mutant.Find(t, "ExploreFleet|RolloutsUnderFaults|Votes", []mutant.Mutant{
+	mutant.Find(t, "ExploreFleet|RolloutsUnderFaults|Vote|Revived|ALeaderForgets|WithoutState|NewAttempt|EvaluatorFinds", []mutant.Mutant{
 		{Name: "two votes at once", File: "election.go", From: "	case request.FencingToken >= e.highestToken && e.vote.allows(request.From, env.now):", To: "	case request.FencingToken >= e.highestToken:"},
 		{Name: "lower fencing tokens get votes", File: "election.go", From: "	case request.FencingToken >= e.highestToken && e.vote", To: "	case true && e.vote"},
 		{Name: "the lease never ends", File: "election.go", From: "	return e.token != 0 && now < e.leaseUntil && e.token >= e.highestToken", To: "	return e.token != 0 && e.leaseUntil > 0 && e.token >= e.highestToken"},
@@ -20,5 +20,11 @@
 		{Name: "a death during observation is ignored", File: "stages.go", From: "		if p.deathsExceedChance() {", To: "		if false {"},
 		{Name: "a second plan is accepted", File: "participant.go", From: "	if !p.state.Phase.Ended() {\n		return &PlanStateError{p.state.Plan.ID, p.state.Phase}\n	}\n", To: ""},
 		{Name: "a replica that was away keeps its version", File: "application.go", From: "	case state.Phase == Done:\n		p.apply(state.Plan.Target, false)", To: "	case state.Phase == Done:"},
+		{Name: "candidates with an older state get votes", File: "replication.go", From: "	if request.State == nil || !p.state.Newer(request.State) {", To: "	if true {"},
+		{Name: "a leader keeps what it knew in an earlier term", File: "participant.go", From: "	p.stages = newStageController() // what an earlier term knew may be of another plan, or of processes that are gone\n", To: ""},
+		{Name: "all send their state to the same peer", File: "replication.go", From: "(max(own, 0)+p.replication", To: "(0*own+p.replication"},
+		{Name: "an order is executed once for all attempts", File: "application.go", From: "	p.application = application{}\n}", To: "}"},
+		{Name: "too little traffic passes a stage", File: "stages.go", From: "	case assessment == Passed || nothingToCompare:", To: "	case assessment != Regressed || nothingToCompare:"},
+		{Name: "zones are not told apart", File: "report.go", From: "return cell{zone: r.Zone, pool:", To: "return cell{pool:"},
 	})
 }
--- a/fleet/rollout/participant_test.go
+++ b/fleet/rollout/participant_test.go
@@ -69,6 +69,45 @@
 				}
 			}
 		}, Done, 10},
+		{"the leader is partitioned with the smaller half, and heals", quickPlan, 0, func(c *fleet) func() {
+			return func() {
+				for i, h := range c.members {
+					if c.healAt == 0 && c.now > 8*time.Second && h.participant.IsLeader() {
+						c.members[0], c.members[i] = c.members[i], c.members[0]
+						c.inFlight, c.partition, c.healAt = nil, 4, c.now+17*time.Second
+					}
+				}
+				if c.now > c.healAt {
+					c.partition = 0
+				}
+			}
+		}, Done, 10},
+		{"too little traffic to know", Plan{Stages: quickPlan.Stages, RollBack: true, ExtraObservation: 20 * time.Second}, 0, func(c *fleet) func() { c.quiet = true; return nil }, Stopped, 1},
+		{"too little traffic to know, until there is more and an operator resumes", Plan{Stages: quickPlan.Stages, MaxUnavailable: 2, RollBack: true, ExtraObservation: 20 * time.Second}, 0, func(c *fleet) func() {
+			c.quiet = true
+			return func() {
+				if p := c.members[5].participant; c.quiet && p.state.Phase == Stopped {
+					c.quiet = false
+					p.Command(c.now, "resume")
+				}
+			}
+		}, Done, 10},
+		{"paused for a minute", quickPlan, 0, func(c *fleet) func() {
+			until := time.Duration(0)
+			return func() {
+				p := c.members[3].participant
+				switch {
+				case until == 0 && len(p.state.Selected) > 0:
+					until = c.now + time.Minute
+					p.Command(c.now, "pause")
+				case until > 0 && c.now > until && c.command == "":
+					c.command = "resume"
+					p.Command(c.now, "resume")
+				case until > 0 && c.command == "" && c.countVersion(target) > 1:
+					c.err = fmt.Errorf("%d have the target during the pause", c.countVersion(target))
+				}
+			}
+		}, Done, 10},
 		{"a fifth of the messages is lost, the others are delayed", quickPlan, 0, func(c *fleet) func() {
 			c.random, c.loss, c.maxDelay = rand.New(rand.NewPCG(1, 1)), 0.2, 500*time.Millisecond
 			return nil
--- a/fleet/rollout/plan_test.go
+++ b/fleet/rollout/plan_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -25,3 +27,50 @@
 		}
 	}
 }
+
+// The default stages are one replica, one of each zone, and then growing parts; replicas of all zones are changed in
+// turn, in an order of the plan's own, so that stages never shrink.
+func TestStagesGrowAndSpreadOverZones(t *testing.T) {
+	plan := Plan{ID: "p"}
+	plan.Complete()
+	for _, tc := range []struct {
+		replicas, zones int
+		want            []int
+	}{
+		{1, 1, []int{1, 1, 1, 1, 1, 1}},
+		{3, 3, []int{1, 3, 3, 3, 3, 3}},
+		{40, 3, []int{1, 3, 3, 10, 20, 40}},
+		{300, 3, []int{1, 3, 15, 75, 150, 300}},
+		{7, 10, []int{1, 7, 7, 7, 7, 7}}, // more zones than replicas
+	} {
+		var sizes []int
+		for stage := range plan.Stages {
+			sizes = append(sizes, plan.Size(stage, tc.replicas, tc.zones))
+		}
+		if !slices.Equal(sizes, tc.want) {
+			t.Errorf("%d replicas in %d zones: %v, want %v", tc.replicas, tc.zones, sizes, tc.want)
+		}
+	}
+	var all replicas
+	for i := range 30 {
+		all = append(all, Replica{Name: fmt.Sprintf("c%02d", i), Zone: fmt.Sprint("z", i/10)})
+	}
+	ordered := all.inChangeOrder("p")
+	for i, replica := range ordered {
+		if want := fmt.Sprint("z", i%3); replica.Zone != want {
+			t.Errorf("the replica that is changed as number %d is in %s, want %s", i, replica.Zone, want)
+		}
+	}
+	names := func(ordered []Replica) (names []string) {
+		for _, replica := range ordered {
+			names = append(names, replica.Name)
+		}
+		return names
+	}
+	if slices.Equal(names(ordered), names(all.inChangeOrder("q"))) {
+		t.Error("each plan changes the same replicas first")
+	}
+	if !slices.Equal(names(ordered), names(all.inChangeOrder("p"))) {
+		t.Error("the order of a plan is not always the same")
+	}
+}
