Refuse schedules of chaos runs that name no replica

Cause: a schedule written by hand whose rollout, abort or zone fault names no copy panicked when it was played; negative times and links that can't be were taken.

--- a/lab/chaos/schedule.go
+++ b/lab/chaos/schedule.go
@@ -64,6 +64,9 @@
 	AbortRollout, ZoneFault, DiskFailure, RotateKeys, Upgrade,
 }
 
+// kindsOfOne are the kinds that concern the first replica, or the zone, that a step names.
+var kindsOfOne = []Kind{HarmlessRollout, CostlyRollout, AbortRollout, ZoneFault}
+
 // Limits of Schedule.Replicas.
 const (
 	minReplicas = 2
@@ -90,15 +93,34 @@
 		if !slices.Contains(kinds, step.Kind) {
 			return fmt.Errorf("steps[%d].kind: %q is none of %v", i, step.Kind, kinds)
 		}
-		for _, replica := range step.Replicas {
-			if replica < 0 || replica >= s.Replicas {
-				return fmt.Errorf("steps[%d].whom: there is no copy %d", i, replica)
-			}
+		if err := step.check(s.Replicas); err != nil {
+			return fmt.Errorf("steps[%d].%w", i, err)
 		}
 	}
 	return nil
 }
 
+// check returns an error that begins with the key that is at fault.
+func (s *Step) check(replicas int) error {
+	switch {
+	case s.At < 0:
+		return fmt.Errorf("at: %v, want 0 or later", s.At)
+	case s.Duration < 0:
+		return fmt.Errorf("for: %v, want 0 or longer", s.Duration)
+	case len(s.Replicas) == 0 && slices.Contains(kindsOfOne, s.Kind):
+		return fmt.Errorf("whom: missing: a step of the kind %q names one", s.Kind)
+	}
+	for _, replica := range s.Replicas {
+		if replica < 0 || replica >= replicas {
+			return fmt.Errorf("whom: there is no copy %d", replica)
+		}
+	}
+	if err := s.Link.Check(); err != nil {
+		return fmt.Errorf("link: %w", err)
+	}
+	return nil
+}
+
 // Write writes a schedule to a file.
 func (s *Schedule) Write(file string) error {
 	text, err := yaml.Marshal(s)
