Test that a plan survives the restart of a replica

Cause: that a plan, its stage and its history are restored from the state file stood in the tests of processes alone. Change: a test of one host that pauses a plan, is restarted and refuses a second one. Measured: it passes on the present code; no production code changes.

--- a/fleet/rollout_host_test.go
+++ b/fleet/rollout_host_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"log/slog"
+	"path/filepath"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,9 +13,10 @@
 )
 
 // newRolloutHost returns a host that does not run: it does only what a test has it do.
-func newRolloutHost(t *testing.T, change ChangeFunc) *Fleet {
+func newRolloutHost(t *testing.T, change ChangeFunc, stateFile string) *Fleet {
 	t.Helper()
-	f, err := New(Config{Name: "a", Fleet: "f", Listen: "127.0.0.1:0", Keys: testKeys}, slog.New(slog.DiscardHandler), nil)
+	cfg := Config{Name: "a", Fleet: "f", Listen: "127.0.0.1:0", Keys: testKeys, StateFile: stateFile}
+	f, err := New(cfg, slog.New(slog.DiscardHandler), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -25,7 +29,7 @@
 // What was refused in one attempt at a plan does not fail the next one, also not where the change ends late.
 func TestRefusalsAreForgottenInANewAttempt(t *testing.T) {
 	changes := make(chan error, 1)
-	f := newRolloutHost(t, func(rollout.Kind, string, []byte, bool) error { return <-changes })
+	f := newRolloutHost(t, func(rollout.Kind, string, []byte, bool) error { return <-changes }, "")
 	plan := rollout.Plan{ID: "p", Kind: rollout.Settings, Target: "new"}
 	plan.Complete()
 	start := func() {
@@ -77,3 +81,33 @@
 		t.Errorf("a replica that refuses no more: %v", f.rollouts.refusals)
 	}
 }
+
+// A plan with its stage and history survives a restart where there is a state file.
+func TestAPlanSurvivesARestart(t *testing.T) {
+	stateFile := filepath.Join(t.TempDir(), "a")
+	begin := func() *Fleet {
+		return newRolloutHost(t, func(rollout.Kind, string, []byte, bool) error { return nil }, stateFile)
+	}
+	f := begin()
+	plan := rollout.Plan{ID: "p", Kind: rollout.Settings, Target: "new", Settings: []byte("classes: []")}
+	plan.Complete()
+	if err := f.StartRollout(plan); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.RolloutCommand("pause"); err != nil {
+		t.Fatal(err)
+	}
+	f.tickRollouts()
+	f.goroutines.Wait()
+	before, _ := f.RolloutStatus()
+	f.transport.close()
+	restarted := begin()
+	after, _ := restarted.RolloutStatus()
+	if after.Plan != "p" || after.Phase != "paused" || after.FencingToken != before.FencingToken ||
+		!slices.Equal(after.History, before.History) {
+		t.Errorf("before %+v\nafter %+v", before, after)
+	}
+	if err := restarted.StartRollout(plan); err == nil || !strings.Contains(err.Error(), "plan p stands") {
+		t.Errorf("a second plan: %v", err)
+	}
+}
