Have discovery fall silent or late in chaos runs on processes

Cause: the chaos runs' replicas had fixed endpoints, so that no run met a discovery service that was late or silent. Change: a stand-in lists the endpoints of all replicas; two kinds of step silence it or delay its answers, overlapping with the others.

--- a/lab/chaos/draw.go
+++ b/lab/chaos/draw.go
@@ -35,12 +35,15 @@
 	DiskFailure:     2,
 	RotateKeys:      1,
 	Upgrade:         2,
+	DiscoverySilent: 1,
+	DiscoveryLate:   1,
 }
 
 // The values from which Amount is drawn.
 var (
 	demands      = []float64{0, 5, 50, 400}
 	rolloutCosts = []float64{0.05, 0.2, 0.9}
+	delays       = []float64{0.3, 1, 3} // seconds: less and more than calls of discovery wait
 )
 
 // drawer draws the steps of a schedule.
@@ -90,6 +93,9 @@
 	case ZoneFault:
 		step.Amount = 0.1 + 0.3*d.rng.Float64()
 		step.Replicas = []int{d.rng.IntN(zones)}
+	case DiscoveryLate:
+		step.Amount = delays[d.rng.IntN(len(delays))]
+	case DiscoverySilent: // it is one service for all
 	case AbortRollout, HarmlessRollout, RotateKeys, Upgrade:
 		step.Replicas = d.some(1)
 	default:
--- a/lab/chaos/process_faults.go
+++ b/lab/chaos/process_faults.go
@@ -54,6 +54,14 @@
 		r.rotateKeys(ctx)
 	case Upgrade:
 		r.upgrade(ctx, step)
+	case DiscoverySilent:
+		r.discovery.setSilent(true)
+		pause(ctx, step.Duration)
+		r.discovery.setSilent(false)
+	case DiscoveryLate:
+		r.discovery.setDelay(time.Duration(step.Amount * float64(time.Second)))
+		pause(ctx, step.Duration)
+		r.discovery.setDelay(0)
 	case ZoneFault, CostlyRollout:
 		r.fleet.Ledger.FailEndpoint(step.Replicas[0] % endpoints)
 		pause(ctx, step.Duration)
--- a/lab/chaos/processes.go
+++ b/lab/chaos/processes.go
@@ -44,12 +44,17 @@
 	defer func() {
 		_ = os.RemoveAll(dir) // what stays behind is in the folder for temporary files
 	}()
-	f, err := processes.Start(ctx, fleetOptions(s, command, dir))
+	service, err := startDiscovery()
+	if err != nil {
+		return sum, nil, err
+	}
+	defer service.close()
+	f, err := processes.Start(ctx, fleetOptions(s, command, dir, service))
 	if err != nil {
 		return sum, nil, err
 	}
 	defer f.Close()
-	r := &processRun{fleet: f, startedAt: time.Now(), progress: progress}
+	r := &processRun{fleet: f, discovery: service, startedAt: time.Now(), progress: progress}
 	stopLoad := r.startLoad(ctx)
 	defer stopLoad()
 	if !until(ctx, agreeTimeout, r.agree) {
@@ -75,8 +80,8 @@
 	return sum, r.violation(), nil
 }
 
-// fleetOptions describe a fleet that shares all state and has a tenant with a quota.
-func fleetOptions(s Schedule, command []string, dir string) processes.Options {
+// fleetOptions describe a fleet that shares all state, has a tenant with a quota, and watches a discovery service.
+func fleetOptions(s Schedule, command []string, dir string, service *discoveryService) processes.Options {
 	return processes.Options{
 		Command:   command,
 		Dir:       dir,
@@ -85,6 +90,7 @@
 		Change: func(_ int, file *config.File) {
 			file.Fleet.Sharing = &config.SharingFile{Quotas: true, Counters: true, Evidence: true}
 			file.Pools[0].Tenants = []config.TenantFile{{Name: "acme", Quota: totalQuota}}
+			service.configure(&file.Pools[0])
 		},
 	}
 }
@@ -92,6 +98,7 @@
 // processRun is one run on processes.
 type processRun struct {
 	fleet     *processes.Fleet
+	discovery *discoveryService
 	startedAt time.Time // of the faults, once they are injected
 	progress  func(string)
 	faults    sync.WaitGroup // goroutines that inject them
@@ -165,6 +172,7 @@
 		n.Usual(faultnet.Link{})
 	})
 	r.fleet.Ledger.FailEndpoint(-1)
+	r.discovery.heal()
 	for i, replica := range r.fleet.Replicas {
 		signal(replica, syscall.SIGCONT)
 		if replica.Up() {
--- a/lab/chaos/schedule.go
+++ b/lab/chaos/schedule.go
@@ -56,12 +56,14 @@
 	DiskFailure     Kind = "disk"    // persisted state can't be written, nor read at a restart
 	RotateKeys      Kind = "keys"    // the fleet's key is rotated in steps; processes only
 	Upgrade         Kind = "upgrade" // another process of the program replaces the replica's; processes only
+	DiscoverySilent Kind = "silent"  // the discovery service answers nothing; processes only
+	DiscoveryLate   Kind = "late"    // it answers Amount seconds late; processes only
 )
 
 // kinds has all kinds in the order in which Draw weighs them.
 var kinds = []Kind{
 	Isolate, IsolateOutgoing, Split, DegradeNetwork, Stop, Kill, Leave, Demand, HarmlessRollout, CostlyRollout,
-	AbortRollout, ZoneFault, DiskFailure, RotateKeys, Upgrade,
+	AbortRollout, ZoneFault, DiskFailure, RotateKeys, Upgrade, DiscoverySilent, DiscoveryLate,
 }
 
 // kindsOfOne are the kinds that concern the first replica, or the zone, that a step names.
