Judge each pool of a rollout by itself

Cause: the evidence of all pools was added up, so that pools that a change left alone outweighed one that it cost. With two large pools as before a third could lose all of its goodput, and the stage passed. Change: beside the sum each pool is judged, from a bound that is higher by the log of their number, and a stage does not pass while a pool leans towards a cost; the reason names the pool. A replica that fails again after each resume is listed once.

--- a/fleet/rollout/evaluator.go
+++ b/fleet/rollout/evaluator.go
@@ -2,14 +2,18 @@
 
 import (
 	"fmt"
+	"maps"
+	"math"
 	"slices"
 	"time"
 )
 
 const (
 	maxPoints              = 600
-	maxHighMemoryIntervals = 5  // in a row: what a change allocates at its start is released
-	minMemoryExcess        = 16 // MB: less doesn't matter
+	maxHighMemoryIntervals = 5   // in a row: what a change allocates at its start is released
+	minMemoryExcess        = 16  // MB: less doesn't matter
+	maxEvaluatedPools      = 256 // of further ones only what all pools together show counts
+	doubtfulEvidence       = 1   // from which a pool keeps a stage from passing
 )
 
 // Assessment is what is known about a stage.
@@ -49,11 +53,9 @@
 	newestInterval uint64
 	latestReports  map[reporterPool]uint64 // interval of the latest report
 
-	goodput             float64 // evidence before uncertainty
-	uncertainty         float64 // variance of differences in the baseline, against that of the comparisons
-	latency             float64 // evidence
-	attempts            float64 // evidence
-	highMemoryIntervals int     // in a row
+	total               evidence             // over all pools
+	pools               map[string]*evidence // by pool: what one costs is not made up for by another
+	highMemoryIntervals int                  // in a row
 	comparedIntervals   int
 	points              []Point
 }
@@ -74,6 +76,7 @@
 		changed:       map[string]bool{},
 		open:          map[cell]*comparison{},
 		latestReports: map[reporterPool]uint64{},
+		pools:         map[string]*evidence{},
 	}
 	for _, name := range changed {
 		evaluator.changed[name] = true
@@ -110,21 +113,22 @@
 // Assess returns what is known about the stage, and why.
 func (e *Evaluator) Assess(time.Duration) (Assessment, string) {
 	upper, lower := e.guardrails.bounds()
-	goodput := e.evidence()
-	switch {
-	case goodput >= upper:
-		return Regressed, fmt.Sprintf("goodput is lower than that of unchanged copies by %.3g or so "+
-			"(evidence %.1f of %.1f)", e.guardrails.Goodput, goodput, upper)
-	case e.latency >= upper:
-		return Regressed, fmt.Sprintf("answers are slower than those of unchanged copies by %.0f%% or so "+
-			"(evidence %.1f of %.1f)", 100*e.guardrails.Latency, e.latency, upper)
-	case e.attempts >= upper:
-		return Regressed, fmt.Sprintf("requests take more calls to providers than at unchanged copies, "+
-			"by %.0f%% or so (evidence %.1f of %.1f)", 100*e.guardrails.Attempts, e.attempts, upper)
-	case e.highMemoryIntervals >= maxHighMemoryIntervals:
+	if reason := e.total.regression(&e.guardrails, upper); reason != "" {
+		return Regressed, reason
+	}
+	if reason := e.regressionOfPool(upper); reason != "" {
+		return Regressed, reason
+	}
+	if e.highMemoryIntervals >= maxHighMemoryIntervals {
 		return Regressed, fmt.Sprintf("copies hold more memory than any unchanged one, by over %.0f%%, for %d spans",
 			100*e.guardrails.Memory, e.highMemoryIntervals)
-	case goodput <= lower:
+	}
+	goodput := e.total.ofGoodput()
+	if doubtful := e.doubtfulPool(); doubtful != "" && goodput <= lower {
+		return Undecided, fmt.Sprintf("evidence %.1f of lower goodput in pool %s, over %d spans",
+			e.pools[doubtful].ofGoodput(), doubtful, e.comparedIntervals)
+	}
+	if goodput <= lower {
 		return Passed, fmt.Sprintf("no lower goodput over %d spans (evidence %.1f of %.1f)",
 			e.comparedIntervals, goodput, lower)
 	}
@@ -132,9 +136,27 @@
 		goodput, lower, upper, e.comparedIntervals)
 }
 
-// evidence is the log of how much more likely the loss of goodput is than none. The
-// uncertainty about how replicas differed before bounds it, however long it is observed.
-func (e *Evaluator) evidence() float64 { return e.goodput / (1 + e.uncertainty) }
+// regressionOfPool says which pool has regressed, and how; empty if none has. Pools share the probability of a false
+// alarm.
+func (e *Evaluator) regressionOfPool(upper float64) string {
+	upper += math.Log(float64(max(len(e.pools), 1)))
+	for _, pool := range slices.Sorted(maps.Keys(e.pools)) {
+		if reason := e.pools[pool].regression(&e.guardrails, upper); reason != "" {
+			return "in pool " + pool + " " + reason
+		}
+	}
+	return ""
+}
+
+// doubtfulPool is a pool that may have lost goodput, although all pools together have not; empty if there is none.
+func (e *Evaluator) doubtfulPool() string {
+	for _, pool := range slices.Sorted(maps.Keys(e.pools)) {
+		if e.pools[pool].ofGoodput() >= doubtfulEvidence {
+			return pool
+		}
+	}
+	return ""
+}
 
 // closeIntervals compares the intervals that are over: in each zone that has both changed and unchanged replicas, or,
 // if no zone of a pool has, over all zones.
@@ -157,7 +179,7 @@
 		if zone.isMeaningful() {
 			zonesCompared[allZones] = true
 			compared[key.interval] = true
-			e.compare(zone)
+			e.compare(key.pool, zone)
 		}
 	}
 	for _, key := range sortedCells(totals) {
@@ -166,24 +188,22 @@
 		e.addPoint(key.interval, total)
 		if !zonesCompared[key] && total.isMeaningful() {
 			compared[key.interval] = true
-			e.compare(total)
+			e.compare(key.pool, total)
 		}
 	}
 	e.comparedIntervals += len(compared)
 }
 
 // compare adds the evidence of one comparison.
-func (e *Evaluator) compare(c *comparison) {
-	evidence, uncertainty := c.goodputEvidence(e.guardrails.Goodput)
-	counted := clampEvidence(evidence)
-	e.goodput += counted
-	if evidence != 0 {
-		e.uncertainty += uncertainty * counted / evidence // as much of it as counts
-	}
-	latency := growthEvidence(c.baseline.latency(), c.changed.latency(), e.guardrails.Latency)
-	e.latency += clampEvidence(latency)
-	attempts := growthEvidence(c.baseline.attemptRate(), c.changed.attemptRate(), e.guardrails.Attempts)
-	e.attempts += clampEvidence(attempts)
+func (e *Evaluator) compare(pool string, c *comparison) {
+	e.total.add(c, &e.guardrails)
+	if e.pools[pool] == nil {
+		if len(e.pools) >= maxEvaluatedPools {
+			return
+		}
+		e.pools[pool] = &evidence{}
+	}
+	e.pools[pool].add(c, &e.guardrails)
 }
 
 // compareMemory counts the intervals in a row in which the median memory of changed replicas exceeds that of any
@@ -223,7 +243,7 @@
 		ChangedAttempts:  quotient(changed.attempts, changed.requests),
 		BaselineMemory:   largest(baseline.memory),
 		ChangedMemory:    largest(changed.memory),
-		Evidence:         e.evidence(),
+		Evidence:         e.total.ofGoodput(),
 		UpperBound:       upper,
 		LowerBound:       lower,
 	})
--- a/fleet/rollout/evaluator_test.go
+++ b/fleet/rollout/evaluator_test.go
@@ -136,6 +136,63 @@
 	}
 }
 
+// Pools are compared by themselves: a change that costs one pool is found beside another that hides it in the sum, and
+// replicas that serve other pools by nature are not taken for worse.
+func TestEvaluatorTellsPoolsApart(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		goodput func(pool string, changed bool) float64
+		want    Assessment
+	}{
+		{"a pool is hit, the other is better", func(pool string, changed bool) float64 {
+			switch {
+			case changed && pool == "small":
+				return 0.7
+			case changed:
+				return 1
+			default:
+				return 0.96
+			}
+		}, Regressed},
+		{"a pool is lost, the others are as before", func(pool string, changed bool) float64 {
+			if changed && pool == "small" {
+				return 0
+			}
+			return 0.96
+		}, Regressed},
+		{"a pool is always worse", func(pool string, _ bool) float64 {
+			if pool == "small" {
+				return 0.6
+			}
+			return 0.98
+		}, Passed},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			evaluator := NewEvaluator(Guardrails{}, []string{"c00", "c01"}, nil)
+			for interval := uint64(1); interval < 60; interval++ {
+				for i := range 12 {
+					for pool, offered := range map[string]float64{"large": 200, "other": 200, "small": 20} {
+						changed := i < 2
+						if changed { // which serve more of the small pool
+							offered = 60
+						}
+						evaluator.AddReport(0, Report{
+							Name: fmt.Sprintf("c%02d", i), Zone: "z", Pool: pool, Interval: interval,
+							OfferedWeight: offered, ServedWeight: offered * tc.goodput(pool, changed),
+						})
+					}
+				}
+				if assessment, _ := evaluator.Assess(0); assessment == Regressed {
+					break
+				}
+			}
+			if assessment, why := evaluator.Assess(0); assessment != tc.want {
+				t.Errorf("%v: %s", assessment, why)
+			}
+		})
+	}
+}
+
 // A program that speaks no protocol level of some replica is refused when the plan starts.
 func TestLevelsHaveToMeet(t *testing.T) {
 	for _, tc := range []struct {
@@ -152,3 +209,42 @@
 		}
 	}
 }
+
+// A harmless change passes in as many pools as a proxy may well have, however little each of them serves.
+func TestEvaluatorPassesHarmlessChangesOfManyPools(t *testing.T) {
+	const runs, pools, observed = 60, 12, 40
+	regressed, undecided := 0, 0
+	for seed := range uint64(runs) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		evaluator := NewEvaluator(Guardrails{}, []string{"c00", "c01"}, nil)
+		assessment := Undecided
+		for interval := uint64(1); interval <= 2*observed && assessment != Regressed; interval++ {
+			for i := range 12 {
+				for pool := range pools {
+					offered, served := float64(2+3*pool), 0.0
+					for range int(offered) {
+						if rng.Float64() < 0.96 {
+							served++
+						}
+					}
+					evaluator.AddReport(0, Report{
+						Name: fmt.Sprintf("c%02d", i), Zone: "z", Pool: fmt.Sprint("p", pool), Interval: interval,
+						OfferedWeight: offered, ServedWeight: served,
+					})
+				}
+			}
+			if assessment, _ = evaluator.Assess(0); interval >= observed && assessment == Passed {
+				break
+			}
+		}
+		switch assessment {
+		case Regressed:
+			regressed++
+		case Undecided:
+			undecided++
+		}
+	}
+	if regressed > 0 || undecided > 0 {
+		t.Errorf("of %d: %d regressed, %d undecided", runs, regressed, undecided)
+	}
+}
--- /dev/null
+++ b/fleet/rollout/evidence.go
@@ -0,0 +1,46 @@
+package rollout
+
+import "fmt"
+
+// evidence is what comparisons show of a change, as logs of how much more likely a cost is than none.
+type evidence struct {
+	goodput     float64 // before uncertainty
+	uncertainty float64 // variance of differences in the baseline, against that of the comparisons
+	latency     float64
+	attempts    float64
+}
+
+// add adds what one comparison shows.
+func (e *evidence) add(c *comparison, guardrails *Guardrails) {
+	goodput, uncertainty := c.goodputEvidence(guardrails.Goodput)
+	counted := clampEvidence(goodput)
+	e.goodput += counted
+	if goodput != 0 {
+		e.uncertainty += uncertainty * counted / goodput // as much of it as counts
+	}
+	latency := growthEvidence(c.baseline.latency(), c.changed.latency(), guardrails.Latency)
+	e.latency += clampEvidence(latency)
+	attempts := growthEvidence(c.baseline.attemptRate(), c.changed.attemptRate(), guardrails.Attempts)
+	e.attempts += clampEvidence(attempts)
+}
+
+// ofGoodput is the evidence of lower goodput. The uncertainty about how replicas differed before bounds it, however
+// long it is observed.
+func (e *evidence) ofGoodput() float64 { return e.goodput / (1 + e.uncertainty) }
+
+// regression says what a change costs, from a bound of the evidence on; empty if nothing is shown.
+func (e *evidence) regression(guardrails *Guardrails, upper float64) string {
+	goodput := e.ofGoodput()
+	switch {
+	case goodput >= upper:
+		return fmt.Sprintf("goodput is lower than that of unchanged copies by %.3g or so (evidence %.1f of %.1f)",
+			guardrails.Goodput, goodput, upper)
+	case e.latency >= upper:
+		return fmt.Sprintf("answers are slower than those of unchanged copies by %.0f%% or so (evidence %.1f of %.1f)",
+			100*guardrails.Latency, e.latency, upper)
+	case e.attempts >= upper:
+		return fmt.Sprintf("requests take more calls to providers than at unchanged copies, "+
+			"by %.0f%% or so (evidence %.1f of %.1f)", 100*guardrails.Attempts, e.attempts, upper)
+	}
+	return ""
+}
--- a/fleet/rollout/explore_test.go
+++ b/fleet/rollout/explore_test.go
@@ -27,7 +27,7 @@
 		r.state.Selected, r.state.Failed, r.state.History = slices.Clone(r.state.Selected), slices.Clone(r.state.Failed), slices.Clone(r.state.History)
 		if r.stages.evaluator != nil {
 			evaluator := *r.stages.evaluator
-			evaluator.open, evaluator.latestReports = map[cell]*comparison{}, map[reporterPool]uint64{}
+			evaluator.open, evaluator.latestReports, evaluator.pools = map[cell]*comparison{}, map[reporterPool]uint64{}, map[string]*evidence{}
 			r.stages.evaluator = &evaluator
 		}
 		r.env.replicas, r.env.actions = slices.Clone(r.env.replicas), nil
--- a/fleet/rollout/stages.go
+++ b/fleet/rollout/stages.go
@@ -335,7 +335,9 @@
 	state := &p.state
 	if replica != "" {
 		reason = replica + " " + reason
-		state.Failed = append(state.Failed, replica)
+		if !slices.Contains(state.Failed, replica) { // it may fail again each time that the plan is resumed
+			state.Failed = append(state.Failed, replica)
+		}
 	}
 	clear(p.stages.orderedAt)
 	if state.Plan.RollBack {
--- a/fleet/rollout/takeover_test.go
+++ b/fleet/rollout/takeover_test.go
@@ -150,6 +150,19 @@
 	}
 }
 
+// A replica that fails again each time that the plan is resumed is listed once.
+func TestAReplicaThatFailsAgainIsListedOnce(t *testing.T) {
+	participant := New("a", 0)
+	participant.state = State{Plan: Plan{ID: "p"}, Phase: Changing}
+	for range 3 {
+		participant.failStage("b", "could not take it: disk full")
+	}
+	participant.failStage("c", "could not take it: disk full")
+	if failed := participant.state.Failed; !slices.Equal(failed, []string{"b", "c"}) {
+		t.Errorf("%q", failed)
+	}
+}
+
 // A replica that starts without any state learns soon what the plan came to, also among many.
 func TestAReplicaWithoutStateLearnsTheOutcomeSoon(t *testing.T) {
 	c := newFleet(40, quickPlan)
