Go on rolling back when a paused rollback is resumed

Cause: resume always led back to changing replicas, also where the plan had been paused, or had stopped, while it rolled them back: the change that was being undone went out again. Change: the history says what the plan did last, and resume goes on with that.

--- a/fleet/rollout/attempt_test.go
+++ b/fleet/rollout/attempt_test.go
@@ -69,3 +69,32 @@
 		t.Errorf("%d attempts, want that of the start and that after the stop", replica.Attempts())
 	}
 }
+
+// A plan that is resumed goes on with what it did: one that was rolling back does not change replicas again.
+func TestAPlanResumesWhatItDid(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		past []Phase
+		want Phase
+	}{
+		{"paused while it changed", []Phase{Changing, Paused}, Changing},
+		{"paused while it observed", []Phase{Changing, Observing, Paused}, Changing},
+		{"paused while it rolled back", []Phase{Changing, RollingBack, Paused}, RollingBack},
+		{"stopped while it observed", []Phase{Changing, Observing, Stopped}, Changing},
+		{"stopped while it rolled back", []Phase{Changing, RollingBack, Stopped}, RollingBack},
+		{"stopped, and paused then", []Phase{Changing, RollingBack, Stopped, Paused}, RollingBack},
+		{"just started", []Phase{Paused}, Changing},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			replica := New("a", 0)
+			replica.state = State{Plan: Plan{ID: "p"}, History: []string{"taken by a"}}
+			for _, phase := range tc.past {
+				replica.state.transition(phase, "why")
+				replica.state.record("led by a")
+			}
+			if err := replica.Command(time.Second, commandResume); err != nil || replica.state.Phase != tc.want {
+				t.Errorf("%v: %v, want %v", err, replica.state.Phase, tc.want)
+			}
+		})
+	}
+}
--- a/fleet/rollout/mutants_test.go
+++ b/fleet/rollout/mutants_test.go
@@ -7,7 +7,7 @@
 )
 
 func TestMutantsAreFound(t *testing.T) {
-	mutant.Find(t, "ExploreFleet|RolloutsUnderFaults|Vote|Revived|ALeaderForgets|WithoutState|NewAttempt|Evaluator", []mutant.Mutant{
+	mutant.Find(t, "ExploreFleet|RolloutsUnderFaults|Vote|Revived|ALeaderForgets|WithoutState|NewAttempt|Resumes|Evaluator", []mutant.Mutant{
 		{Name: "two votes at once", File: "election.go", From: "	case request.FencingToken >= e.highestToken && e.vote.allows(request.From, env.now):", To: "	case request.FencingToken >= e.highestToken:"},
 		{Name: "lower fencing tokens get votes", File: "election.go", From: "	case request.FencingToken >= e.highestToken && e.vote", To: "	case true && e.vote"},
 		{Name: "the lease never ends", File: "election.go", From: "	return e.token != 0 && now < e.leaseUntil && e.token >= e.highestToken", To: "	return e.token != 0 && e.leaseUntil > 0 && e.token >= e.highestToken"},
@@ -25,6 +25,7 @@
 		{Name: "all send their state to the same peer", File: "replication.go", From: "(max(own, 0)+p.replication", To: "(0*own+p.replication"},
 		{Name: "an order is executed once for all attempts", File: "application.go", From: "	p.application = application{}\n}", To: "}"},
 		{Name: "too little traffic passes a stage", File: "stages.go", From: "	case assessment == Passed || nothingToCompare:", To: "	case assessment != Regressed || nothingToCompare:"},
+		{Name: "a resumed rollback changes replicas again", File: "state.go", From: "			return RollingBack\n", To: "			return Changing\n"},
 		{Name: "pools are not told apart", File: "report.go", From: "zone: r.Zone, pool: r.Pool, interval", To: "zone: r.Zone, interval"},
 		{Name: "zones are not told apart", File: "report.go", From: "return cell{zone: r.Zone, pool:", To: "return cell{pool:"},
 	})
--- a/fleet/rollout/participant.go
+++ b/fleet/rollout/participant.go
@@ -138,7 +138,7 @@
 	case commandResume:
 		if state.Phase == Paused || state.Phase == Stopped {
 			p.stages.evaluator = nil
-			p.transition(Changing, byOperator)
+			p.transition(state.resumedPhase(), byOperator)
 		}
 	case commandAbort:
 		if state.Plan.RollBack && len(state.Selected) > 0 {
--- a/fleet/rollout/participant_test.go
+++ b/fleet/rollout/participant_test.go
@@ -129,6 +129,21 @@
 				}
 			}
 		}, RolledBack, 0},
+		{"paused and resumed during the rollback", quickPlan, 0.2, func(c *fleet) func() {
+			return func() {
+				p := c.members[4].participant
+				switch {
+				case c.command == "" && p.state.Phase == RollingBack:
+					c.command = "pause"
+					p.Command(c.now, "pause")
+				case c.command == "pause" && p.state.Age > 40*time.Second:
+					c.command = "resume"
+					p.Command(c.now, "resume")
+				case c.command == "resume" && p.state.Phase == Changing:
+					c.err = errors.New("it changes replicas again")
+				}
+			}
+		}, RolledBack, 0},
 		{"one is reloaded by hand during the rollout", quickPlan, 0, func(c *fleet) func() {
 			done := false
 			return func() {
--- a/fleet/rollout/state.go
+++ b/fleet/rollout/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -80,6 +81,19 @@
 	}
 }
 
+// resumedPhase is the phase that a plan which rests goes on with: it changes replicas, unless it was rolling them back.
+func (s *State) resumedPhase() Phase {
+	for _, entry := range slices.Backward(s.History) {
+		switch phase, _, _ := strings.Cut(entry, ": "); phase {
+		case RollingBack.String():
+			return RollingBack
+		case Changing.String(), Observing.String():
+			return Changing
+		}
+	}
+	return Changing
+}
+
 // head is what tells whether another state is newer.
 func (s *State) head() *State { return &State{FencingToken: s.FencingToken, Version: s.Version} }
 
