Hand over the next plan in the rollout test once its replica knows the last one ended

TestRolloutProcesses failed once on a busy machine: "409 Conflict: plan more-attempts stands". The test saw the end of a plan at one replica and handed the next one to another, which had not heard of it yet, 0.2 s later. That refusal is right, so the test was wrong. It waits now, 10 s at most, which is a bound on spreading the end that it did not ask for before; all its other checks stay.

--- a/lab/processes/rollout_test.go
+++ b/lab/processes/rollout_test.go
@@ -25,6 +25,10 @@
 	const stages = "stages: [{count: 1, soak: 2s}, {part: 0.4, soak: 2s}, {part: 1, soak: 2s}]\naway: 2\nwait: 15s\n"
 	start := func(plan string) {
 		t.Helper()
+		until(t, 10*time.Second, "the end of the plan before to be known where the next is handed over", func() bool {
+			s, err := f.Replicas[1].Rollout()
+			return err == nil && (s.Plan == "" || s.Ended)
+		})
 		if _, err := f.Replicas[1].Admin("POST", "/ops/rollout", plan); err != nil {
 			t.Fatal(err)
 		}
