--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -120,6 +120,9 @@
 		turn.pass()
 		return turn.await(ctx, nil)
 	}
+	if turn.has {
+		return ctx.Err() == nil
+	}
 	inTime := turn.await(ctx, time.After(c.timing.watchWait+maxTurnDelay))
 	if inTime || ctx.Err() != nil {
 		return inTime
