Go on with the watch of a pool that a reload renames

The same mistake as with a move of discovery: a pool of a new name before the same service inherited the list, but began a watch of its own, which a crowded service rejects. It now shares the discovery client of the pool that goes, as one that is replaced under its own name does; of several new pools one does so, since pools that stay may ask different services later.

The scenarios of crowded services wait for the first answer of each watch, so that there is one to go on with.

--- a/proxy/core.go
+++ b/proxy/core.go
@@ -55,9 +55,9 @@
 	overrides override.Set
 	// refetch requests the whole list from discovery even where one is known: the known list of a
 	// second process of a proxy may be as old as the first one.
-	refetch     bool
-	predecessor *core // whose endpoints this pool takes over; nil is none
-	shared      bool  // activity is recorded for the fleet
+	refetch    bool
+	succession succession
+	shared     bool // activity is recorded for the fleet
 }
 
 // newCore starts a pool: its Balancer, its connections, its discovery.
@@ -102,7 +102,8 @@
 
 // startDiscovery puts the list in force that is known at the start, and has discovery tell of what is newer.
 func (c *core) startDiscovery(parts coreConfig) {
-	if c.sharesDiscovery(parts.predecessor) && c.joinDiscovery(parts.predecessor) {
+	predecessor := parts.succession.predecessor
+	if c.sharesDiscovery(parts.succession) && c.joinDiscovery(predecessor) {
 		return
 	}
 	kind := balancer.ListFull // without discovery the configuration's list is complete
@@ -112,7 +113,7 @@
 	if c.cfg.Discovery != "" {
 		kind = balancer.ListCached
 		var list discovery.EndpointList
-		if list, inherits = parts.predecessor.discoveredList(); inherits {
+		if list, inherits = predecessor.discoveredList(); inherits {
 			known = list
 			refetch = true // its version may be another service's
 		}
--- a/proxy/drainscale_test.go
+++ b/proxy/drainscale_test.go
@@ -158,10 +158,16 @@
 			drainQuarter(s)
 			time.Sleep(2 * time.Second)
 			s.each((*listService).goDown)
-			s.changeSettings(func(cfg *config.Config) {
-				cfg.Pools[0].Name = "renamed"
-				cfg.Routes[0].Pool = "renamed"
+			s.changeSettings(renamePool)
+		}},
+		{name: "asked, a pool renamed while the service is crowded", play: func(s *drainScene) {
+			s.awaitWatches()
+			s.each(func(service *listService) {
+				service.setFaults(func(f *listFaults) { f.crowded = true })
 			})
+			s.changeSettings(renamePool)
+			time.Sleep(500 * time.Millisecond)
+			drainQuarter(s)
 		}},
 		{name: "pushed, new settings while the service is slow", pushed: true, play: func(s *drainScene) {
 			drainQuarter(s)
@@ -246,11 +252,11 @@
 	}
 }
 
-// awaitWatches waits until all proxies have begun to watch their lists.
+// awaitWatches waits until all proxies' watches have been answered once.
 func (s *drainScene) awaitWatches() {
 	s.t.Helper()
 	for _, service := range s.services {
-		for deadline := time.Now().Add(testTimeout); service.callCount() == 0; time.Sleep(10 * time.Millisecond) {
+		for deadline := time.Now().Add(testTimeout); service.answerCount() == 0; time.Sleep(10 * time.Millisecond) {
 			if time.Now().After(deadline) {
 				s.t.Fatal("a proxy does not watch its list")
 			}
@@ -300,6 +306,12 @@
 	return before
 }
 
+// renamePool gives the pool another name.
+func renamePool(cfg *config.Config) {
+	cfg.Pools[0].Name = "renamed"
+	cfg.Routes[0].Pool = "renamed"
+}
+
 // changeSettings has a reload bring a setting into force with which a pool can't go on, and a further change: a new pool
 // takes its place.
 func (s *drainScene) changeSettings(change func(*config.Config)) {
--- a/proxy/listservice_test.go
+++ b/proxy/listservice_test.go
@@ -193,10 +193,10 @@
 	return true
 }
 
-func (s *listService) callCount() int {
+func (s *listService) answerCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.calls)
+	return len(s.answers)
 }
 
 func (s *listService) serve(conn *net.TCPConn, state *serviceConnection) {
--- a/proxy/pools.go
+++ b/proxy/pools.go
@@ -71,35 +71,21 @@
 // newPoolLocked starts a pool that has a claim to resources; index is its place in the configuration. A pool that
 // replaces another of the same endpoints begins with the list that is in force there: the configuration's may be as old
 // as the file.
-func (p *Proxy) newPoolLocked(cfg config.Pool, index int, refetch bool) *core {
+func (p *Proxy) newPoolLocked(cfg config.Pool, index int, refetch bool, from succession) *core {
 	return newCore(cfg, coreConfig{
-		seed:        p.cfg.Seed + uint64(index),
-		resources:   p.resources.pool(cfg.Name),
-		buffers:     p.buffers,
-		log:         p.log,
-		clock:       p.clock,
-		counters:    &p.counters,
-		overrides:   p.overrides,
-		refetch:     refetch,
-		predecessor: p.predecessorLocked(cfg),
-		shared:      p.cfg.Fleet != nil,
+		seed:       p.cfg.Seed + uint64(index),
+		resources:  p.resources.pool(cfg.Name),
+		buffers:    p.buffers,
+		log:        p.log,
+		clock:      p.clock,
+		counters:   &p.counters,
+		overrides:  p.overrides,
+		refetch:    refetch,
+		succession: from,
+		shared:     p.cfg.Fleet != nil,
 	})
 }
 
-// predecessorLocked returns the active pool whose endpoints a new pool takes over: the one of its name, else one that
-// asks the same discovery service. It is nil where there is none.
-func (p *Proxy) predecessorLocked(next config.Pool) *core {
-	if c := p.pools.active[next.Name]; c != nil {
-		return c
-	}
-	for _, pool := range p.cfg.Pools {
-		if next.Discovery != "" && pool.Discovery == next.Discovery {
-			return p.pools.active[pool.Name]
-		}
-	}
-	return nil
-}
-
 // drainPoolLocked has a pool that is active no more end in a goroutine for which Run waits.
 func (p *Proxy) drainPoolLocked(c *core) {
 	p.leaving.Add(1)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -261,7 +261,7 @@
 		return errGuarantees
 	}
 	for i, pool := range p.cfg.Pools {
-		p.pools.active[pool.Name] = p.newPoolLocked(pool, i, p.processes.second)
+		p.pools.active[pool.Name] = p.newPoolLocked(pool, i, p.processes.second, succession{})
 	}
 	router, err := newRouter(p.cfg.Routes, p.pools.active)
 	if err != nil {
--- a/proxy/reload.go
+++ b/proxy/reload.go
@@ -33,6 +33,7 @@
 	claimed        bool        // the pools of cfg have their claims
 	pools          map[string]*core
 	created        []*core // those among them that are new
+	replaced       []*core // active pools that go and whose place a new one of another name takes
 	router         *router
 }
 
@@ -159,7 +160,7 @@
 			r.pools[pool.Name] = c
 			continue
 		}
-		c := p.newPoolLocked(pool, i, false)
+		c := p.newPoolLocked(pool, i, false, r.successionLocked(pool))
 		r.pools[pool.Name] = c
 		r.created = append(r.created, c)
 	}
