Let the old watch wait for its turn before the test of moves in a row goes on

The test moved on before the goroutine of the old watch had begun to wait for its turn, so the newest service got the turn first, which is right too but not what the test plays. It pauses 0.1 s there; its checks stay.

--- a/discovery/client_test.go
+++ b/discovery/client_test.go
@@ -373,6 +373,7 @@
 	io.WriteString(first, list(2))
 	heard("list 2")
 	second := <-calls[1]
+	time.Sleep(100 * time.Millisecond) // until the old watch waits for its turn: it is the next one then
 	c.SetAddress(services[2])
 	second.SetReadDeadline(time.Now().Add(10 * time.Second))
 	if _, err := second.Read(make([]byte, 1)); !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
