--- a/fleet/persistence.go
+++ b/fleet/persistence.go
@@ -45,8 +45,9 @@
 		return persistedState{}
 	}
 	age := time.Since(state.Written)
-	if state.Confirmed && (age > maxConfirmationAge || age < -maxConfirmationAge) {
+	if age > maxConfirmationAge || age < -maxConfirmationAge {
 		state.Confirmed = false
+		state.outdated = true
 		f.log.Warn("fleet state file is old, this replica has no quota fraction until it has met all others",
 			"file", f.stateFile.path, "age", age.Round(time.Second))
 	}
@@ -127,7 +128,9 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.persisted.writing = false
-		if written {
+		// The set may have changed before or during the write. Then what is lent may not fit, and the next update of
+		// the positions has the set persisted again.
+		if written && state.replicaSetDigest == f.positions.tracker.ReplicaSetDigest() && f.loansFit() {
 			f.announceReplicaSet(state.replicaSetDigest, state.Confirmed)
 		}
 	})
--- a/fleet/rollout/participant.go
+++ b/fleet/rollout/participant.go
@@ -21,6 +21,7 @@
 	election    election
 	replication replication
 	application application
+	attempts    uint64 // see Attempts
 	stages      stageController
 }
 
@@ -37,6 +38,10 @@
 // State is the plan's progress as far as it is known here.
 func (p *Participant) State() State { return p.state }
 
+// Attempts counts how often a plan was begun, or taken up again after it had stopped, as far as this replica knows.
+// What replicas refused in an earlier attempt does not count in the present one.
+func (p *Participant) Attempts() uint64 { return p.attempts }
+
 // IsLeader reports whether this replica holds the lease.
 func (p *Participant) IsLeader() bool { return p.election.isLeader(p.env.now) }
 
@@ -48,8 +53,8 @@
 		p.env.replicas.aliveCount(), len(p.env.replicas))
 }
 
-// Evidence is what the leader knows about the stage that is observed, as an explanation and by interval. On other
-// replicas it is empty, unless there can't be a leader.
+// Evidence is what the leader knows about the stage that is observed, as an explanation and by interval, or what it
+// waits for. On other replicas it is empty, unless there can't be a leader.
 func (p *Participant) Evidence() (explanation string, points []Point) {
 	switch {
 	case !p.state.Phase.Ended() && !p.env.replicas.hasQuorum():
@@ -59,6 +64,8 @@
 		return "", nil
 	case p.state.Phase == Changing && len(p.state.Selected) == 0:
 		return "how copies differ while all are alike is being watched", nil
+	case p.state.Phase == Changing || p.state.Phase == RollingBack:
+		return p.awaited(), nil
 	case p.stages.evaluator == nil:
 		return "", nil
 	}
@@ -95,7 +102,8 @@
 		History:      []string{"taken by " + p.env.name},
 	}
 	p.election.nextCampaignAt = p.env.now
-	p.stages.resetStatistics()
+	p.stages = newStageController()
+	p.beginAttempt()
 	return nil
 }
 
@@ -121,6 +129,7 @@
 	if state.Phase.Ended() {
 		return &PlanStateError{state.Plan.ID, state.Phase}
 	}
+	before := state.Phase
 	switch command {
 	case commandPause:
 		if state.Phase != Paused {
@@ -129,7 +138,7 @@
 	case commandResume:
 		if state.Phase == Paused || state.Phase == Stopped {
 			p.stages.evaluator = nil
-			p.transition(Changing, byOperator)
+			p.transition(state.resumedPhase(), byOperator)
 		}
 	case commandAbort:
 		if state.Plan.RollBack && len(state.Selected) > 0 {
@@ -142,6 +151,9 @@
 	default:
 		return &CommandError{command}
 	}
+	if isResting(before) && !isResting(state.Phase) {
+		p.beginAttempt()
+	}
 	// The state with a new token supersedes that of any leader.
 	state.FencingToken = p.election.nextToken()
 	state.Version = 1
@@ -175,14 +187,18 @@
 	p.env.actions = append(out, p.env.actions...)
 	switch message.Kind {
 	case VoteRequest:
-		p.election.handleVoteRequest(&p.env, &message)
+		if !p.refuseOutdated(&message) {
+			p.election.handleVoteRequest(&p.env, &message)
+		}
 	case VoteGranted:
 		p.election.handleVote(&p.env, &message)
 	case PreVoteRequest:
-		p.election.handlePreVoteRequest(&p.env, &message)
+		if !p.refuseOutdated(&message) {
+			p.election.handlePreVoteRequest(&p.env, &message)
+		}
 	case PreVoteGranted:
 		if p.election.handlePreVote(&message) && !p.state.Phase.Ended() {
-			p.election.campaignIfElectable(&p.env)
+			p.election.campaignIfElectable(&p.env, p.state.head())
 		}
 	case StateUpdate:
 		p.handleState(&message)
@@ -199,13 +215,13 @@
 // advancePlan becomes a candidate, keeps the lease and, as leader, advances the plan.
 func (p *Participant) advancePlan() {
 	if p.election.token == 0 {
-		p.election.considerCampaign(&p.env)
+		p.election.considerCampaign(&p.env, p.state.head())
 		return
 	}
 	if p.election.superseded() {
 		p.stages.evaluator = nil
 	}
-	p.election.maintain(&p.env)
+	p.election.maintain(&p.env, p.state.head())
 	if !p.IsLeader() {
 		return
 	}
@@ -227,8 +243,8 @@
 	p.state.FencingToken = p.election.token
 	p.state.Version++
 	p.state.Leader = p.env.name
-	p.state.History = append(p.state.History, "led by "+p.env.name)
-	p.stages.resetStatistics() // they may be of another plan
+	p.state.record("led by " + p.env.name)
+	p.stages = newStageController() // what an earlier term knew may be of another plan, or of processes that are gone
 }
 
 // transition enters a phase, and logs and records why.
--- a/fleet/rollout/state.go
+++ b/fleet/rollout/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -69,12 +70,33 @@
 	s.Phase = phase
 	s.Reason = reason
 	s.Version++
-	s.History = append(s.History, phase.String()+": "+reason)
+	s.record(phase.String() + ": " + reason)
+}
+
+// record adds an entry to the history.
+func (s *State) record(entry string) {
+	s.History = append(s.History, entry)
 	if len(s.History) > maxHistory {
 		s.History = slices.Delete(s.History, 1, len(s.History)-maxHistory+1)
 	}
 }
 
+// resumedPhase is the phase that a plan which rests goes on with: it changes replicas, unless it was rolling them back.
+func (s *State) resumedPhase() Phase {
+	for _, entry := range slices.Backward(s.History) {
+		switch phase, _, _ := strings.Cut(entry, ": "); phase {
+		case RollingBack.String():
+			return RollingBack
+		case Changing.String(), Observing.String():
+			return Changing
+		}
+	}
+	return Changing
+}
+
+// head is what tells whether another state is newer.
+func (s *State) head() *State { return &State{FencingToken: s.FencingToken, Version: s.Version} }
+
 // observation is how long the current stage is observed at least.
 func (s *State) observation() time.Duration {
 	return s.Plan.Stages[min(s.Stage, len(s.Plan.Stages)-1)].Observation
--- a/fleet/statesync/syncer.go
+++ b/fleet/statesync/syncer.go
@@ -27,6 +27,7 @@
 	minCounterInterval    = time.Second
 	zoneSumInterval       = 2 * time.Second
 	counterBudgetFraction = 0.5 // of the byte budget is for counters, which would take all of it in a large fleet
+	quotaBudgetFraction   = 0.5 // of the byte budget is what messages about quotas take from all others at most
 )
 
 // Config says what a replica shares, and as whom.
@@ -113,13 +114,13 @@
 	s.advance(now)
 	s.peers = peers
 	s.budget.refill(s.now)
-	quotaPackets := s.quotaPackets()
+	quotaMessages := s.quotaMessages()
 	s.queueCounters()
 	s.queueEvidence()
 
 	var out []Outgoing
-	for _, to := range slices.Sorted(maps.Keys(quotaPackets)) {
-		out = s.send(out, to, quotaPackets[to])
+	for _, to := range slices.Sorted(maps.Keys(quotaMessages)) {
+		out = s.sendQuotas(out, to, quotaMessages[to])
 	}
 	for range min(fanout, len(peers)) {
 		if s.queue.empty() || s.budget.exhausted() {
@@ -127,7 +128,7 @@
 		}
 		peer := peers[s.random.Uint64()%uint64(len(peers))]
 		if packet := s.queue.pack(s.now, s.config.Zone, peer, len(peers)); packet != nil {
-			out = s.send(out, peer.Name, packet)
+			out = s.sendQueued(out, peer.Name, packet)
 		}
 	}
 	return out
@@ -169,21 +170,16 @@
 
 func (s *Syncer) advance(now time.Duration) { s.now = max(s.now, now) }
 
-// quotaPackets returns the messages about quotas that are due, by receiver.
-func (s *Syncer) quotaPackets() map[string]*Packet {
-	packets := map[string]*Packet{}
+// quotaMessages returns the messages about quotas that are due, by receiver.
+func (s *Syncer) quotaMessages() map[string][]quota.Message {
+	messages := map[string][]quota.Message{}
 	if !s.config.Quotas {
-		return packets
+		return messages
 	}
 	for _, action := range s.Quotas.Tick(s.now, nil) {
-		packet := packets[action.To]
-		if packet == nil {
-			packet = &Packet{}
-			packets[action.To] = packet
-		}
-		packet.Quotas = append(packet.Quotas, action.Message)
+		messages[action.To] = append(messages[action.To], action.Message)
 	}
-	return packets
+	return messages
 }
 
 // queueCounters queues this replica's counters, and the sums of its zone if it is the sender for it. In a larger zone
@@ -226,18 +222,15 @@
 
 // receiveQuotas handles messages about quotas and returns the answers to their sender.
 func (s *Syncer) receiveQuotas(from string, messages []quota.Message) []Outgoing {
-	var answer Packet
+	var answers []quota.Message
 	for _, message := range messages {
 		for _, action := range s.Quotas.Handle(s.now, from, message, nil) {
 			if action.To == from {
-				answer.Quotas = append(answer.Quotas, action.Message)
+				answers = append(answers, action.Message)
 			}
 		}
 	}
-	if len(answer.Quotas) == 0 {
-		return nil
-	}
-	return s.send(nil, from, &answer)
+	return s.sendQuotas(nil, from, answers)
 }
 
 // receiveCounters merges counters, and queues them for others if they are new.
@@ -265,34 +258,60 @@
 	s.queue.put(item)
 }
 
-// send encodes a packet and appends it to out.
-func (s *Syncer) send(out []Outgoing, to string, packet *Packet) []Outgoing {
+// sendQuotas encodes messages about quotas and appends the packets to out.
+func (s *Syncer) sendQuotas(out []Outgoing, to string, messages []quota.Message) []Outgoing {
+	for _, packet := range packQuotas(messages) {
+		var size int
+		out, size = s.send(out, to, packet)
+		s.budget.spendOnQuotas(size)
+	}
+	return out
+}
+
+// sendQueued encodes a packet of queued items and appends it to out.
+func (s *Syncer) sendQueued(out []Outgoing, to string, packet *Packet) []Outgoing {
+	out, size := s.send(out, to, packet)
+	s.budget.spend(size)
+	return out
+}
+
+// send encodes a packet and appends it to out. It returns the size too.
+func (s *Syncer) send(out []Outgoing, to string, packet *Packet) (all []Outgoing, size int) {
 	payload, err := cbor.Marshal(packet)
 	if err != nil {
 		s.Stats.Unsent++
-		return out
+		return out, 0
 	}
-	s.budget.spend(len(payload))
 	s.Stats.PacketsOut++
 	s.Stats.BytesOut += uint64(len(payload))
-	return append(out, Outgoing{To: to, Payload: payload})
+	return append(out, Outgoing{To: to, Payload: payload}), len(payload)
 }
 
-// byteBudget limits the bytes sent on average. What is urgent is sent in any case and paid later.
+// byteBudget limits the bytes sent on average. Messages about quotas are sent in any case, and take a part of the
+// budget at most: what is queued needs the rest.
 type byteBudget struct {
 	perSecond float64
 	available float64
+	forQuotas float64 // of the available bytes, what messages about quotas may take
 	updatedAt time.Duration
 }
 
 const budgetBurstSeconds = 4 // that unused budget accumulates for
 
 func (b *byteBudget) refill(now time.Duration) {
-	b.available += b.perSecond * (now - b.updatedAt).Seconds()
-	b.available = min(b.available, budgetBurstSeconds*b.perSecond)
+	added := b.perSecond * (now - b.updatedAt).Seconds()
+	burst := budgetBurstSeconds * b.perSecond
+	b.available = min(b.available+added, burst)
+	b.forQuotas = min(b.forQuotas+quotaBudgetFraction*added, quotaBudgetFraction*burst)
 	b.updatedAt = now
 }
 
+func (b *byteBudget) spendOnQuotas(bytes int) {
+	taken := min(float64(bytes), b.forQuotas)
+	b.forQuotas -= taken
+	b.available -= taken
+}
+
 func (b *byteBudget) spend(bytes int) { b.available -= float64(bytes) }
 
 func (b *byteBudget) exhausted() bool { return b.available <= 0 }
