Call a discovery service and accept its list in one place

Three loops and Fetch each made a call and then accepted the list that answered it. Client.request does both. Behaviour is as before: the tests of discovery passed with the race detector, and the drain scenarios of moves and renamed pools of proxy.

--- a/discovery/client.go
+++ b/discovery/client.go
@@ -153,11 +153,7 @@
 	conn := c.newConnection(s)
 	go func() {
 		defer conn.close()
-		list, err := c.get(c.ctx, conn, wholeListCall)
-		if err == nil {
-			err = c.accept(c.ctx, s, list, s.recordFetched)
-		}
-		if err != nil {
+		if _, err := c.request(c.ctx, conn, wholeListCall, s.recordFetched); err != nil {
 			c.notifyFailure(c.ctx, s, err)
 		}
 	}()
@@ -170,6 +166,17 @@
 // errObsolete is the error for a list of a service that doesn't matter any more.
 var errObsolete = errors.New("list of a service that has been replaced")
 
+// request makes one call and accepts the list that answers it.
+func (c *Client) request(
+	ctx context.Context, conn *connection, call listCall, record func(EndpointList) (receivedList, error),
+) (EndpointList, error) {
+	list, err := c.get(ctx, conn, call)
+	if err != nil {
+		return EndpointList{}, err
+	}
+	return list, c.accept(ctx, conn.source, list, record)
+}
+
 // accept records a list of a source and notifies the listeners of it. Both are one step: of two lists of one source the
 // one that is recorded first is notified first.
 func (c *Client) accept(
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -54,10 +54,7 @@
 	for c.awaitTurn(ctx, s, &turn) {
 		call := c.nextCall(s)
 		began := time.Now()
-		list, err := c.get(ctx, conn, call)
-		if err == nil {
-			err = c.accept(ctx, s, list, s.recordWatched)
-		}
+		list, err := c.request(ctx, conn, call, s.recordWatched)
 		if errors.Is(err, errObsolete) {
 			return
 		}
@@ -85,10 +82,7 @@
 	for {
 		call := c.nextCall(s)
 		began := time.Now()
-		list, err := c.get(ctx, conn, call)
-		if err == nil {
-			err = c.accept(ctx, s, list, s.recordWatched)
-		}
+		list, err := c.request(ctx, conn, call, s.recordWatched)
 		if errors.Is(err, errObsolete) {
 			return
 		}
@@ -169,10 +163,7 @@
 		if !sleep(ctx, pause/2+rand.N(pause/2)) {
 			return
 		}
-		list, err := c.get(ctx, conn, wholeListCall)
-		if err == nil {
-			_ = c.accept(ctx, s, list, s.recordFetched) // a list that is outdated is requested again
-		}
+		_, _ = c.request(ctx, conn, wholeListCall, s.recordFetched) // if it fails, once more after a pause
 	}
 }
 
