Call again at once where a watch's connection breaks between two calls

Cause: a change between an answer and the next call of a watch counts as told, and the service sees the watch go on only if that call comes within 200 ms. Where the connection was reset in that gap, or under an answer, the watch was given up and a new one begun after a random pause of up to 0.57 s and more.

Change: a call that fails because the connection broke with an answer or soon after one is made again at once over another connection, once for each whole answer. TestWatch and TestAnswersThatBreak expect that second call.

--- a/discovery/client_test.go
+++ b/discovery/client_test.go
@@ -62,6 +62,7 @@
 		{"", says(5, true), false, "list 5"}, // nothing is known: the whole list
 		{"since=5&timeout_ms=2000", closes, true, "list 6"},
 		{"since=6&timeout_ms=2000", fails, false, "failed"},
+		{"since=6&timeout_ms=2000", cut, false, ""}, // called again at once
 		{"since=6&timeout_ms=2000", cut, false, "failed"},
 		{"since=6&timeout_ms=2000", says(3, false), false, "failed"}, // changes of another history
 		{"", says(3, true), false, "list 3"},
@@ -80,6 +81,9 @@
 		}
 		before = got.from
 		answers <- step.answer
+		if step.want == "" {
+			continue
+		}
 		if text := <-notifications; text != step.want {
 			t.Errorf("step %d: notified of %q", i, text)
 		}
--- a/discovery/connection.go
+++ b/discovery/connection.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"ryerill/internal/buffer"
@@ -34,6 +35,10 @@
 	reader  *bufio.Reader // of answer
 	buffers *buffer.Pool
 	reserve *socket.Reserve // the client's
+
+	// Also of a connection that is closed since:
+	answeredAt time.Time // when the last byte of an answer came
+	broken     bool      // the other side has ended or reset it
 }
 
 // newConnection returns a connection to a service, not yet opened.
@@ -90,6 +95,10 @@
 	answer := conn.answer
 	answer.begin(ctx, began.Add(call.wait+c.firstByteTimeout(conn.source)))
 	list, reusable, err := conn.exchange(call.target)
+	if answer.hasBegun() {
+		conn.answeredAt = answer.lastReadAt
+	}
+	conn.broken = answer.broken || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 	if call.wholeList && ctx.Err() == nil {
 		c.recordWholeListCall(conn.source, err, answer.hasBegun())
 	}
@@ -99,6 +108,15 @@
 	return list, err
 }
 
+// brokeAfterAnswer reports whether a call has failed because the connection broke with an answer or so soon after one
+// that the service need not have seen the call: it sees the watch go on if that is made again now.
+func (c *connection) brokeAfterAnswer(err error, began time.Time) bool {
+	if err == nil || !c.broken || c.answeredAt.IsZero() {
+		return false
+	}
+	return time.Since(c.answeredAt) < maxContinuationDelay || time.Since(began) < maxContinuationDelay
+}
+
 // firstByteTimeout is how long the first byte of an answer may take now, beyond what its call may wait.
 func (c *Client) firstByteTimeout(s *source) time.Duration {
 	c.mu.Lock()
--- a/discovery/timing.go
+++ b/discovery/timing.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"time"
 
 	"ryerill/internal/socket"
@@ -16,6 +18,9 @@
 	// That time is doubled this often for whole lists that did not begin in time: a service may need long to make one,
 	// and to ask anew only makes it start again.
 	answerDoublings = 1
+	// A service forgets a watch 200 ms after its last answer, if no further call has come. A connection that breaks is
+	// replaced only as long as the call still comes in time.
+	maxContinuationDelay = 150 * time.Millisecond
 	// Bounds of the pause before the whole list is requested of a service that is watched without it. The watch tells
 	// what changes, so this is not urgent, and a service that all move to may be crowded by those who have no watch.
 	listPause    = 10 * time.Second
@@ -75,9 +80,11 @@
 	timing callTiming
 
 	// Of the answer that is being read:
-	ctx      context.Context // ends the call
-	began    time.Time       // when its first byte came; zero before
-	received int             // bytes
+	ctx        context.Context // ends the call
+	began      time.Time       // when its first byte came; zero before
+	lastReadAt time.Time       // when its last bytes so far came
+	received   int             // bytes
+	broken     bool            // the other side has ended or reset the connection
 }
 
 // begin expects the first byte of another answer by a deadline.
@@ -94,6 +101,9 @@
 	if n > 0 {
 		r.advance(n)
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		r.broken = true
+	}
 	return n, err
 }
 
@@ -103,6 +113,7 @@
 	if r.began.IsZero() {
 		r.began = now
 	}
+	r.lastReadAt = now
 	r.received += n
 	earned := time.Duration(r.received) * time.Second / minAnswerBytesPerSecond
 	deadline := r.began.Add(answerGrace + earned)
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -45,12 +45,15 @@
 }
 
 // watch calls again as soon as an answer is received: the service forgets a watch 200 ms after its last answer, and a
-// change in between still binds the proxy.
+// change in between still binds the proxy. So a call that fails because the connection broke with an answer, or soon
+// after one, is made again at once, on another connection: a later call would begin a new watch, which a crowded service
+// may reject.
 func (c *Client) watch(ctx context.Context, running *watch, conn *connection) {
 	s := conn.source
 	turn := turnOf{turn: c.turn}
 	defer turn.pass()
 	fetching := false
+	mayRepeat := true // a whole answer has come since the last call that was made again
 	for c.awaitTurn(ctx, s, &turn) {
 		call := c.nextCall(s)
 		began := time.Now()
@@ -58,12 +61,17 @@
 		if errors.Is(err, errObsolete) {
 			return
 		}
+		if mayRepeat && conn.brokeAfterAnswer(err, began) {
+			mayRepeat = false
+			continue
+		}
 		if err != nil {
 			c.watchEnded(s, running)
 			turn.pass()
 			c.notifyFailure(ctx, s, err)
 			return
 		}
+		mayRepeat = true
 		if !fetching && c.lacksList(s) {
 			fetching = true
 			go c.fetchMissingList(ctx, s)
--- a/proxy/drainscale_test.go
+++ b/proxy/drainscale_test.go
@@ -102,6 +102,15 @@
 			drainQuarter(s)
 			resetWatches(s)
 		}},
+		{name: "asked, crowded, reset between two calls of a watch", play: func(s *drainScene) {
+			s.awaitWatches()
+			s.each(func(service *listService) {
+				service.setFaults(func(f *listFaults) { f.crowded = true; f.resetBetween = true })
+			})
+			s.registry.change(discovery.Terminating, 1) // each watch is answered
+			time.Sleep(resetDelay / 3)
+			drainQuarter(s)
+		}},
 		{name: "asked, crowded after a reset", play: func(s *drainScene) {
 			s.each(func(service *listService) {
 				service.setFaults(func(f *listFaults) { f.rejected = 3; f.rejectionDelay = 30 * time.Millisecond })
@@ -387,6 +396,9 @@
 				worst = max(worst, late)
 				s.t.Logf("proxy %d, endpoint %d: told %v after the change, sent %v after it", i, arrived.endpoint,
 					service.told(change).Sub(change.changedAt), arrived.at.Sub(change.changedAt))
+				if breaks == 1 {
+					s.t.Logf("its service, from the change on: %s", service.exchangesAround(change.changedAt))
+				}
 			}
 		}
 	}
--- a/proxy/listservice_test.go
+++ b/proxy/listservice_test.go
@@ -22,6 +22,9 @@
 	// watchGap is how long a watch goes on after an answer without a further call.
 	watchGap = 200 * time.Millisecond
 
+	// resetDelay is when a connection is reset between two calls of a watch, after the first one's answer.
+	resetDelay = 60 * time.Millisecond
+
 	connectionsOfService = 64 // bounds the bookkeeping of one service, not its clients
 )
 
@@ -38,6 +41,7 @@
 	rejected       int  // so many further calls are answered with 503
 	rejectionDelay time.Duration
 	unreachable    bool   // connections are reset at once
+	resetBetween   bool   // the next answer to a watch is followed by a reset in place of the next call
 	spoilt         string // further answers have this text in place of a list; empty is none
 }
 
@@ -227,9 +231,25 @@
 			return
 		}
 		s.recordWatchAnswer(request)
+		if s.resetsAfter(request) {
+			time.Sleep(resetDelay)
+			reset(conn)
+			return
+		}
 	}
 }
 
+// resetsAfter reports whether the connection is to be reset before the call after this one.
+func (s *listService) resetsAfter(request *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.faults.resetBetween || !isWatch(request) {
+		return false
+	}
+	s.faults.resetBetween = false
+	return true
+}
+
 // recordWatchAnswer records the time of an answer if that is one to a watch.
 func (s *listService) recordWatchAnswer(request *http.Request) {
 	if !isWatch(request) {
@@ -339,3 +359,21 @@
 	}
 	return end
 }
+
+// exchangesAround states the calls and answers near a time, as spans from it.
+func (s *listService) exchangesAround(at time.Time) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var calls, answers []time.Duration
+	for _, call := range s.calls {
+		if call.Sub(at).Abs() < unseenChangeKnown {
+			calls = append(calls, call.Sub(at))
+		}
+	}
+	for _, answer := range s.answers {
+		if answer.at.Sub(at).Abs() < unseenChangeKnown {
+			answers = append(answers, answer.at.Sub(at))
+		}
+	}
+	return fmt.Sprintf("calls %v, answers %v", calls, answers)
+}
