Check the settings of a configuration and of a scenario by the same code

Cause: config and lab/scenario each had a Problem and the same checks of numbers, times and enumerated values; lab/experiment borrowed the type of the scenario.

Change: yamlfile.Problem and yamlfile.Checker, which both checkers embed.

--- a/config/build.go
+++ b/config/build.go
@@ -70,12 +70,12 @@
 }
 
 // build checks a completed file and turns it into the configuration that a proxy runs by.
-func (f *File) build() (Config, []Problem) {
+func (f *File) build() (Config, []yamlfile.Problem) {
 	c := &checker{}
 	cfg := Config{Name: f.Name, Admin: f.Admin}
 	seed, err := parseSeed(f.Seed)
 	if err != nil {
-		c.bad("seed", f.Seed, "at most 16 hexadecimal digits")
+		c.Bad("seed", f.Seed, "at most 16 hexadecimal digits")
 	}
 	cfg.Seed = seed
 	if f.Admin != "" {
@@ -84,7 +84,7 @@
 	cfg.Limits = f.Machine.build(f, c)
 	cfg.Listeners = f.buildListeners(c)
 	if n := len(f.Pools); n == 0 || n > maxPools {
-		c.bad("pools", n, fmt.Sprintf("1 to %d pools", maxPools))
+		c.Bad("pools", n, fmt.Sprintf("1 to %d pools", maxPools))
 	}
 	poolIndexes := map[string]int{}
 	for i := range f.Pools {
@@ -95,20 +95,20 @@
 	checkGuarantees(&cfg, c)
 	f.buildRoutes(&cfg, poolIndexes, c)
 	f.buildFleet(&cfg, c)
-	return cfg, c.problems
+	return cfg, c.Problems
 }
 
 func (m *MachineFile) build(f *File, c *checker) Limits {
-	c.number("machine.cores", m.Cores, 0.01, maxCores)
-	c.number("machine.memory_mb", m.MemoryMB, minMemoryMB, maxMemoryMB)
-	c.number("machine.work_per_s", float64(m.WorkPerS), 0, maxWorkPerSecond)
-	c.number("machine.sockets", float64(m.Sockets), float64(requiredSockets(f.Admin, f.Fleet != nil)), maxSockets)
+	c.Number("machine.cores", m.Cores, 0.01, maxCores)
+	c.Number("machine.memory_mb", m.MemoryMB, minMemoryMB, maxMemoryMB)
+	c.Number("machine.work_per_s", float64(m.WorkPerS), 0, maxWorkPerSecond)
+	c.Number("machine.sockets", float64(m.Sockets), float64(requiredSockets(f.Admin, f.Fleet != nil)), maxSockets)
 	return Limits{Cores: m.Cores, Memory: int64(m.MemoryMB * (1 << 20)), Sockets: m.Sockets, Work: m.WorkPerS}
 }
 
 func (f *File) buildListeners(c *checker) (listeners []Listener) {
 	if n := len(f.Listeners); n == 0 || n > maxListeners {
-		c.bad("listeners", n, fmt.Sprintf("1 to %d listeners", maxListeners))
+		c.Bad("listeners", n, fmt.Sprintf("1 to %d listeners", maxListeners))
 	}
 	names := map[string]int{}
 	addresses := map[string]bool{}
@@ -118,7 +118,7 @@
 		c.address(key+".address", listener.Address)
 		anyPort := strings.HasSuffix(listener.Address, ":0")
 		if addresses[listener.Address] && !anyPort {
-			c.bad(key+".address", listener.Address, "an address that no other listener has")
+			c.Bad(key+".address", listener.Address, "an address that no other listener has")
 		}
 		addresses[listener.Address] = true
 		listeners = append(listeners, Listener(listener))
@@ -150,14 +150,14 @@
 			key := fmt.Sprintf("pools[%d].guarantee.%s", i, resource.guarantee)
 			amount := resource.amount(pool.Guarantee)
 			if amount < 0 {
-				c.bad(key, amount, "0 or more")
+				c.Bad(key, amount, "0 or more")
 				continue
 			}
 			total := resource.amount(machine)
 			before := sums[k]
 			sums[k] += amount
 			if before <= total && sums[k] > total {
-				c.bad(key, amount, fmt.Sprintf(
+				c.Bad(key, amount, fmt.Sprintf(
 					"at most %d here: this machine has %d for all pools; lower guarantees, or raise machine.%s",
 					max(total-before, 0), total, resource.machine))
 			}
@@ -182,13 +182,13 @@
 		CountsDiscoverySocket: p.Discovery != "",
 	}
 	pool.KnownEndpoints = p.buildEndpoints(key, c)
-	c.number(key+".tiers", float64(p.Tiers), 1, maxTiers)
-	c.number(key+".tier", float64(p.Tier), 0, float64(p.Tiers-1))
-	c.number(key+".copies", float64(p.ReplicaCount), 1, maxReplicas)
-	c.number(key+".copy", float64(p.ReplicaIndex), 0, float64(p.ReplicaCount-1))
-	c.number(key+".over_quota_worth", p.OverQuota, 0, 1)
-	c.number(key+".weight", p.Weight, 0, maxPoolWeight)
-	c.duration(key+".drain", p.Drain, 0, maxDuration)
+	c.Number(key+".tiers", float64(p.Tiers), 1, maxTiers)
+	c.Number(key+".tier", float64(p.Tier), 0, float64(p.Tiers-1))
+	c.Number(key+".copies", float64(p.ReplicaCount), 1, maxReplicas)
+	c.Number(key+".copy", float64(p.ReplicaIndex), 0, float64(p.ReplicaCount-1))
+	c.Number(key+".over_quota_worth", p.OverQuota, 0, 1)
+	c.Number(key+".weight", p.Weight, 0, maxPoolWeight)
+	c.Duration(key+".drain", p.Drain, 0, maxDuration)
 	pool.Settings.Balancer = balancer.Config{
 		Tier:            p.Tier,
 		Tiers:           p.Tiers,
@@ -210,10 +210,10 @@
 	if p.Discovery != "" {
 		c.address(key+".directory", p.Discovery)
 	} else if len(p.Endpoints) == 0 {
-		c.bad(key+".providers", 0, "one provider or more, or a directory")
+		c.Bad(key+".providers", 0, "one provider or more, or a directory")
 	}
 	if len(p.Endpoints) > maxEndpoints {
-		c.bad(key+".providers", len(p.Endpoints), fmt.Sprintf("at most %d", maxEndpoints))
+		c.Bad(key+".providers", len(p.Endpoints), fmt.Sprintf("at most %d", maxEndpoints))
 	}
 	p.checkZone(key+".zone", p.Zone, c)
 	list := discovery.EndpointList{Index: 1, Snapshot: true, Endpoints: []discovery.Endpoint{}}
@@ -238,26 +238,26 @@
 // checkZone requires that a zone, where one is stated, is one of the pool's.
 func (p *PoolFile) checkZone(key, zone string, c *checker) {
 	if zone != "" && !slices.Contains(p.Zones, zone) {
-		c.bad(key, zone, "one of the pool's zones: "+strings.Join(p.Zones, ", ")+yamlfile.Suggest(zone, p.Zones))
+		c.Bad(key, zone, "one of the pool's zones: "+strings.Join(p.Zones, ", ")+yamlfile.Suggest(zone, p.Zones))
 	}
 }
 
 func (p *PoolFile) buildClasses(key string, c *checker) (classes []balancer.Class) {
 	if len(p.Classes) == 0 {
-		c.bad(key+".classes", 0, "one class or more, here or for the whole file")
+		c.Bad(key+".classes", 0, "one class or more, here or for the whole file")
 	}
 	names := map[string]int{}
 	for i, class := range p.Classes {
 		classKey := fmt.Sprintf("%s[%d]", firstNonEmpty(p.classesKey, key+".classes"), i)
 		c.uniqueName(classKey+".name", class.Name, names, i)
-		c.duration(classKey+".deadline", class.Deadline, time.Millisecond, maxDuration)
-		c.duration(classKey+".aim", class.LatencyObjective, 0, max(class.Deadline, 0))
-		c.number(classKey+".worth", class.PriorityWeight, 1/maxWeight, maxWeight)
-		c.number(classKey+".late_worth", class.LateWeight, 0, 1)
-		c.oneOf(classKey+".effect", class.Effect, "safe", "keyed", "unsafe")
-		c.oneOf(classKey+".group", class.Group, "all", "zone", "cell")
+		c.Duration(classKey+".deadline", class.Deadline, time.Millisecond, maxDuration)
+		c.Duration(classKey+".aim", class.LatencyObjective, 0, max(class.Deadline, 0))
+		c.Number(classKey+".worth", class.PriorityWeight, 1/maxWeight, maxWeight)
+		c.Number(classKey+".late_worth", class.LateWeight, 0, 1)
+		c.OneOf(classKey+".effect", class.Effect, "safe", "keyed", "unsafe")
+		c.OneOf(classKey+".group", class.Group, "all", "zone", "cell")
 		if class.Effect == "keyed" {
-			c.duration(classKey+".memory", class.IdempotencyWindow, time.Millisecond, maxLongDuration)
+			c.Duration(classKey+".memory", class.IdempotencyWindow, time.Millisecond, maxLongDuration)
 		}
 		classes = append(classes, balancer.Class{
 			Name:              class.Name,
@@ -278,19 +278,19 @@
 	for i, tenant := range p.Tenants {
 		tenantKey := fmt.Sprintf("%s[%d]", firstNonEmpty(p.tenantsKey, key+".tenants"), i)
 		c.uniqueName(tenantKey+".name", tenant.Name, names, i)
-		c.number(tenantKey+".quota", tenant.Quota, 0, maxWeight)
-		c.number(tenantKey+".share", tenant.Share, 0, maxWeight)
+		c.Number(tenantKey+".quota", tenant.Quota, 0, maxWeight)
+		c.Number(tenantKey+".share", tenant.Share, 0, maxWeight)
 		tenants = append(tenants, balancer.Tenant{Name: tenant.Name, Quota: tenant.Quota, Share: tenant.Share})
 	}
 	return tenants
 }
 
 func (l *LimitsFile) build(key string, c *checker) balancer.Limits {
-	c.number(key+".attempts", float64(l.MaxAttempts), 1, maxAttempts)
-	c.number(key+".open", float64(l.MaxOpenRequests), 1, maxOpenRequests)
-	c.duration(key+".max_retry_after", l.MaxRetryAfter, 0, maxDuration)
-	c.duration(key+".connect_timeout", l.ConnectTimeout, time.Millisecond, time.Minute)
-	c.duration(key+".idle_close", l.IdleClose, time.Millisecond, maxLongDuration)
+	c.Number(key+".attempts", float64(l.MaxAttempts), 1, maxAttempts)
+	c.Number(key+".open", float64(l.MaxOpenRequests), 1, maxOpenRequests)
+	c.Duration(key+".max_retry_after", l.MaxRetryAfter, 0, maxDuration)
+	c.Duration(key+".connect_timeout", l.ConnectTimeout, time.Millisecond, time.Minute)
+	c.Duration(key+".idle_close", l.IdleClose, time.Millisecond, maxLongDuration)
 	return balancer.Limits{
 		MaxAttempts:     l.MaxAttempts,
 		MaxOpenRequests: l.MaxOpenRequests,
@@ -303,13 +303,13 @@
 }
 
 func (r *RulesFile) build(key string, c *checker) balancer.Contract {
-	c.duration(key+".answer_slack", r.AnswerSlack, 0, time.Minute)
-	c.duration(key+".drain_grace", r.DrainGrace, 0, maxDuration)
-	c.duration(key+".ask_within", r.AskWithin, time.Millisecond, maxDuration)
-	c.number(key+".cold_from", r.InitialCapacity, 0.001, 1)
-	c.duration(key+".warm_up", r.WarmUpPeriod, 0, maxDuration)
-	c.number(key+".fall_multiple", r.OverloadMultiple, 1, 100)
-	c.duration(key+".overload_for", r.OverloadPeriod, time.Millisecond, maxDuration)
+	c.Duration(key+".answer_slack", r.AnswerSlack, 0, time.Minute)
+	c.Duration(key+".drain_grace", r.DrainGrace, 0, maxDuration)
+	c.Duration(key+".ask_within", r.AskWithin, time.Millisecond, maxDuration)
+	c.Number(key+".cold_from", r.InitialCapacity, 0.001, 1)
+	c.Duration(key+".warm_up", r.WarmUpPeriod, 0, maxDuration)
+	c.Number(key+".fall_multiple", r.OverloadMultiple, 1, 100)
+	c.Duration(key+".overload_for", r.OverloadPeriod, time.Millisecond, maxDuration)
 	return balancer.Contract{
 		AnswerSlack:      r.AnswerSlack,
 		DrainGrace:       r.DrainGrace,
--- a/config/fleet.go
+++ b/config/fleet.go
@@ -89,7 +89,7 @@
 	f.Fleet.checkRates(c)
 	keys, err := ReadKeys(f.Fleet.KeyFile)
 	if err != nil {
-		c.bad("fleet.key_file", f.Fleet.KeyFile,
+		c.Bad("fleet.key_file", f.Fleet.KeyFile,
 			"a file of one key a line, each of 16 characters or more, as proxy fleet key makes them: "+err.Error())
 	}
 	host := fleet.Config{
@@ -114,7 +114,7 @@
 	}
 	slices.Sort(host.Pools)
 	if !membership.PoolsFit(host.Pools) {
-		c.bad("fleet", len(host.Pools), fmt.Sprintf(
+		c.Bad("fleet", len(host.Pools), fmt.Sprintf(
 			"at most %d pools beside it, with %d bytes of names: each copy tells which it has",
 			membership.MaxPools, membership.MaxPoolBytes))
 	}
@@ -128,15 +128,15 @@
 func (f *File) checkFleetNames(c *checker) {
 	for i, pool := range f.Pools {
 		if pool.Limits.Peers != nil && !*pool.Limits.Peers {
-			c.bad(fmt.Sprintf("pools[%d].limits.peers", i), false, "true or nothing beside fleet: "+
+			c.Bad(fmt.Sprintf("pools[%d].limits.peers", i), false, "true or nothing beside fleet: "+
 				"proxies that must not speak to each other are in none; take fleet or limits.peers out")
 		}
 	}
 	if f.Fleet.Name == "" || len(f.Fleet.Name) > membership.MaxName {
-		c.bad("fleet.name", f.Fleet.Name, fmt.Sprintf("a name of at most %d bytes", membership.MaxName))
+		c.Bad("fleet.name", f.Fleet.Name, fmt.Sprintf("a name of at most %d bytes", membership.MaxName))
 	}
 	if f.Name == "" || len(f.Name) > membership.MaxName {
-		c.bad("name", f.Name,
+		c.Bad("name", f.Name,
 			fmt.Sprintf("a name of at most %d bytes that no other proxy of the fleet has", membership.MaxName))
 	}
 }
@@ -147,7 +147,7 @@
 		c.address("fleet.advertise", f.Advertise)
 	}
 	if len(f.Seeds) > maxSeeds {
-		c.bad("fleet.seeds", len(f.Seeds), fmt.Sprintf("at most %d addresses", maxSeeds))
+		c.Bad("fleet.seeds", len(f.Seeds), fmt.Sprintf("at most %d addresses", maxSeeds))
 	}
 	for i, seed := range f.Seeds {
 		c.address(fmt.Sprintf("fleet.seeds[%d]", i), seed)
@@ -159,10 +159,10 @@
 
 func (f *FleetFile) checkRates(c *checker) {
 	if f.Period != 0 {
-		c.duration("fleet.period", f.Period, minProbeInterval, maxProbeInterval)
+		c.Duration("fleet.period", f.Period, minProbeInterval, maxProbeInterval)
 	}
 	if f.BytesPerSecond != 0 {
-		c.number("fleet.bytes_per_s", float64(f.BytesPerSecond), minGossipBytesPerSecond, maxBytesPerSecond)
+		c.Number("fleet.bytes_per_s", float64(f.BytesPerSecond), minGossipBytesPerSecond, maxBytesPerSecond)
 	}
 }
 
@@ -172,10 +172,10 @@
 		return nil
 	}
 	if !s.Quotas && !s.Counters && !s.Evidence {
-		c.bad("fleet.share", "nothing", "quotas, counts or verdicts to be true, or no share block")
+		c.Bad("fleet.share", "nothing", "quotas, counts or verdicts to be true, or no share block")
 	}
 	if s.BytesPerSecond != 0 {
-		c.number("fleet.share.bytes_per_s", float64(s.BytesPerSecond), minSharingBytesPerSecond, maxBytesPerSecond)
+		c.Number("fleet.share.bytes_per_s", float64(s.BytesPerSecond), minSharingBytesPerSecond, maxBytesPerSecond)
 	}
 	return (*fleet.SharingConfig)(s)
 }
--- a/config/routes.go
+++ b/config/routes.go
@@ -17,7 +17,7 @@
 // once to find rules that are at fault or never match.
 func (f *File) buildRoutes(cfg *Config, poolIndexes map[string]int, c *checker) {
 	if len(f.Routes) == 0 {
-		c.bad("routes", 0, "one route or more")
+		c.Bad("routes", 0, "one route or more")
 	}
 	poolNames, classNames := namesOf(cfg.Pools)
 	names := map[string]int{}
@@ -29,7 +29,7 @@
 		used[file.Pool] = true
 		poolIndex, known := poolIndexes[file.Pool]
 		if !known {
-			c.bad(key+".pool", file.Pool, "the name of a pool"+yamlfile.Suggest(file.Pool, poolNames))
+			c.Bad(key+".pool", file.Pool, "the name of a pool"+yamlfile.Suggest(file.Pool, poolNames))
 			continue
 		}
 		file.checkClasses(key, &cfg.Pools[poolIndex], classNames, c)
@@ -37,7 +37,7 @@
 	checkTable(cfg.Routes, classNames, c)
 	for i, pool := range f.Pools {
 		if !used[pool.Name] {
-			c.warn(fmt.Sprintf("pools[%d].name", i), pool.Name, "a route that leads to it")
+			c.Warn(fmt.Sprintf("pools[%d].name", i), pool.Name, "a route that leads to it")
 		}
 	}
 }
@@ -81,7 +81,7 @@
 	}
 	check := func(classKey, name string) {
 		if !hasClass(name) {
-			c.bad(classKey, name, fmt.Sprintf("a class of pool %s%s", r.Pool, yamlfile.Suggest(name, classNames)))
+			c.Bad(classKey, name, fmt.Sprintf("a class of pool %s%s", r.Pool, yamlfile.Suggest(name, classNames)))
 		}
 	}
 	for i, name := range r.Classes {
@@ -112,9 +112,9 @@
 		}
 		want := "another rule: " + problem.Error()
 		if problem.Fatal() {
-			c.bad(key, problem.Kind, want)
+			c.Bad(key, problem.Kind, want)
 		} else {
-			c.warn(key, problem.Kind, want)
+			c.Warn(key, problem.Kind, want)
 		}
 	}
 }
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -46,8 +46,8 @@
 
 // watch calls again as soon as an answer is received: the service forgets a watch 200 ms after its last answer, and a
 // change in between still binds the proxy. So a call that fails because the connection broke with an answer, or soon
-// after one, is made again at once, on another connection: a later call would begin a new watch, which a crowded service
-// may reject.
+// after one, is made again at once, on another connection: a later call would begin a new watch, which a service may
+// reject while it is crowded.
 func (c *Client) watch(ctx context.Context, running *watch, conn *connection) {
 	s := conn.source
 	turn := turnOf{turn: c.turn}
--- a/lab/experiment/read.go
+++ b/lab/experiment/read.go
@@ -73,7 +73,7 @@
 
 // bad records an unexpected value.
 func (c *checker) bad(key string, value any, want string) {
-	c.report(key, scenario.Problem{Key: key, Value: value, Want: want})
+	c.report(key, yamlfile.Problem{Key: key, Value: value, Want: want})
 }
 
 // report records a problem with the position of its key.
--- a/lab/scenario/checker.go
+++ b/lab/scenario/checker.go
@@ -3,9 +3,10 @@
 import (
 	"fmt"
 	"math"
-	"slices"
 	"strings"
 	"time"
+
+	"ryerill/internal/yamlfile"
 )
 
 // The most that a scenario may have: a run's memory grows with them.
@@ -33,7 +34,7 @@
 )
 
 // Check returns all problems of a completed scenario.
-func (s *Scenario) Check() []Problem {
+func (s *Scenario) Check() []yamlfile.Problem {
 	c := checker{
 		scenario: s,
 		zones:    map[string]bool{},
@@ -42,61 +43,41 @@
 		tenants:  map[string]bool{},
 	}
 	c.name("name", s.Name, map[string]bool{})
-	c.duration("length", s.Length, time.Second, maxLength)
-	c.duration("warmup", s.Warmup, 0, s.Length)
+	c.Duration("length", s.Length, time.Second, maxLength)
+	c.Duration("warmup", s.Warmup, 0, s.Length)
 	c.checkNetwork()
 	c.checkTiers()
 	c.checkClasses()
 	c.checkTenants()
 	c.checkLoad()
-	c.number("consumers.retries", float64(s.Clients.Retries), 0, 20)
-	c.number("consumers.try", s.Clients.Try, 0.01, 1)
-	c.number("consumers.honour", s.Clients.Honour, 0, 1)
-	c.number("directory.capacity", s.Discovery.Capacity, 0.1, 1e9)
-	c.number("rules.attempts", float64(s.Rules.Attempts), 1, 20)
+	c.Number("consumers.retries", float64(s.Clients.Retries), 0, 20)
+	c.Number("consumers.try", s.Clients.Try, 0.01, 1)
+	c.Number("consumers.honour", s.Clients.Honour, 0, 1)
+	c.Number("directory.capacity", s.Discovery.Capacity, 0.1, 1e9)
+	c.Number("rules.attempts", float64(s.Rules.Attempts), 1, 20)
 	for i := range s.Faults {
 		c.checkFault(fmt.Sprintf("troubles[%d].", i), &s.Faults[i])
 	}
-	return c.problems
+	return c.Problems
 }
 
-// checker collects the problems of a scenario, so that all of them are reported at once, and the names that it defines.
+// checker collects the problems of a scenario, and the names that it defines.
 type checker struct {
+	yamlfile.Checker
 	scenario *Scenario
-	problems []Problem
 	zones    map[string]bool
 	tiers    map[string]bool
 	classes  map[string]bool
 	tenants  map[string]bool
 }
 
-// bad records a problem.
-func (c *checker) bad(key string, value any, want string) {
-	c.problems = append(c.problems, Problem{Key: key, Value: value, Want: want})
-}
-
-// number requires a value between two bounds; NaN is never between them.
-func (c *checker) number(key string, value, lowest, highest float64) {
-	if value >= lowest && value <= highest {
-		return
-	}
-	c.bad(key, value, fmt.Sprintf("a number from %g to %g", lowest, highest))
-}
-
-// duration requires a time between two bounds.
-func (c *checker) duration(key string, value, lowest, highest time.Duration) {
-	if value < lowest || value > highest {
-		c.bad(key, value, fmt.Sprintf("a time from %v to %v, as in 250ms or 2s", lowest, highest))
-	}
-}
-
 // name requires a well-formed name that is not among those seen, and adds it to them.
 func (c *checker) name(key, value string, seen map[string]bool) {
 	switch {
 	case value == "" || strings.ContainsFunc(value, isForbidden):
-		c.bad(key, value, "small letters, digits and dashes")
+		c.Bad(key, value, "small letters, digits and dashes")
 	case seen[value]:
-		c.bad(key, value, "a name that stands once")
+		c.Bad(key, value, "a name that stands once")
 	}
 	seen[value] = true
 }
@@ -108,22 +89,15 @@
 	return !isLetter && !isDigit && r != '-'
 }
 
-// oneOf requires one of a few words.
-func (c *checker) oneOf(key, value string, words ...string) {
-	if !slices.Contains(words, value) {
-		c.bad(key, value, "one of "+strings.Join(words, ", "))
-	}
-}
-
 func (c *checker) checkNetwork() {
 	network := &c.scenario.Network
 	for i, zone := range network.Zones {
 		c.name(fmt.Sprintf("network.zones[%d]", i), zone, c.zones)
 	}
-	c.duration("network.same", network.Same, 0, time.Second)
-	c.duration("network.cross", network.Cross, 0, time.Second)
-	c.duration("network.consumer", network.Client, 0, time.Second)
-	c.number("network.jitter", network.Jitter, 0, 2)
+	c.Duration("network.same", network.Same, 0, time.Second)
+	c.Duration("network.cross", network.Cross, 0, time.Second)
+	c.Duration("network.consumer", network.Client, 0, time.Second)
+	c.Number("network.jitter", network.Jitter, 0, 2)
 }
 
 func (c *checker) checkTiers() {
@@ -133,7 +107,7 @@
 		highest = maxParallelTiers
 	}
 	if count == 0 || count > highest {
-		c.bad("tiers", count, fmt.Sprintf("1 to %d tiers", highest))
+		c.Bad("tiers", count, fmt.Sprintf("1 to %d tiers", highest))
 	}
 	for i := range c.scenario.Tiers {
 		c.checkTier(fmt.Sprintf("tiers[%d].", i), i)
@@ -143,52 +117,52 @@
 func (c *checker) checkTier(key string, index int) {
 	tier := &c.scenario.Tiers[index]
 	c.name(key+"name", tier.Name, c.tiers)
-	c.number(key+"providers", float64(tier.Endpoints), 1, maxEndpoints)
+	c.Number(key+"providers", float64(tier.Endpoints), 1, maxEndpoints)
 	if index == 0 {
-		c.number(key+"proxies", float64(tier.Proxies), 1, maxProxies)
+		c.Number(key+"proxies", float64(tier.Proxies), 1, maxProxies)
 	} else if tier.Proxies != 0 {
-		c.bad(key+"proxies", tier.Proxies, "no value: each provider of the tier before holds one")
+		c.Bad(key+"proxies", tier.Proxies, "no value: each provider of the tier before holds one")
 	}
 	if c.scenario.NextTier(index) >= 0 {
-		c.number(key+"calls", tier.Calls, 0, 20)
+		c.Number(key+"calls", tier.Calls, 0, 20)
 		if tier.Endpoints > maxProxies {
-			c.bad(key+"providers", tier.Endpoints,
+			c.Bad(key+"providers", tier.Endpoints,
 				fmt.Sprintf("at most %d, as each holds a proxy for the next tier", maxProxies))
 		}
 	} else if tier.Calls != 0 {
-		c.bad(key+"calls", tier.Calls, "no value: there is no next tier")
+		c.Bad(key+"calls", tier.Calls, "no value: there is no next tier")
 	}
-	c.number(key+"work", tier.Work, 1e-6, 100)
-	c.number(key+"group", float64(tier.Group), 1, maxEndpoints)
+	c.Number(key+"work", tier.Work, 1e-6, 100)
+	c.Number(key+"group", float64(tier.Group), 1, maxEndpoints)
 	c.checkMachine(key+"node.", &tier.Machine)
 }
 
 func (c *checker) checkMachine(key string, machine *Machine) {
-	c.number(key+"cores", machine.Cores, 0.01, 1024)
-	c.number(key+"slots", float64(machine.Slots), 1, 1e6)
-	c.number(key+"room", float64(machine.QueueLimit), 0, 1e6)
-	c.number(key+"speed", machine.Speed, 0.001, 1000)
-	c.number(key+"spread", machine.Spread, 0, 2)
-	c.number(key+"errors", machine.Errors, 0, 1)
-	c.oneOf(key+"cancel", machine.Cancel, cancelQueued, cancelAll)
-	c.number(key+"cold.from", machine.Cold.From, 0.01, 1)
-	c.duration(key+"cold.for", machine.Cold.For, 0, time.Hour)
-	c.number(key+"cold.tips", machine.Cold.Tips, 1, 100)
-	c.duration(key+"cold.within", machine.Cold.Within, time.Millisecond, time.Minute)
-	c.number(key+"crowd.at", machine.Crowd.At, 0, 1000)
-	c.duration(key+"crowd.after", machine.Crowd.After, 0, maxLength)
-	c.number(key+"crowd.factor", machine.Crowd.Factor, 1, 100)
-	c.duration(key+"crowd.rest", machine.Crowd.Rest, 0, maxLength)
-	c.duration(key+"crowd.most", machine.Crowd.Most, 0, maxLength)
-	c.number(key+"connect.trips", machine.Connect.Trips, 0, 10)
-	c.number(key+"connect.most", float64(machine.Connect.Most), 1, 1e6)
-	c.duration(key+"connect.idle", machine.Connect.Idle, time.Millisecond, time.Hour)
-	c.duration(key+"connect.timeout", machine.Connect.Timeout, time.Millisecond, time.Minute)
+	c.Number(key+"cores", machine.Cores, 0.01, 1024)
+	c.Number(key+"slots", float64(machine.Slots), 1, 1e6)
+	c.Number(key+"room", float64(machine.QueueLimit), 0, 1e6)
+	c.Number(key+"speed", machine.Speed, 0.001, 1000)
+	c.Number(key+"spread", machine.Spread, 0, 2)
+	c.Number(key+"errors", machine.Errors, 0, 1)
+	c.OneOf(key+"cancel", machine.Cancel, cancelQueued, cancelAll)
+	c.Number(key+"cold.from", machine.Cold.From, 0.01, 1)
+	c.Duration(key+"cold.for", machine.Cold.For, 0, time.Hour)
+	c.Number(key+"cold.tips", machine.Cold.Tips, 1, 100)
+	c.Duration(key+"cold.within", machine.Cold.Within, time.Millisecond, time.Minute)
+	c.Number(key+"crowd.at", machine.Crowd.At, 0, 1000)
+	c.Duration(key+"crowd.after", machine.Crowd.After, 0, maxLength)
+	c.Number(key+"crowd.factor", machine.Crowd.Factor, 1, 100)
+	c.Duration(key+"crowd.rest", machine.Crowd.Rest, 0, maxLength)
+	c.Duration(key+"crowd.most", machine.Crowd.Most, 0, maxLength)
+	c.Number(key+"connect.trips", machine.Connect.Trips, 0, 10)
+	c.Number(key+"connect.most", float64(machine.Connect.Most), 1, 1e6)
+	c.Duration(key+"connect.idle", machine.Connect.Idle, time.Millisecond, time.Hour)
+	c.Duration(key+"connect.timeout", machine.Connect.Timeout, time.Millisecond, time.Minute)
 }
 
 func (c *checker) checkClasses() {
 	if len(c.scenario.Classes) == 0 {
-		c.bad("classes", 0, "one class or more")
+		c.Bad("classes", 0, "one class or more")
 	}
 	for i := range c.scenario.Classes {
 		c.checkClass(fmt.Sprintf("classes[%d].", i), &c.scenario.Classes[i])
@@ -197,20 +171,20 @@
 
 func (c *checker) checkClass(key string, class *Class) {
 	c.name(key+"name", class.Name, c.classes)
-	c.number(key+"share", class.Share, 0, 1e6)
-	c.duration(key+"work", class.Work, time.Microsecond, time.Minute)
-	c.number(key+"spread", class.Spread, 0, 10)
-	c.duration(key+"aim", class.LatencyObjective, time.Millisecond, time.Hour)
-	c.duration(key+"deadline", class.Deadline, class.LatencyObjective, time.Hour)
-	c.number(key+"worth", class.PriorityWeight, 0, math.MaxFloat32)
-	c.number(key+"late", class.LateWeight, 0, 1)
-	c.oneOf(key+"effect", class.Effect, effectSafe, effectKeyed, effectUnsafe)
-	c.oneOf(key+"group", class.Group, groupAll, groupZone, groupCell)
+	c.Number(key+"share", class.Share, 0, 1e6)
+	c.Duration(key+"work", class.Work, time.Microsecond, time.Minute)
+	c.Number(key+"spread", class.Spread, 0, 10)
+	c.Duration(key+"aim", class.LatencyObjective, time.Millisecond, time.Hour)
+	c.Duration(key+"deadline", class.Deadline, class.LatencyObjective, time.Hour)
+	c.Number(key+"worth", class.PriorityWeight, 0, math.MaxFloat32)
+	c.Number(key+"late", class.LateWeight, 0, 1)
+	c.OneOf(key+"effect", class.Effect, effectSafe, effectKeyed, effectUnsafe)
+	c.OneOf(key+"group", class.Group, groupAll, groupZone, groupCell)
 	switch {
 	case c.scenario.Parallel && c.scenario.TierIndex(class.Tier) < 0:
-		c.bad(key+"tier", class.Tier, "the name of a tier: they are parallel")
+		c.Bad(key+"tier", class.Tier, "the name of a tier: they are parallel")
 	case !c.scenario.Parallel && class.Tier != "":
-		c.bad(key+"tier", class.Tier, "no value: the tiers are a chain")
+		c.Bad(key+"tier", class.Tier, "no value: the tiers are a chain")
 	}
 }
 
@@ -219,41 +193,41 @@
 		tenant := &c.scenario.Tenants[i]
 		key := fmt.Sprintf("tenants[%d].", i)
 		c.name(key+"name", tenant.Name, c.tenants)
-		c.number(key+"share", tenant.Share, 0, 1e6)
-		c.number(key+"quota", tenant.Quota, 0, 1e9)
+		c.Number(key+"share", tenant.Share, 0, 1e6)
+		c.Number(key+"quota", tenant.Quota, 0, 1e9)
 		if tenant.Roams != 0 {
-			c.duration(key+"roams", tenant.Roams, time.Millisecond, maxLength)
+			c.Duration(key+"roams", tenant.Roams, time.Millisecond, maxLength)
 		}
 	}
 }
 
 func (c *checker) checkLoad() {
 	load := &c.scenario.Load
-	c.number("load.rate", load.Rate, 0.01, maxRate)
-	c.oneOf("load.shape", load.Shape, shapeSteady, shapeWave, shapeBursty)
-	c.number("load.swing", load.Swing, 0, 1)
+	c.Number("load.rate", load.Rate, 0.01, maxRate)
+	c.OneOf("load.shape", load.Shape, shapeSteady, shapeWave, shapeBursty)
+	c.Number("load.swing", load.Swing, 0, 1)
 	if load.Uneven != 0 {
-		c.number("load.uneven", load.Uneven, 1, 1e6)
+		c.Number("load.uneven", load.Uneven, 1, 1e6)
 	}
 	for i, step := range load.Steps {
-		c.number(fmt.Sprintf("load.steps[%d].factor", i), step.Factor, 0, 100)
+		c.Number(fmt.Sprintf("load.steps[%d].factor", i), step.Factor, 0, 100)
 	}
 }
 
 // checkFault checks a fault. The names of tiers, tenants and zones must be known.
 func (c *checker) checkFault(key string, fault *Fault) {
-	c.oneOf(key+"kind", fault.Kind, Kinds...)
-	c.duration(key+"at", fault.At, 0, c.scenario.Length)
+	c.OneOf(key+"kind", fault.Kind, Kinds...)
+	c.Duration(key+"at", fault.At, 0, c.scenario.Length)
 	if fault.hasLength() {
-		c.duration(key+"for", fault.For, time.Millisecond, maxLength)
+		c.Duration(key+"for", fault.For, time.Millisecond, maxLength)
 	}
 	if !c.tiers[fault.Tier] {
-		c.bad(key+"tier", fault.Tier, "the name of a tier")
+		c.Bad(key+"tier", fault.Tier, "the name of a tier")
 	}
-	c.number(key+"part", fault.Fraction, 0, 1)
-	c.number(key+"factor", fault.Factor, 0, 100)
+	c.Number(key+"part", fault.Fraction, 0, 1)
+	c.Number(key+"factor", fault.Factor, 0, 100)
 	if err := fault.Link.Check(); err != nil {
-		c.bad(key+"link", fault.Link, err.Error())
+		c.Bad(key+"link", fault.Link, err.Error())
 	}
 	c.checkFaultOfKind(key, fault)
 }
@@ -263,19 +237,19 @@
 	switch fault.Kind {
 	case Burst:
 		if fault.Factor < 1 {
-			c.bad(key+"factor", fault.Factor, "1 or more: steps of the load make it fall")
+			c.Bad(key+"factor", fault.Factor, "1 or more: steps of the load make it fall")
 		}
 	case Heavy:
 		if !c.tenants[fault.Tenant] {
-			c.bad(key+"tenant", fault.Tenant, "the name of a tenant")
+			c.Bad(key+"tenant", fault.Tenant, "the name of a tenant")
 		}
 	case Corrupt, Err:
-		c.number(key+"factor", fault.Factor, 0, 1)
+		c.Number(key+"factor", fault.Factor, 0, 1)
 	case Reload:
-		c.number(key+"count", float64(fault.Count), 1, maxReloads)
+		c.Number(key+"count", float64(fault.Count), 1, maxReloads)
 	case ZoneLoss:
 		if !c.zones[fault.Zone] {
-			c.bad(key+"zone", fault.Zone, "the name of a zone")
+			c.Bad(key+"zone", fault.Zone, "the name of a zone")
 		}
 	}
 }
--- a/lab/scenario/read.go
+++ b/lab/scenario/read.go
@@ -8,18 +8,6 @@
 	"ryerill/internal/yamlfile"
 )
 
-// Problem is one fault of a scenario's file.
-type Problem struct {
-	Key   string // path of the setting, as in tiers[0].providers
-	Value any    // value that the file states
-	Want  string // what is expected in its place
-}
-
-// Error names the key, its value and the remedy.
-func (p Problem) Error() string {
-	return fmt.Sprintf("%s: unexpected value %q, want %s", p.Key, fmt.Sprint(p.Value), p.Want)
-}
-
 // Read reads, completes and checks the scenario in a file. Its errors name file, line, column, key, value and remedy.
 func Read(file string) (*Scenario, error) {
 	text, err := os.ReadFile(file)
