Run the agent's command again in each attempt at a plan for the program

A plan that was resumed after a refusal, or handed over again under the same id, wants the same version as before, so that the agent took it as done and the replica failed with "not ready" once more.

Each attempt now has a number, the fencing token under which it begins. It stands in the plan's history, the one part of the state that older programs forward as it is, so no wire form or stored form has another field. The agent runs its command once for each wanted version and attempt, whichever process of its replica it asks. A replica wants no version before the attempt has ordered it, and a command that fails after another attempt has begun is not reported as a refusal in that one. A replica that missed the stop knows the new attempt by its number.

Before: TestTheCommandIsRunInEachAttempt "the command is not run in attempt 2", TestALateFailureIsNotReported "it is reported". After: both pass, with ./fleet, ./fleet/rollout, ./cli/..., ./config and the root.

--- a/cli/rolloutagent/agent.go
+++ b/cli/rolloutagent/agent.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"ryerill/fleet"
+	"ryerill/fleet/rollout"
 )
 
 const (
@@ -36,11 +37,22 @@
 	Output  io.Writer     // for messages, and what the command prints
 }
 
+// order is a version that is wanted, and the attempt at the plan in which it is: a plan that is resumed or handed over
+// again wants the same version once more.
+type order struct {
+	desired fleet.DesiredVersion
+	attempt uint64
+}
+
+func orderOf(status *fleet.RolloutStatus) order {
+	return order{desired: status.Desired, attempt: rollout.AttemptOf(status.History)}
+}
+
 // Run polls the proxy until the context ends. What was wanted before it started counts as done.
 func (a *Agent) Run(ctx context.Context) error {
-	done := fleet.DesiredVersion{}
+	done := order{}
 	if status, err := a.Proxy.Rollout(); err == nil {
-		done = status.Desired
+		done = orderOf(&status)
 	}
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
@@ -51,16 +63,16 @@
 		case <-ticker.C:
 		}
 		status, err := a.Proxy.Rollout()
-		if err != nil || status.Desired == done || status.Desired.Plan == "" || status.Kind != kindOfProgram {
+		if err != nil || status.Desired.Plan == "" || status.Kind != kindOfProgram || orderOf(&status) == done {
 			continue
 		}
-		done = status.Desired
+		done = orderOf(&status)
 		a.change(ctx, &status)
 	}
 }
 
 // change runs the command for the version that is wanted, and reports its failure to the proxy: at least once, and
-// again until the proxy has taken the report or the context ends.
+// again until the proxy has taken the report, another attempt has begun, or the context ends.
 func (a *Agent) change(ctx context.Context, status *fleet.RolloutStatus) {
 	desired := status.Desired
 	fmt.Fprintf(a.Output, "plan %s wants %s, back %v\n", desired.Plan, desired.Target, desired.RollingBack)
@@ -71,7 +83,7 @@
 	fmt.Fprintln(a.Output, "the command failed:", err)
 	reason := "the command failed: " + err.Error()
 	for range maxRefusals {
-		if a.Proxy.RefuseRollout(desired.Plan, reason) == nil {
+		if a.superseded(status) || a.Proxy.RefuseRollout(desired.Plan, reason) == nil {
 			return
 		}
 		select {
@@ -82,6 +94,12 @@
 	}
 }
 
+// superseded reports whether another attempt at a plan has begun since a status: a refusal does not count in it.
+func (a *Agent) superseded(status *fleet.RolloutStatus) bool {
+	now, err := a.Proxy.Rollout()
+	return err == nil && rollout.AttemptOf(now.History) > rollout.AttemptOf(status.History)
+}
+
 func (a *Agent) runCommand(ctx context.Context, status *fleet.RolloutStatus) error {
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
--- a/cli/rolloutagent/agent_test.go
+++ b/cli/rolloutagent/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"strings"
@@ -157,3 +158,62 @@
 	*p.reasons = append(*p.reasons, reason)
 	return nil
 }
+
+// attemptsProxy wants the same version in each attempt at a plan; tests begin them.
+type attemptsProxy struct {
+	attempt  atomic.Int64
+	refusals chan int64 // the attempt in which each was reported
+}
+
+func (p *attemptsProxy) Rollout() (fleet.RolloutStatus, error) {
+	attempt := p.attempt.Load()
+	status := fleet.RolloutStatus{Kind: kindOfProgram, History: []string{fmt.Sprint("taken by a, number ", attempt)}}
+	if attempt > 0 {
+		status.Desired = fleet.DesiredVersion{Plan: "p", Target: "v2"}
+	}
+	return status, nil
+}
+
+func (p *attemptsProxy) RefuseRollout(string, string) error {
+	p.refusals <- p.attempt.Load()
+	return nil
+}
+
+// A plan that is resumed or handed over again has the command run again, once each time.
+func TestTheCommandIsRunInEachAttempt(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	proxy := &attemptsProxy{refusals: make(chan int64, 10)}
+	ended := run(ctx, proxy)
+	defer func() { cancel(); <-ended }()
+	time.Sleep(3 * pollInterval)
+	for attempt := range int64(3) {
+		proxy.attempt.Store(attempt + 1)
+		select {
+		case got := <-proxy.refusals:
+			if got != attempt+1 {
+				t.Errorf("refused in attempt %d, want %d", got, attempt+1)
+			}
+		case <-time.After(testTimeout):
+			t.Fatalf("the command is not run in attempt %d", attempt+1)
+		}
+		time.Sleep(3 * pollInterval)
+		if len(proxy.refusals) > 0 {
+			t.Fatalf("the command is run twice in attempt %d", attempt+1)
+		}
+	}
+}
+
+// What fails after another attempt has begun is no refusal in that one.
+func TestALateFailureIsNotReported(t *testing.T) {
+	t.Parallel()
+	proxy := &attemptsProxy{refusals: make(chan int64, 1)}
+	proxy.attempt.Store(1)
+	status, _ := proxy.Rollout()
+	proxy.attempt.Store(2)
+	agent := &Agent{Proxy: proxy, Command: []string{"/no/such/program"}, Timeout: time.Second, Output: io.Discard}
+	agent.change(t.Context(), &status)
+	if len(proxy.refusals) > 0 {
+		t.Error("it is reported")
+	}
+}
--- a/fleet/rollout/attempt_test.go
+++ b/fleet/rollout/attempt_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"strings"
 	"testing"
 	"time"
 )
@@ -98,3 +99,56 @@
 		})
 	}
 }
+
+// Each attempt has a greater number than those before, at every replica that knows the history, and keeps it however
+// long the history grows. What replicas or older programs write does not pass for an attempt.
+func TestAttemptsAreNumbered(t *testing.T) {
+	plan := Plan{ID: "p", Kind: Program, Target: target}
+	plan.Complete()
+	replica := New("a", 0)
+	number := func() uint64 { return AttemptOf(replica.State().History) }
+	if err := replica.Start(time.Second, plan); err != nil || number() == 0 {
+		t.Fatalf("%v, number %d", err, number())
+	}
+	first := number()
+	for _, command := range []string{commandPause, commandResume} { // goes on with the same attempt
+		if err := replica.Command(time.Second, command); err != nil || number() != first {
+			t.Fatalf("%v, number %d after %s, want %d", err, number(), command, first)
+		}
+	}
+	replica.transition(Stopped, "b could not take it: taken by c, number 99")
+	if err := replica.Command(time.Second, commandResume); err != nil || number() <= first {
+		t.Fatalf("%v, number %d after %d", err, number(), first)
+	}
+	second := number()
+	for range 3 * maxHistory {
+		replica.takeOver()
+	}
+	history := replica.State().History
+	if number() != second || len(history) != maxHistory || !strings.HasPrefix(history[0], takenPrefix) {
+		t.Errorf("number %d, want %d; %d entries, the first %q", number(), second, len(history), history[0])
+	}
+	for _, entry := range []string{"taken by a", "taken by a, number", "taken by a, number -1", "led by a, number 3"} {
+		if got := AttemptOf([]string{entry}); got != 0 {
+			t.Errorf("%q has number %d", entry, got)
+		}
+	}
+}
+
+// A replica that did not hear that the plan had stopped learns of the new attempt too.
+func TestANewAttemptIsKnownByItsNumber(t *testing.T) {
+	plan := Plan{ID: "p", Kind: Program, Target: target}
+	plan.Complete()
+	replica := New("b", 0)
+	for i, history := range [][]string{
+		{"taken by a, number 1"},
+		{"taken by a, number 1", "stopped: c refused", "changing: " + byOperator, "taken up again by a, number 2"},
+	} {
+		token := uint64(i + 1)
+		state := State{Plan: plan, FencingToken: token, Version: 1, Phase: Changing, History: history}
+		replica.Handle(time.Second, Message{Kind: StateUpdate, From: "a", FencingToken: token, State: &state}, nil)
+		if replica.Attempts() != token {
+			t.Errorf("%d attempts, want %d", replica.Attempts(), token)
+		}
+	}
+}
--- a/fleet/rollout/participant.go
+++ b/fleet/rollout/participant.go
@@ -94,12 +94,13 @@
 	if err := p.env.replicas.checkLevels(&plan); err != nil {
 		return err
 	}
+	token := p.election.nextToken()
 	p.state = State{
 		Plan:         plan,
-		FencingToken: p.election.nextToken(),
+		FencingToken: token,
 		Version:      1,
 		Phase:        Changing,
-		History:      []string{"taken by " + p.env.name},
+		History:      []string{attemptEntry(takenPrefix, p.env.name, token)},
 	}
 	p.election.nextCampaignAt = p.env.now
 	p.stages = newStageController()
@@ -151,11 +152,12 @@
 	default:
 		return &CommandError{command}
 	}
+	// The state with a new token supersedes that of any leader.
+	state.FencingToken = p.election.nextToken()
 	if isResting(before) && !isResting(state.Phase) {
+		state.record(attemptEntry(takenAgainPrefix, p.env.name, state.FencingToken))
 		p.beginAttempt()
 	}
-	// The state with a new token supersedes that of any leader.
-	state.FencingToken = p.election.nextToken()
 	state.Version = 1
 	state.Leader = ""
 	p.election.resign()
--- a/fleet/rollout/replication.go
+++ b/fleet/rollout/replication.go
@@ -49,10 +49,10 @@
 		return
 	}
 	if update.State.Newer(&p.state) {
-		before := p.state.Phase
+		before := p.state
 		p.state = *update.State
 		p.election.nextCampaignAt = 0
-		if isResting(before) && !isResting(p.state.Phase) {
+		if p.state.beginsAttempt(&before) {
 			p.beginAttempt()
 		}
 	}
--- a/fleet/rollout/state.go
+++ b/fleet/rollout/state.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// maxHistory is the number of entries of a plan's history that are kept: the first one and the latest.
+// maxHistory is the number of entries of a plan's history that are kept: see State.record.
 const maxHistory = 64
 
 // Phase is how far a plan is.
@@ -73,12 +73,20 @@
 	s.record(phase.String() + ": " + reason)
 }
 
-// record adds an entry to the history.
+// record adds an entry to the history. Where that is full the earliest ones go, except for the first one and for that
+// with which the latest attempt begins.
 func (s *State) record(entry string) {
 	s.History = append(s.History, entry)
-	if len(s.History) > maxHistory {
-		s.History = slices.Delete(s.History, 1, len(s.History)-maxHistory+1)
+	excess := len(s.History) - maxHistory
+	if excess <= 0 {
+		return
 	}
+	kept := s.History[:1:1]
+	if latest := latestAttempt(s.History); 1 <= latest && latest <= excess {
+		kept = append(kept, s.History[latest])
+		excess++
+	}
+	s.History = append(kept, s.History[1+excess:]...)
 }
 
 // resumedPhase is the phase that a plan which rests goes on with: it changes replicas, unless it was rolling them back.
--- a/fleet/rollout_host.go
+++ b/fleet/rollout_host.go
@@ -64,6 +64,7 @@
 	ownRefusal       refusal
 	attempt          uint64 // of the participant, that the refusals are of
 	desired          DesiredVersion
+	desiredAttempt   uint64 // of the participant, in which the version was ordered
 
 	fetching      bool
 	fetchFailedAt time.Time // zero after a success
@@ -220,9 +221,10 @@
 	h := f.rollouts
 	f.log.Info("fleet rollout changes this replica", "plan", action.Plan, "target", action.Target,
 		"rolling_back", action.RollBack)
+	attempt := h.participant.Attempts()
 	h.desired = DesiredVersion{Plan: action.Plan, Target: action.Target, RollingBack: action.RollBack}
+	h.desiredAttempt = attempt
 	kind := h.participant.State().Plan.Kind
-	attempt := h.participant.Attempts()
 	f.goroutines.Go(func() {
 		err := h.change(kind, action.Target, action.Settings, action.RollBack)
 		if err == nil {
@@ -238,13 +240,24 @@
 }
 
 // RolloutRefused records that the operator's own tools could not bring about the
-// desired version of a plan.
+// desired version of a plan. It is ignored where that was ordered in an earlier attempt
+// and has not been ordered again since.
 func (f *Fleet) RolloutRefused(plan, reason string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.rollouts != nil {
-		f.rollouts.ownRefusal = refusal{plan: plan, reason: reason}
+	h := f.rollouts
+	if h == nil || h.desired.Plan == plan && h.desiredAttempt != h.participant.Attempts() {
+		return
+	}
+	h.ownRefusal = refusal{plan: plan, reason: reason}
+}
+
+// desiredNow returns the desired version, which is empty until the present attempt at the plan orders it.
+func (h *rolloutHost) desiredNow() DesiredVersion {
+	if h.desiredAttempt != h.participant.Attempts() {
+		return DesiredVersion{}
 	}
+	return h.desired
 }
 
 // sendRollout sends a message. Of a state only the version is sent: who has an older one
--- a/fleet/rollout_host_test.go
+++ b/fleet/rollout_host_test.go
@@ -111,3 +111,42 @@
 		t.Errorf("a second plan: %v", err)
 	}
 }
+
+// A version is wanted of the operator's tools from the order of the present attempt on, not from one before, and a
+// refusal of an order before does not count.
+func TestAVersionIsWantedInEachAttempt(t *testing.T) {
+	f := newRolloutHost(t, func(rollout.Kind, string, []byte, bool) error { return nil }, "")
+	plan := rollout.Plan{ID: "p", Kind: rollout.Program, Target: "new"}
+	plan.Complete()
+	status := func() RolloutStatus {
+		f.tickRollouts()
+		status, _ := f.RolloutStatus()
+		return status
+	}
+	var before uint64
+	for attempt := range 2 {
+		if err := f.StartRollout(plan); err != nil {
+			t.Fatal(err)
+		}
+		f.tickRollouts()
+		f.RolloutRefused("p", "exit status 1") // late, except in the first attempt
+		refused := status().Replicas[0].RefusedReason != ""
+		if desired := status().Desired; desired.Plan != "" || refused != (attempt == 0) {
+			t.Errorf("attempt %d wants %+v before it has ordered anything, refused %v", attempt, desired, refused)
+		}
+		f.mu.Lock()
+		f.applyVersion(rollout.Action{Kind: rollout.Apply, Plan: "p", Target: "new"})
+		f.mu.Unlock()
+		f.RolloutRefused("p", "exit status 1")
+		now := status()
+		if number := rollout.AttemptOf(now.History); now.Desired.Plan != "p" || number <= before ||
+			now.Replicas[0].RefusedReason == "" {
+			t.Errorf("attempt %d, number %d: wants %+v", attempt, number, now.Desired)
+		} else {
+			before = number
+		}
+		if err := f.RolloutCommand("abort"); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/fleet/rollout_status.go
+++ b/fleet/rollout_status.go
@@ -71,7 +71,7 @@
 		ChangedReplicas: state.Selected,
 		FailedReplicas:  state.Failed,
 		History:         state.History,
-		Desired:         h.desired,
+		Desired:         h.desiredNow(),
 	}
 	status.Evidence, status.Points = h.participant.Evidence()
 	zones := map[string]bool{}
