Give an abort again that the majority did not hear

An abort or a rollback that was ordered at a replica in a minority was lost without a word: the majority elected anew under a higher fencing token, and its state won once the partition healed.

A replica that adopts a state which does not know of such an order in the history of its own, of the same plan as it was handed over, gives the order again. Until then status shows the order and that most copies are not in sight. Entries of the history are no longer written into a slice that other copies of the state share.

--- a/fleet/rollout/participant.go
+++ b/fleet/rollout/participant.go
@@ -60,6 +60,9 @@
 	case !p.state.Phase.Ended() && !p.env.replicas.hasQuorum():
 		return fmt.Sprintf("nobody can lead: %d of %d copies are in sight, and most have to be",
 			p.env.replicas.aliveCount(), len(p.env.replicas)), nil
+	case p.state.Phase == Aborted && !p.env.replicas.hasQuorum():
+		return fmt.Sprintf("most copies may not know of the abort; they are told once in sight: %d of %d are",
+			p.env.replicas.aliveCount(), len(p.env.replicas)), nil
 	case !p.IsLeader():
 		return "", nil
 	case p.state.Phase == Changing && len(p.state.Selected) == 0:
--- a/fleet/rollout/replication.go
+++ b/fleet/rollout/replication.go
@@ -48,6 +48,7 @@
 	if update.State == nil || update.State.FencingToken != update.FencingToken || update.State.Plan.Check() != nil {
 		return
 	}
+	p.election.sawToken(update.FencingToken)
 	if update.State.Newer(&p.state) {
 		before := p.state
 		p.state = *update.State
@@ -55,8 +56,8 @@
 		if p.state.beginsAttempt(&before) {
 			p.beginAttempt()
 		}
+		p.giveLostOrderAgain(&before)
 	}
-	p.election.sawToken(update.FencingToken)
 }
 
 // refuseOutdated refuses a candidate that has an older state than this replica, and sends it this one: as the leader it
--- a/fleet/rollout/state.go
+++ b/fleet/rollout/state.go
@@ -70,13 +70,16 @@
 	s.Phase = phase
 	s.Reason = reason
 	s.Version++
-	s.record(phase.String() + ": " + reason)
+	s.record(historyEntry(phase, reason))
 }
 
+// historyEntry is what the history notes of a transition.
+func historyEntry(phase Phase, reason string) string { return phase.String() + ": " + reason }
+
 // record adds an entry to the history. Where that is full the earliest ones go, except for the first one and for that
 // with which the latest attempt begins.
 func (s *State) record(entry string) {
-	s.History = append(s.History, entry)
+	s.History = append(slices.Clip(s.History), entry) // copies of the state share what was there
 	excess := len(s.History) - maxHistory
 	if excess <= 0 {
 		return
