Start with the last good settings where a rollout's don't get a process ready

A process that died with the settings of a plan started with them again and again: the file held them, and nothing told the next start that the one before had not come through.

The record stands in a file of its own beside the configuration, .trial, which older programs ignore. Where the process before ended before it was ready, in its reload or at its start, the next start restores .last-good and logs that. The first order of the same target is then refused with a FailedStartError, so that the plan stops or goes back with that reason; another attempt tries again.

Not run: a plan among real processes that die.

--- a/cli/rolloutchange.go
+++ b/cli/rolloutchange.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/google/renameio/v2"
@@ -20,10 +21,13 @@
 )
 
 // rollouts returns the option by which a proxy takes part in its fleet's rollouts. adjust changes settings before they
-// are loaded.
-func rollouts(getenv func(string) string, p **proxy.Proxy, adjust func(*config.Config)) proxy.Option {
+// are loaded; failedTarget is the target with which the process before this one could not start, if there is one.
+func rollouts(
+	getenv func(string) string, p **proxy.Proxy, adjust func(*config.Config), failedTarget string,
+) proxy.Option {
 	changer := &settingsChanger{
-		getenv: getenv,
+		getenv:       getenv,
+		failedTarget: failedTarget,
 		reload: func(cfg config.Config) error {
 			adjust(&cfg)
 			return (*p).Reload(cfg)
@@ -45,6 +49,31 @@
 	getenv     func(string) string
 	reload     func(config.Config) error
 	awaitReady func(timeout time.Duration) error
+
+	mu           sync.Mutex
+	failedTarget string // with which the process before this one could not start; refused once
+}
+
+// FailedStartError says that a process ended before it was ready with the settings of a rollout.
+type FailedStartError struct {
+	Target string
+}
+
+// Error names the settings.
+func (e *FailedStartError) Error() string {
+	return fmt.Sprintf("went back at a start: the process before ended before it was ready with %s", e.Target)
+}
+
+// checkFailedStart returns a FailedStartError the first time that a target is ordered with which the process before
+// could not start: the plan has to learn of it. Ordered again, in another attempt, the target is tried again.
+func (c *settingsChanger) checkFailedStart(target string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if target == "" || c.failedTarget != target {
+		return nil
+	}
+	c.failedTarget = ""
+	return &FailedStartError{Target: target}
 }
 
 // change takes the settings of a plan over, or rolls them back. New settings that can't be loaded are rolled back at
@@ -53,7 +82,11 @@
 	if kind != rollout.Settings {
 		return nil
 	}
+	if err := c.checkFailedStart(target); err != nil {
+		return err
+	}
 	file := c.getenv(config.EnvFile)
+	trial := settingsTrial{file: file}
 	current, err := os.ReadFile(file)
 	if err != nil {
 		return err
@@ -71,15 +104,22 @@
 		if err := renameio.WriteFile(file+lastGoodSuffix, current, configFileMode); err != nil {
 			return err
 		}
+		if err := trial.begin(next); err != nil {
+			return err
+		}
 	}
 	if err := renameio.WriteFile(file, next, configFileMode); err != nil {
 		return err
 	}
 	err = c.load(cfg)
-	if err == nil || rollBack {
-		return err
+	switch {
+	case rollBack:
+		return errors.Join(err, trial.end())
+	case err == nil:
+		return trial.loaded()
+	default:
+		return fmt.Errorf("went back by itself: %w", errors.Join(err, c.restore(file, current), trial.end()))
 	}
-	return fmt.Errorf("went back by itself: %w", errors.Join(err, c.restore(file, current)))
 }
 
 // nextSettings returns the contents of the configuration file after a change.
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 	"golang.org/x/sys/unix"
@@ -44,6 +45,9 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	// The reader of the log may exit: unless SIGPIPE is ignored, the next line would end the process.
 	signal.Ignore(syscall.SIGPIPE)
+	log := logging.New(stderr)
+	trial := settingsTrial{file: getenv(config.EnvFile)}
+	failedTarget, pending := trial.beginStart(log)
 	cfg, warnings, err := config.Load(getenv)
 	if err != nil {
 		return err
@@ -53,7 +57,6 @@
 	debug.SetGCPercent(gcPercent)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	log := logging.New(stderr)
 	logWarnings(log, warnings)
 	maxDescriptors := descriptorLimit()
 	if err := limitSockets(&cfg, maxDescriptors, log); err != nil {
@@ -62,7 +65,8 @@
 	var p *proxy.Proxy
 	limit := func(c *config.Config) { c.LimitSockets(maxDescriptors) }
 	memory := cfg.Limits.Memory
-	p, err = proxy.New(cfg, rollouts(getenv, &p, limit), proxy.WithLogger(log), proxy.WithProgram(version()),
+	p, err = proxy.New(cfg, rollouts(getenv, &p, limit, failedTarget),
+		proxy.WithLogger(log), proxy.WithProgram(version()),
 		proxy.WithProcessShare(func(fraction float64) { setMemoryGoal(memory, fraction) }))
 	var address *config.AddressError
 	if errors.As(err, &address) {
@@ -76,12 +80,31 @@
 			reload(p, getenv, maxDescriptors, log)
 		}
 	}()
+	if pending {
+		go endTrial(ctx, p, trial, log)
+	}
 	if err := p.Run(ctx); err != nil {
 		return runError{err}
 	}
 	return nil
 }
 
+// endTrial ends the trial of the settings that the proxy was started with, once it has started.
+func endTrial(ctx context.Context, p *proxy.Proxy, trial settingsTrial, log *slog.Logger) {
+	ticker := time.NewTicker(startPollInterval)
+	defer ticker.Stop()
+	for p.Starting() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	if err := trial.endStart(); err != nil {
+		log.Error("trial of a rollout's settings can't be kept", "file", trial.file, "err", err)
+	}
+}
+
 // setMemoryGoal sets the collector's goal for a process that has a fraction of the memory limit, in bytes.
 func setMemoryGoal(memory int64, fraction float64) {
 	debug.SetMemoryLimit(int64(fraction * heapFraction * float64(memory)))
--- a/fleet/rollout/attempt_test.go
+++ b/fleet/rollout/attempt_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -152,3 +153,22 @@
 		}
 	}
 }
+
+// A replica that dies when it is changed, and comes back with its version before, is ordered again in time: so the plan
+// learns whether it refuses.
+func TestAReplicaThatCameBackIsOrderedAgain(t *testing.T) {
+	c := newFleet(5, quickPlan)
+	c.deadly = true
+	c.step(4 * time.Second)
+	c.startPlan(t, 0)
+	dead := func() int { return slices.IndexFunc(c.members, func(m *member) bool { return !m.up }) }
+	c.until(t, "replica that dies", func() bool { return dead() >= 0 })
+	i := dead()
+	c.step(2 * time.Second)
+	c.members[i].version = old
+	c.start(i)
+	c.until(t, "second order", func() bool { return dead() >= 0 })
+	if phase := c.leader().participant.state.Phase; dead() != i || phase != Changing {
+		t.Errorf("replica %d was ordered while the plan is %v, want %d", dead(), phase, i)
+	}
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -206,6 +206,9 @@
 	return nil
 }
 
+// Starting reports whether the proxy doesn't serve yet.
+func (p *Proxy) Starting() bool { return errors.Is(p.Readiness(), errStarting) }
+
 // Run serves until ctx ends and all that was accepted has its result. It is called once.
 func (p *Proxy) Run(ctx context.Context) error {
 	ctx, stop := context.WithCancel(ctx)
