Keep what discovery has told through early reloads and wholly new pools

Cause: a pool that replaced another joined the other's discovery client only once that had been answered. A reload before the first answer (right after a start, or after another reload) dropped the call that was out and began a new one, which a crowded service rejects; what the old call brought was lost. And a pool of another name at another service began with the configuration's list though the process knew which endpoints had gone.

--- a/proxy/core.go
+++ b/proxy/core.go
@@ -8,7 +8,6 @@
 
 	"ryerill/balancer"
 	"ryerill/config"
-	"ryerill/discovery"
 	"ryerill/downstream"
 	"ryerill/internal/buffer"
 	"ryerill/override"
@@ -109,13 +108,15 @@
 	kind := balancer.ListFull // without discovery the configuration's list is complete
 	known := c.cfg.KnownEndpoints
 	refetch := parts.refetch
-	inherits := false
+	discovered := false // by another pool
 	if c.cfg.Discovery != "" {
 		kind = balancer.ListCached
-		var list discovery.EndpointList
-		if list, inherits = predecessor.discoveredList(); inherits {
+		if list, inherits := predecessor.discoveredList(); inherits {
 			known = list
 			refetch = true // its version may be another service's
+			discovered = true
+		} else {
+			known, discovered = parts.succession.current(known)
 		}
 	}
 	held := known
@@ -124,7 +125,7 @@
 	defer c.mu.Unlock()
 	c.discovery.start(&c.cfg, held, parts.buffers, c)
 	c.applyListLocked(kind, known)
-	c.endpoints.discovered = inherits
+	c.endpoints.discovered = discovered
 }
 
 // setClasses takes the classes and tenants from the settings.
--- a/proxy/discovery.go
+++ b/proxy/discovery.go
@@ -31,6 +31,16 @@
 	}
 }
 
+// hasListed reports whether discovery has answered, or there is none.
+func (w *discoveryWatch) hasListed() bool {
+	select {
+	case <-w.listed:
+		return true
+	default:
+		return false
+	}
+}
+
 // start opens the discovery client if the configuration names a discovery service. It watches the list until stop.
 func (w *discoveryWatch) start(cfg *config.Pool, known discovery.EndpointList, buffers *buffer.Pool, c *core) {
 	if cfg.Discovery == "" {
--- a/proxy/drainscale_test.go
+++ b/proxy/drainscale_test.go
@@ -163,6 +163,13 @@
 			s.each((*listService).goDown)
 			s.changeSettings(func(*config.Config) {})
 		}},
+		{name: "asked, new settings before the first answer of a crowded service", faults: listFaults{
+			wholeFirst: true, pieces: 20, piecePause: 100 * time.Millisecond, crowded: true, letsIn: 1,
+		}, play: func(s *drainScene) {
+			drainQuarter(s)
+			s.awaitCalls()
+			s.changeSettings(func(*config.Config) {})
+		}},
 		{name: "asked, a pool renamed while the service is down", play: func(s *drainScene) {
 			drainQuarter(s)
 			time.Sleep(2 * time.Second)
@@ -186,6 +193,23 @@
 			})
 			s.changeSettings(func(*config.Config) {})
 		}},
+		{name: "asked, then pushed", faults: inPieces(25 * time.Millisecond), play: func(s *drainScene) {
+			s.awaitWatches()
+			s.turnToAgents()
+			drainQuarter(s)
+		}},
+		{name: "asked, a wholly new pool", faults: inPieces(100 * time.Millisecond), play: func(s *drainScene) {
+			s.awaitWatches()
+			drainQuarter(s)
+			time.Sleep(time.Second)
+			s.replacePools(false)
+		}},
+		{name: "pushed, a wholly new pool", pushed: true, faults: inPieces(25 * time.Millisecond), play: func(s *drainScene) {
+			s.awaitWatches()
+			drainQuarter(s)
+			time.Sleep(time.Second)
+			s.replacePools(true)
+		}},
 		{name: "pushed, withdrawn before the start", pushed: true, faults: inPieces(25 * time.Millisecond), before: func(registry *endpointRegistry) {
 			registry.change(discovery.Terminating, everyNth(4)...)
 			time.Sleep(2 * time.Second)
@@ -273,6 +297,18 @@
 	}
 }
 
+// awaitCalls waits until all proxies have called their service.
+func (s *drainScene) awaitCalls() {
+	s.t.Helper()
+	for _, service := range s.services {
+		for deadline := time.Now().Add(testTimeout); service.callCount() == 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				s.t.Fatal("a proxy does not call its service")
+			}
+		}
+	}
+}
+
 // each does something to each list service.
 func (s *drainScene) each(do func(*listService)) {
 	for _, service := range s.services {
@@ -293,19 +329,41 @@
 // moveServices has a reload move each proxy to another list service of the same registry, with faults of its own. It
 // returns those before.
 func (s *drainScene) moveServices(faults listFaults) (before []*listService) {
+	return s.replaceServices(faults, s.scenario.pushed, func(*config.Config) {})
+}
+
+// turnToAgents has a reload turn each proxy from a service that is asked to an agent.
+func (s *drainScene) turnToAgents() {
+	s.replaceServices(s.scenario.faults, true, func(cfg *config.Config) {
+		cfg.Pools[0].Settings.PushedDiscovery = true
+		cfg.Pools[0].Settings.Balancer.Subscribe = false
+	})
+}
+
+// replacePools has a reload replace each proxy's pool by one of another name at another service, which follows none.
+func (s *drainScene) replacePools(pushed bool) {
+	s.replaceServices(s.scenario.faults, pushed, renamePool)
+}
+
+// replaceServices has a reload give each proxy another list service of the same registry and a further change. It
+// returns the services before.
+func (s *drainScene) replaceServices(
+	faults listFaults, pushed bool, change func(*config.Config),
+) (before []*listService) {
 	before = slices.Clone(s.services)
 	for i, proxy := range s.proxies {
-		service := newListService(s.t, s.registry, s.scenario.pushed)
+		service := newListService(s.t, s.registry, pushed)
 		service.setFaults(func(f *listFaults) { *f = faults })
-		if faults.goesOn {
-			service.before = s.services[i]
-		}
-		if s.scenario.pushed {
+		service.before = s.services[i]
+		service.replacedAt = time.Now()
+		if pushed {
 			service.reachableAt = time.Now().Add(moveKnown)
 		}
 		cfg := s.configs[i]
 		cfg.Pools = slices.Clone(cfg.Pools)
+		cfg.Routes = slices.Clone(cfg.Routes)
 		cfg.Pools[0].Discovery = service.Addr().String()
+		change(&cfg)
 		if err := proxy.Reload(cfg); err != nil {
 			s.t.Error(err)
 		}
@@ -397,7 +455,7 @@
 				s.t.Logf("proxy %d, endpoint %d: told %v after the change, sent %v after it", i, arrived.endpoint,
 					service.told(change).Sub(change.changedAt), arrived.at.Sub(change.changedAt))
 				if breaks == 1 {
-					s.t.Logf("its service, from the change on: %s", service.exchangesAround(change.changedAt))
+					s.t.Logf("its services, from the change on: %s", service.exchanges(change.changedAt))
 				}
 			}
 		}
--- a/proxy/endpoints.go
+++ b/proxy/endpoints.go
@@ -121,6 +121,22 @@
 	return list
 }
 
+// currentStatus returns the status of an endpoint that another list names: its own there, unless it is listed here as
+// not ready, or was listed here and is gone.
+func (t *endpointTable) currentStatus(entry *discovery.Endpoint) string {
+	e := t.byID[endpointID(entry.Name)]
+	if e == nil {
+		if _, was := t.names[entry.Name]; was {
+			return discovery.Gone
+		}
+		return entry.Status
+	}
+	if e.address != entry.Address || e.entry.Status == discovery.Ready {
+		return entry.Status
+	}
+	return e.entry.Status
+}
+
 // endpointID is a stable hash of an endpoint's name: the same in every proxy,
 // since the decisions of several proxies rank endpoints by it.
 func endpointID(name string) balancer.EndpointID {
--- a/proxy/listservice_test.go
+++ b/proxy/listservice_test.go
@@ -51,7 +51,8 @@
 	registry *endpointRegistry
 	pushed   bool // an agent: what it has counts as told
 
-	before *listService // the same service at its address before, whose watches go on at this one; nil is none
+	before     *listService // that of the proxy before; nil is none
+	replacedAt time.Time    // when this one took its place
 
 	mu          sync.Mutex
 	faults      listFaults
@@ -163,7 +164,7 @@
 
 // lastWatchAnswerLocked returns when a watch was answered last, also at the service's address before.
 func (s *listService) lastWatchAnswerLocked() time.Time {
-	if s.before == nil {
+	if s.before == nil || !s.faults.goesOn {
 		return s.watchedAt
 	}
 	s.before.mu.Lock()
@@ -203,6 +204,12 @@
 	return len(s.answers)
 }
 
+func (s *listService) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.calls)
+}
+
 func (s *listService) serve(conn *net.TCPConn, state *serviceConnection) {
 	defer func() {
 		s.mu.Lock()
@@ -324,8 +331,20 @@
 	return nil
 }
 
-// told returns when a change counts as known to the proxy.
+// told returns when a change counts as known to the proxy: also one that the service before has told of.
 func (s *listService) told(change registeredEndpoint) time.Time {
+	told := s.toldHere(change)
+	if s.before == nil || !change.changedAt.Before(s.replacedAt) {
+		return told
+	}
+	if before := s.before.told(change); before.Before(told) {
+		return before
+	}
+	return told
+}
+
+// toldHere returns when a change counts as known to the proxy by this service alone.
+func (s *listService) toldHere(change registeredEndpoint) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	had := change.changedAt
@@ -360,20 +379,20 @@
 	return end
 }
 
-// exchangesAround states the calls and answers near a time, as spans from it.
-func (s *listService) exchangesAround(at time.Time) string {
+// exchanges states the calls and answers after a time, as spans from it, also of the services before.
+func (s *listService) exchanges(after time.Time) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var calls, answers []time.Duration
+	var calls, answers []string
 	for _, call := range s.calls {
-		if call.Sub(at).Abs() < unseenChangeKnown {
-			calls = append(calls, call.Sub(at))
-		}
+		calls = append(calls, call.Sub(after).Round(time.Millisecond).String())
 	}
 	for _, answer := range s.answers {
-		if answer.at.Sub(at).Abs() < unseenChangeKnown {
-			answers = append(answers, answer.at.Sub(at))
-		}
+		answers = append(answers, fmt.Sprintf("%v of version %d", answer.at.Sub(after).Round(time.Millisecond), answer.version))
+	}
+	text := fmt.Sprintf("calls %v, answers %v", calls, answers)
+	if s.before == nil {
+		return text
 	}
-	return fmt.Sprintf("calls %v, answers %v", calls, answers)
+	return fmt.Sprintf("%s; replaced %v: %s", s.before.exchanges(after), s.replacedAt.Sub(after).Round(time.Millisecond), text)
 }
