Keep a budget of bytes for messages about quotas

Cause: counts and evidence had a budget of bytes, messages about quotas were sent whatever they took: each loan was renewed every 2 s, and a replica that borrows of 64 quotas from 11 others sent 45 KB/s (47 over the first 30 s).

Change: package quota keeps a budget, 16 times that of counts and evidence (24 KB/s by default): half for answers, a quarter each for renewals and for new loans, and what one does not use the others may. Due renewals are sent in the order in which their leases end, another limit goes first at each tick, and what does not fit waits or ends. A request that can't be answered counts as lost, before any debit. A surplus over several loans shrinks them once, not each of them.

TestReplicasNeverExceedTheTotalWithFewBytes: the total is never exceeded while the budget comes and goes. The mutant "no peer is asked" replaces the line that stands there now.

--- a/fleet/quota/borrower.go
+++ b/fleet/quota/borrower.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -8,10 +9,20 @@
 // denialBackoff is how long a lender that had nothing isn't asked again.
 const denialBackoff = Lease / 4
 
-// borrow renews, returns and requests loans of one limit by its demand.
-func (m *Manager) borrow(account *account) {
+// borrow renews, returns and requests loans of all limits by their demand. Another limit is the first each time, as the
+// budget of bytes may not suffice for all.
+func (m *Manager) borrow() {
+	m.firstAt = (m.firstAt + 1) % max(len(m.order), 1)
+	names := slices.Concat(m.order[m.firstAt:], m.order[:m.firstAt])
+	m.renewLoans(names)
+	for _, name := range names {
+		m.adjustLoans(m.accounts[name])
+	}
+}
+
+// adjustLoans returns loans of one limit that are not needed, and requests what is missing.
+func (m *Manager) adjustLoans(account *account) {
 	shortfall := m.shortfall(account)
-	m.renewLoans(account, shortfall)
 	m.returnLoans(account, -shortfall)
 	if m.now >= account.nextRequestAt {
 		account.nextRequestAt = m.now + requestInterval
@@ -28,17 +39,47 @@
 	return wanted - m.spendableRate(account)
 }
 
-// renewLoans requests loans again before they end, as far as they are still needed.
-func (m *Manager) renewLoans(account *account, shortfall float64) {
+// renewal is a loan that is due to be renewed.
+type renewal struct {
+	account *account
+	loan    *borrowedLoan
+	amount  float64
+}
+
+// renewLoans requests loans of the limits again before they end, those that end first before others. What the budget of
+// bytes does not suffice for is left to the next ticks.
+func (m *Manager) renewLoans(names []string) {
+	var due []renewal
+	for _, name := range names {
+		due = m.appendRenewals(due, m.accounts[name])
+	}
+	slices.SortStableFunc(due, func(a, b renewal) int { return cmp.Compare(a.loan.expiresAt, b.loan.expiresAt) })
+	for _, r := range due {
+		if len(r.account.pending) >= maxPendingRequests {
+			continue
+		}
+		if !m.request(renewals, r.account, r.loan.lender, r.amount, r.loan.seq) {
+			return
+		}
+		r.loan.renewAt = r.loan.expiresAt
+	}
+}
+
+// appendRenewals appends the loans of one limit that are due to be renewed, as far as they are still needed.
+func (m *Manager) appendRenewals(due []renewal, account *account) []renewal {
+	shortfall := m.shortfall(account)
 	for i := range account.borrowed {
 		loan := &account.borrowed[i]
-		needed := shortfall + loan.amount
-		if needed <= 0 || m.now < loan.renewAt || len(account.pending) >= maxPendingRequests {
+		if m.now < loan.renewAt {
 			continue
 		}
-		loan.renewAt = loan.expiresAt
-		m.request(account, loan.lender, min(loan.amount, needed), loan.seq)
+		amount := min(loan.amount, max(shortfall+loan.amount, 0))
+		shortfall += loan.amount - amount // the others are needed the more
+		if amount > 0 {
+			due = append(due, renewal{account: account, loan: loan, amount: amount})
+		}
 	}
+	return due
 }
 
 // returnLoans returns loans of which nothing is needed, the latest first. The credit ends before the lender is
@@ -49,9 +90,13 @@
 		if loan.amount > surplus || account.hasPendingRenewal(loan.seq) {
 			continue
 		}
+		message := Message{Return: true, Request: m.requestID(loan.seq), Quota: account.Name}
+		if !m.spend(requests, &message) {
+			return // it ends by itself
+		}
 		surplus -= loan.amount
 		account.borrowed = slices.Delete(account.borrowed, i, i+1)
-		m.send(loan.lender, Message{Return: true, Request: m.requestID(loan.seq), Quota: account.Name})
+		m.send(loan.lender, message)
 	}
 }
 
@@ -74,15 +119,22 @@
 			continue
 		}
 		existing := account.findBorrowed(lender)
-		m.request(account, lender, shortfall+existing.amount, existing.seq)
+		if !m.request(requests, account, lender, shortfall+existing.amount, existing.seq) {
+			return
+		}
 		shortfall -= expectedGrant
 	}
 }
 
-// request asks a lender for an amount. renews is the request whose loan it replaces, or noRenewal.
-func (m *Manager) request(account *account, lender string, amount float64, renews uint64) {
+// request asks a lender for an amount. renews is the request whose loan it replaces, or noRenewal. It reports false if
+// the budget of bytes does not suffice.
+func (m *Manager) request(class messageClass, account *account, lender string, amount float64, renews uint64) bool {
 	if len(account.borrowed) >= maxLoans || !(amount > 0) {
-		return
+		return true
+	}
+	message := Message{Request: m.requestID(m.lastSeq + 1), Quota: account.Name, Amount: amount, Renews: renews}
+	if !m.spend(class, &message) {
+		return false
 	}
 	m.lastSeq++
 	m.Stats.Requests++
@@ -92,7 +144,13 @@
 		lender: lender,
 		sentAt: m.now,
 	})
-	m.send(lender, Message{Request: m.requestID(m.lastSeq), Quota: account.Name, Amount: amount, Renews: renews})
+	m.send(lender, message)
+	return true
+}
+
+// spend takes the bytes of a message from the budget. It reports false if they don't suffice: the message is not sent.
+func (m *Manager) spend(class messageClass, message *Message) bool {
+	return m.budget.spend(m.now, class, message.MaxEncodedBytes())
 }
 
 func (m *Manager) requestID(seq uint64) RequestID {
--- a/fleet/quota/cluster_test.go
+++ b/fleet/quota/cluster_test.go
@@ -20,6 +20,7 @@
 	net      *faultnet.Network
 	inFlight []delivery
 	spent    float64 // of the amount limit
+	budget   float64 // of each replica's messages, in bytes a second; 0 is no limit
 	demand   []float64
 }
 
@@ -52,6 +53,7 @@
 	t.up = true
 	now := m.clock(i)
 	t.manager = New(replicaName(i), t.epoch, uint64(i)*7919+t.epoch, restarted, now)
+	t.manager.SetByteBudget(now, m.budget)
 	t.manager.SetLimits(now, m.limits)
 	var others []string
 	for j := range m.replicas {
@@ -137,6 +139,11 @@
 	rapid.Check(t, neverExceedTheTotal(faults))
 }
 
+// Nor while most messages can't be sent for lack of bytes.
+func TestReplicasNeverExceedTheTotalWithFewBytes(t *testing.T) {
+	rapid.Check(t, neverExceedTheTotal(append(slices.Clone(faults), "few bytes", "few bytes", "many bytes")))
+}
+
 // Nor while reloads take the tenant out of the settings and put it back.
 func TestReplicasNeverExceedTheTotalThroughReloads(t *testing.T) {
 	rapid.Check(t, neverExceedTheTotal(append(slices.Clone(faults), "reload", "reload")))
@@ -155,7 +162,7 @@
 		for range rapid.IntRange(5, 60).Draw(t, "steps") {
 			i := rapid.IntRange(0, n-1).Draw(t, "whom")
 			c := m.replicas[i]
-			switch rapid.SampledFrom(steps).Draw(t, "what") {
+			switch what := rapid.SampledFrom(steps).Draw(t, "what"); what {
 			case "want":
 				m.demand[i] = rapid.SampledFrom([]float64{0, 1, 20, 300}).Draw(t, "units")
 			case "spend":
@@ -197,6 +204,11 @@
 					c.manager.SetLimits(m.clock(i), m.limits[1:])
 					c.manager.SetLimits(m.clock(i), m.limits)
 				}
+			case "few bytes", "many bytes":
+				m.budget = map[string]float64{"few bytes": 40, "many bytes": 0}[what]
+				if c.up {
+					c.manager.SetByteBudget(m.clock(i), m.budget)
+				}
 			case "good":
 				m.net.Usual(faultnet.Link{Delay: time.Millisecond})
 			}
--- a/fleet/quota/explore_test.go
+++ b/fleet/quota/explore_test.go
@@ -160,7 +160,7 @@
 	var b strings.Builder
 	for i, a := range s.replicas {
 		now := s.clock(i)
-		fmt.Fprint(&b, s.up[i], a.epoch, a.restarted && now-a.startedAt < withMaxDrift(Lease), a.lastSeq, a.random)
+		fmt.Fprint(&b, s.up[i], a.epoch, a.restarted && now-a.startedAt < withMaxDrift(Lease), a.lastSeq, a.random, a.firstAt)
 		for _, name := range a.order {
 			p := a.accounts[name]
 			fmt.Fprintf(&b, "%.2f %v %.1f", p.balance, p.assigned, p.demand.rate(a.now))
--- a/fleet/quota/lender.go
+++ b/fleet/quota/lender.go
@@ -1,11 +1,22 @@
 package quota
 
-// handleRequest answers a request for a loan, with the same answer if it has arrived before.
+// handleRequest answers a request for a loan, with the same answer if it has arrived before. One that can't be answered
+// within the budget of bytes counts as lost on the way.
 func (m *Manager) handleRequest(request *Message) {
 	borrower := request.Request.Replica
 	if borrower == m.name {
 		return
 	}
+	grant := Message{
+		Grant:   true,
+		Request: request.Request,
+		From:    m.name,
+		Epoch:   m.epoch,
+		Quota:   request.Quota,
+	}
+	if !m.spend(answers, &grant) {
+		return
+	}
 	if previous, found := m.answers.find(request.Request); found {
 		m.Stats.Duplicates++
 		m.send(borrower, previous)
@@ -19,14 +30,7 @@
 		m.Stats.Grants++
 		m.lend(account, request.Request, amount, renewed)
 	}
-	grant := Message{
-		Grant:   true,
-		Request: request.Request,
-		From:    m.name,
-		Epoch:   m.epoch,
-		Quota:   request.Quota,
-		Amount:  amount,
-	}
+	grant.Amount = amount
 	m.answers.add(m.now, grant)
 	m.send(borrower, grant)
 }
--- a/fleet/quota/manager.go
+++ b/fleet/quota/manager.go
@@ -72,12 +72,15 @@
 
 	accounts map[string]*account
 	order    []string            // names of the accounts, sorted
+	firstAt  int                 // index in order of the account that borrows first at the next tick
 	delisted map[string]*account // of limits that are not listed any more, until their loans end
 
 	lastSeq uint64 // of the requests that this process sent
 	answers answerLog
 	actions []Action
 
+	budget byteBudget
+
 	// Stats count messages since the start.
 	Stats Stats
 }
@@ -97,6 +100,13 @@
 	}
 }
 
+// SetByteBudget limits the bytes a second of messages, on average; 0 is no limit. What can't be sent within it is not
+// requested or not answered: a loan that can't be renewed in time ends, and is debited until its lease is over.
+func (m *Manager) SetByteBudget(now time.Duration, bytesPerSecond float64) {
+	m.advance(now)
+	m.budget = newByteBudget(bytesPerSecond, m.now)
+}
+
 // SetLimits states which limits there are. Those without a positive, finite total are ignored. One whose kind changes,
 // or that was not listed before, begins anew, but what has been lent of it stays lent until the leases end: the
 // borrower may not have noticed.
@@ -241,11 +251,10 @@
 	m.advance(now)
 	m.actions = out
 	for _, name := range m.order {
-		account := m.accounts[name]
-		account.expire(m.now)
-		if m.replicaCount > 0 && len(m.peers) > 0 {
-			m.borrow(account)
-		}
+		m.accounts[name].expire(m.now)
+	}
+	if m.replicaCount > 0 && len(m.peers) > 0 {
+		m.borrow()
 	}
 	m.expireDelisted()
 	m.answers.expire(m.now)
--- a/fleet/quota/message.go
+++ b/fleet/quota/message.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -39,6 +40,37 @@
 	return m.Request.Replica == sender
 }
 
+// fixedMessageBytes is what a message takes at most when it is encoded alone in a list, without its names and numbers.
+const fixedMessageBytes = 78
+
+// MaxEncodedBytes is what the message takes at most when it is encoded as CBOR.
+func (m *Message) MaxEncodedBytes() int {
+	size := fixedMessageBytes
+	for _, number := range [...]uint64{m.Request.Epoch, m.Request.Seq, m.Epoch, m.Renews} {
+		size += encodedHeadBytes(number)
+	}
+	for _, name := range [...]string{m.Request.Replica, m.From, m.Quota} {
+		size += encodedHeadBytes(uint64(len(name))) + len(name)
+	}
+	return size
+}
+
+// encodedHeadBytes is what CBOR takes for a number, or for a length.
+func encodedHeadBytes(number uint64) int {
+	switch {
+	case number < 24:
+		return 1
+	case number <= math.MaxUint8:
+		return 2
+	case number <= math.MaxUint16:
+		return 3
+	case number <= math.MaxUint32:
+		return 5
+	default:
+		return 9
+	}
+}
+
 // Action is a message that the host is to send.
 type Action struct {
 	To      string
--- a/fleet/quota/mutants_test.go
+++ b/fleet/quota/mutants_test.go
@@ -22,6 +22,6 @@
 		{Name: "a renewed loan counts twice", File: "borrower.go", From: "return request.renews != noRenewal && l.lender == request.lender && l.seq == request.renews\n", To: "return false\n"},
 		{Name: "an unconfirmed replica has a share", File: "manager.go", From: "	if m.replicaCount <= 0 {\n		return 0\n	}\n	return account.Total", To: "	return account.Total"},
 		{Name: "returned and kept", File: "borrower.go", From: "		account.borrowed = slices.Delete(account.borrowed, i, i+1)\n", To: ""},
-		{Name: "no peer is asked", File: "borrower.go", From: "		m.request(account, lender, shortfall+existing.amount, existing.seq)\n", To: "_ = existing\n"},
+		{Name: "no peer is asked", File: "borrower.go", From: "		if !m.request(requests, account, lender, shortfall+existing.amount, existing.seq) {\n", To: "		if _ = existing; true {\n"},
 	})
 }
--- a/fleet/statesync/packet.go
+++ b/fleet/statesync/packet.go
@@ -29,8 +29,7 @@
 	commonKeyBytes = countsBytes + 16
 	minItemBytes   = 60 // an item takes at least so much
 
-	quotaMessageBytes = 120 // at most
-	quotaListBytes    = 8   // of the packet and of the list, at most
+	quotaListBytes = 8 // of the packet and of the list, at most
 )
 
 // Packet is what one replica sends another, encoded as CBOR.
@@ -44,7 +43,7 @@
 func packQuotas(messages []quota.Message) (packets []*Packet) {
 	remaining := 0
 	for _, message := range messages {
-		size := quotaMessageBytes + len(message.Request.Replica) + len(message.From) + len(message.Quota)
+		size := message.MaxEncodedBytes()
 		if len(packets) == 0 || size > remaining {
 			packets = append(packets, &Packet{})
 			remaining = maxPacketBytes - quotaListBytes
--- a/fleet/statesync/syncer.go
+++ b/fleet/statesync/syncer.go
@@ -19,8 +19,11 @@
 const (
 	// Interval is the time between ticks.
 	Interval = 200 * time.Millisecond
-	// DefaultBytesPerSecond is what a replica sends at most on average, if its configuration doesn't say.
+	// DefaultBytesPerSecond is what a replica sends of counters and evidence at most on average, if its configuration
+	// doesn't say.
 	DefaultBytesPerSecond = 1500
+	// QuotaBudgetFactor is how many times as much it sends of messages about quotas at most.
+	QuotaBudgetFactor = 16
 
 	fanout                = 3 // peers that are sent queued items at each tick
 	evidenceInterval      = 200 * time.Millisecond
@@ -40,7 +43,7 @@
 	Quotas         bool   // whether quotas are shared
 	Counters       bool   // whether counters are shared
 	Evidence       bool   // whether evidence on endpoints is shared
-	BytesPerSecond int    // 0 is DefaultBytesPerSecond
+	BytesPerSecond int    // of counters and evidence; 0 is DefaultBytesPerSecond
 }
 
 // Peer is another replica that is alive.
@@ -96,8 +99,10 @@
 	if err != nil {
 		return nil, err
 	}
+	quotas := quota.New(config.Name, config.Epoch, config.Seed, config.LostState, now)
+	quotas.SetByteBudget(now, QuotaBudgetFactor*float64(config.BytesPerSecond))
 	return &Syncer{
-		Quotas:   quota.New(config.Name, config.Epoch, config.Seed, config.LostState, now),
+		Quotas:   quotas,
 		Counters: counter.New(config.Name, config.Zone, config.Epoch),
 		Outliers: outlier.New(config.Name, config.Zone, config.Epoch),
 		config:   config,
@@ -287,8 +292,8 @@
 	return append(out, Outgoing{To: to, Payload: payload}), len(payload)
 }
 
-// byteBudget limits the bytes sent on average. Messages about quotas are sent in any case, and take a part of the
-// budget at most: what is queued needs the rest.
+// byteBudget limits the bytes sent on average. Messages about quotas have a budget of their own, which package quota
+// keeps, and take a part of this one at most: what is queued needs the rest.
 type byteBudget struct {
 	perSecond float64
 	available float64
