Give each source of datagrams a credit of its own

Cause: one credit of 2,000 datagrams a second was shared by all whose head names the fleet and a key of it, so a flood of forged ones had members' frames dropped: 20 or 21 of 200 arrived at 200 forged ones each.

Change: a source (address and port) that a valid frame came from has a credit of 500 a second, all such 10,000; 8,192 are kept. Other sources share 1,024 buckets of 500 by their host, and 2,000 in all as before. The warning names the address.

Tests: TestMembersFramesArriveUnderAFlood (one host, its ports, the member's own host, another member's address, ever other hosts, v6) has all 200 arrive. TestMembersJoinUnderAFloodFromOneHost: new ones too. What is left stands in the row: a flood that states a member's own address, or ever other hosts while a member joins.

--- a/fleet/transport.go
+++ b/fleet/transport.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	maxDatagramRate  = 2000 // datagrams a second that are decoded; those of a flood beyond it are dropped
+	maxDatagramRate  = 2000 // datagrams a second that are decoded of all sources that no valid frame came from
 	maxDatagramBurst = 4000
 
 	maxListenAttempts = 50 // at ports that the system chooses
@@ -53,8 +53,9 @@
 	mu       sync.Mutex // guards what follows
 	codec    *codec.Codec
 	stats    Stats
-	credit   float64 // datagrams that may be decoded
+	credit   float64 // datagrams that may be decoded of sources that no valid frame came from
 	creditAt time.Time
+	sources  *sourceCredits
 }
 
 // newTransport opens the sockets.
@@ -80,6 +81,7 @@
 		stats:     Stats{Invalid: map[string]uint64{}},
 		credit:    maxDatagramBurst,
 		creditAt:  time.Now(),
+		sources:   newSourceCredits(),
 	}, nil
 }
 
@@ -209,9 +211,10 @@
 		t.drop(err, from)
 		return nil
 	}
-	if !t.spendCredit() {
+	if !t.admitDatagram(from) {
 		t.stats.Invalid[faultFlood]++
-		t.log.warnOccasionally("more fleet datagrams than are decoded are dropped", "limit", maxDatagramRate)
+		t.log.warnOccasionally("more fleet datagrams than are decoded are dropped",
+			"limit", maxDatagramRate, "address", from)
 		return nil
 	}
 	message, err := t.codec.Decode(frame, codec.MaxDatagram)
@@ -219,12 +222,19 @@
 		t.drop(err, from)
 		return nil
 	}
+	t.sources.addMember(from)
 	return message
 }
 
-// spendCredit reports whether a datagram is within the rate. The mutex is held.
-func (t *transport) spendCredit() bool {
+// admitDatagram reports whether a datagram is within the rate of its source. The mutex is held.
+func (t *transport) admitDatagram(from string) bool {
 	now := time.Now()
+	return t.sources.spendOfMember(now, from) || t.sources.spendOfStranger(now, from) && t.spendCredit(now)
+}
+
+// spendCredit reports whether a datagram of a source that no valid frame came from is within the rate of all of them.
+// The mutex is held.
+func (t *transport) spendCredit(now time.Time) bool {
 	t.credit = min(t.credit+maxDatagramRate*now.Sub(t.creditAt).Seconds(), maxDatagramBurst)
 	t.creditAt = now
 	if t.credit < 1 {
