Replace files in one way: synced, with their directory, and owed after an error

The state file and a rollout's settings were renamed by renameio, overrides by code of their own without a sync; no directory was synced, a kill left temporary files, and what a disk refused was written again in 30 s or never: a replica set stayed unannounced, a departure was announced without being stored, a full disk failed a rollout at once.

internal/atomicfile replaces all three (renameio is gone), with a seam for faults and a temporary file of a fixed name that is locked while it is written. Overrides whose directory is not synced are owed. The fleet writes again after 0.1 s, doubled up to 30 s, and shows the error in the status. Settings wait 5 s for the disk.

Tests of the overrides inject at the new seam, the same faults and more; their disk is in memory, since another program's writes made two of them fail once under -race.

--- a/architecture_test.go
+++ b/architecture_test.go
@@ -19,7 +19,7 @@
 	packages []string // "lab/..." is all below lab
 	siblings bool     // packages of this floor may import each other
 }{
-	{"helpers", []string{"internal/buffer", "internal/framing", "internal/http1", "internal/logging", "internal/seedrand",
+	{"helpers", []string{"internal/atomicfile", "internal/buffer", "internal/framing", "internal/http1", "internal/logging", "internal/seedrand",
 		"internal/socket", "internal/yamlfile"}, false},
 	{"decisions", []string{"balancer", "route", "fairshare", "drain", "fleet/membership", "fleet/quota", "fleet/counter",
 		"fleet/outlier", "fleet/rollout"}, false},
@@ -173,7 +173,7 @@
 
 // serving are the packages of the process that serves. The platform refuses it other programs and copies that the kernel
 // makes between sockets; a copy to io.Discard is none.
-var serving = []string{"balancer", "fairshare", "config", "downstream", "discovery", "drain", "internal/buffer", "cli",
+var serving = []string{"balancer", "fairshare", "config", "downstream", "discovery", "drain", "internal/atomicfile", "internal/buffer", "cli",
 	"internal/framing", "internal/http1", "internal/logging", "internal/socket", "internal/overridestore",
 	"internal/handover", "message", "admin", "upstream", "proxy", "route", "override", "fleet", "internal/seedrand",
 	"fleet/membership", "fleet/placement", "fleet/codec", "fleet/quota", "fleet/counter", "fleet/outlier",
--- a/cli/adminclient.go
+++ b/cli/adminclient.go
@@ -99,8 +99,8 @@
 	return status, text, err
 }
 
-func (c adminClient) fleet() (fleet.Status, error) {
-	status, _, err := getStatus[fleet.Status](c, pathFleet)
+func (c adminClient) fleet() (fleet.HostStatus, error) {
+	status, _, err := getStatus[fleet.HostStatus](c, pathFleet)
 	return status, err
 }
 
--- a/cli/fleet.go
+++ b/cli/fleet.go
@@ -57,7 +57,7 @@
 func (c *fleetCommands) client() adminClient { return newAdminClient(c.admin, c.getenv) }
 
 // status returns a command that prints a table of the fleet's status.
-func (c *fleetCommands) status(use, short string, table func(io.Writer, *fleet.Status)) *cobra.Command {
+func (c *fleetCommands) status(use, short string, table func(io.Writer, *fleet.HostStatus)) *cobra.Command {
 	run := func(*cobra.Command, []string) error {
 		status, err := c.client().fleet()
 		if err != nil {
--- a/cli/fleettables.go
+++ b/cli/fleettables.go
@@ -25,7 +25,7 @@
 	return (time.Duration(ms) * time.Millisecond).Round(100 * time.Millisecond).String()
 }
 
-func printMembers(w io.Writer, status *fleet.Status) {
+func printMembers(w io.Writer, status *fleet.HostStatus) {
 	fmt.Fprintln(w, "NAME\tSTATUS\tPHASE\tFOR\tHEARD\tZONE\tADDRESS\tPROGRAM\tSETTINGS\tNOTE")
 	for i := range status.Members {
 		member := &status.Members[i]
@@ -59,7 +59,7 @@
 	}
 }
 
-func printFleet(w io.Writer, status *fleet.Status) {
+func printFleet(w io.Writer, status *fleet.HostStatus) {
 	count := map[string]int{}
 	for _, member := range status.Members {
 		count[member.Status]++
@@ -69,7 +69,7 @@
 	fmt.Fprintf(w, "members\t%d alive, %d suspect, %d dead, %d left\n",
 		count["alive"], count["suspect"], count["dead"], count["left"])
 	fmt.Fprintf(w, "view\t%s (equal where the same is known of all)\n", status.Digest)
-	fmt.Fprintf(w, "certainty\t%s\n", certainty(status))
+	fmt.Fprintf(w, "certainty\t%s\n", certainty(&status.Status))
 	fmt.Fprintf(w, "own health\t%d (0 is good, 8 worst)\n", status.Health)
 	fmt.Fprintf(w, "answers take\t%v\n", time.Duration(status.RTTMicros)*time.Microsecond)
 	invalid := uint64(0)
@@ -78,6 +78,9 @@
 	}
 	fmt.Fprintf(w, "frames\t%d in, %d out, %d dropped as bad\n",
 		status.Frames.FramesIn, status.Frames.FramesOut, invalid)
+	if status.StateFileError != "" {
+		fmt.Fprintf(w, "state file\tcan't be written: %s\n", status.StateFileError)
+	}
 	for _, name := range sortedNames(status.Pools) {
 		pool := status.Pools[name]
 		fmt.Fprintf(w, "pool %s\tnumber %d of %d, budgets among %d, own part %.4g, %d there, %d out of reach\n",
--- a/cli/rolloutchange.go
+++ b/cli/rolloutchange.go
@@ -6,10 +6,9 @@
 	"os"
 	"time"
 
-	"github.com/google/renameio/v2"
-
 	"ryerill/config"
 	"ryerill/fleet/rollout"
+	"ryerill/internal/atomicfile"
 	"ryerill/proxy"
 )
 
@@ -17,6 +16,10 @@
 	readyTimeout   = 8 * time.Second // new settings need the endpoint lists of their discovery services
 	lastGoodSuffix = ".last-good"    // of the file beside the configuration that holds what a rollout replaced
 	configFileMode = 0o600
+
+	storageTimeout  = 5 * time.Second // for which a change waits for a disk that fails
+	minStoragePause = 50 * time.Millisecond
+	maxStoragePause = time.Second
 )
 
 // rollouts returns the option by which a proxy takes part in its fleet's rollouts. adjust changes settings before they
@@ -29,6 +32,8 @@
 			return (*p).Reload(cfg)
 		},
 		awaitReady: func(timeout time.Duration) error { return (*p).AwaitReady(timeout) },
+
+		storageTimeout: storageTimeout,
 	}
 	parsePlan := func(text []byte) (rollout.Plan, error) {
 		current, err := os.ReadFile(getenv(config.EnvFile))
@@ -45,6 +50,9 @@
 	getenv     func(string) string
 	reload     func(config.Config) error
 	awaitReady func(timeout time.Duration) error
+	files      *atomicfile.Calls // nil outside of tests
+
+	storageTimeout time.Duration // for which a disk that fails is tried again
 }
 
 // change takes the settings of a plan over, or rolls them back. New settings that can't be loaded are rolled back at
@@ -68,14 +76,17 @@
 		return fmt.Errorf("config check: %w", err)
 	}
 	if !rollBack && !hasTarget {
-		if err := renameio.WriteFile(file+lastGoodSuffix, current, configFileMode); err != nil {
+		if err := c.replace(file+lastGoodSuffix, current); err != nil {
 			return err
 		}
 	}
-	if err := renameio.WriteFile(file, next, configFileMode); err != nil {
+	err = c.replace(file, next)
+	if err != nil && !errors.Is(err, atomicfile.ErrUnsynced) {
 		return err
 	}
-	err = c.load(cfg)
+	if err == nil || rollBack { // what the file holds is loaded
+		err = errors.Join(err, c.load(cfg))
+	}
 	if err == nil || rollBack {
 		return err
 	}
@@ -107,6 +118,18 @@
 	return next, nil
 }
 
+// replace replaces a file. A fault of the disk that may pass is waited for.
+func (c *settingsChanger) replace(file string, contents []byte) error {
+	deadline := time.Now().Add(c.storageTimeout)
+	for pause := minStoragePause; ; pause = min(2*pause, maxStoragePause) {
+		err := c.files.Replace(file, contents, configFileMode)
+		if err == nil || !atomicfile.MayPass(err) || time.Now().Add(pause).After(deadline) {
+			return err
+		}
+		time.Sleep(pause)
+	}
+}
+
 // load reloads the proxy and waits until it is ready.
 func (c *settingsChanger) load(cfg config.Config) error {
 	if err := c.reload(cfg); err != nil {
@@ -121,5 +144,5 @@
 	if err != nil {
 		return nil // there is nothing valid to return to: the error of the change is what counts
 	}
-	return errors.Join(renameio.WriteFile(file, previous, configFileMode), c.reload(cfg))
+	return errors.Join(c.replace(file, previous), c.reload(cfg))
 }
--- a/cli/rolloutchange_test.go
+++ b/cli/rolloutchange_test.go
@@ -5,11 +5,13 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"ryerill/config"
 	"ryerill/fleet/rollout"
+	"ryerill/internal/atomicfile"
 )
 
 var (
@@ -171,3 +173,116 @@
 		t.Errorf("%v, %d reloads\n%s", err, len(h.reloads), h.content(""))
 	}
 }
+
+// breakDisk has calls of a step that concern one file fail a number of times, after some that succeed.
+func (h *changerHarness) breakDisk(step, suffix string, sound, failures int) {
+	h.files = atomicfile.SystemCalls()
+	concerned := h.file + suffix
+	current := ""
+	due := func(at string) error {
+		if at != step || current != concerned {
+			return nil
+		}
+		if sound--; sound >= 0 {
+			return nil
+		}
+		if failures--; failures < 0 {
+			return nil
+		}
+		return syscall.ENOSPC
+	}
+	h.files.Write = func(file *os.File, contents []byte) (int, error) {
+		current = strings.TrimSuffix(file.Name(), atomicfile.TemporarySuffix)
+		if err := due("write"); err != nil {
+			n, _ := file.Write(contents[:len(contents)/2])
+			return n, err
+		}
+		return file.Write(contents)
+	}
+	h.files.Sync = func(file *os.File) error { return errors.Join(due("sync"), file.Sync()) }
+	h.files.Rename = func(from, to string) error {
+		if err := due("rename"); err != nil {
+			return err
+		}
+		return os.Rename(from, to)
+	}
+	h.files.SyncDirectory = func(*os.File) error { return due("sync directory") }
+}
+
+// lasting is a number of failures that no change outlasts.
+const lasting = 1 << 30
+
+// storageTimeoutOf is how long a change waits for a disk that fails a number of times: long enough on any machine for a
+// few of them.
+func storageTimeoutOf(failures int) time.Duration {
+	if failures == lasting {
+		return 500 * time.Millisecond
+	}
+	return time.Minute
+}
+
+// A disk that fails while a replica takes settings, wherever that is, leaves the settings in the file that are loaded. A
+// fault that passes is waited for, one that stays is told of.
+func TestSettingsOfAPlanUnderStorageFaults(t *testing.T) {
+	for _, step := range []string{"write", "sync", "rename", "sync directory"} {
+		for _, tc := range []struct {
+			name     string
+			suffix   string
+			sound    int // writes before the fault
+			failures int
+			notReady bool // with the new settings, so that the old ones are written back
+			taken    bool
+			last     string // that the file holds in the end
+		}{
+			{"the last good ones, for a moment", lastGoodSuffix, 0, 2, false, true, ""},
+			{"the last good ones, for long", lastGoodSuffix, 0, lasting, false, false, good},
+			{"the new ones, for a moment", "", 0, 2, false, true, ""},
+			{"the new ones, for long", "", 0, lasting, false, false, good},
+			{"going back, for a moment", "", 1, 2, true, false, good},
+		} {
+			t.Run(step+" "+tc.name, func(t *testing.T) {
+				t.Parallel()
+				h := newChangerHarness(t)
+				h.storageTimeout = storageTimeoutOf(tc.failures)
+				h.notReady = tc.notReady
+				settings, target := h.planned(good, laterDeadline)
+				h.breakDisk(step, tc.suffix, tc.sound, tc.failures)
+				err := h.change(rollout.Settings, target, settings, false)
+				if (err == nil) != tc.taken || tc.failures == lasting && !errors.Is(err, syscall.ENOSPC) {
+					t.Errorf("%v", err)
+				}
+				if tc.taken && config.CommonHash([]byte(h.content(""))) != target || !tc.taken && h.content("") != tc.last {
+					t.Errorf("the file holds\n%s", h.content(""))
+				}
+				if len(h.reloads) > 0 && h.reloads[len(h.reloads)-1] != h.content("") {
+					t.Errorf("the file holds\n%s\nand loaded is\n%s", h.content(""), h.reloads[len(h.reloads)-1])
+				}
+			})
+		}
+	}
+}
+
+// Going back is owed while the disk fails for a moment, and what is loaded in the end is what the file holds.
+func TestSettingsOfAPlanAreTakenBackUnderStorageFaults(t *testing.T) {
+	for _, step := range []string{"write", "sync", "rename", "sync directory"} {
+		for name, failures := range map[string]int{"for a moment": 2, "for long": lasting} {
+			t.Run(step+" "+name, func(t *testing.T) {
+				t.Parallel()
+				h := newChangerHarness(t)
+				h.storageTimeout = storageTimeoutOf(failures)
+				settings, target := h.planned(good, laterDeadline)
+				if err := h.change(rollout.Settings, target, settings, false); err != nil {
+					t.Fatal(err)
+				}
+				h.breakDisk(step, "", 0, failures)
+				err := h.change(rollout.Settings, "", nil, true)
+				if (err == nil) != (failures == 2) {
+					t.Errorf("%v", err)
+				}
+				if failures == 2 && h.content("") != good || h.reloads[len(h.reloads)-1] != h.content("") {
+					t.Errorf("the file holds\n%s\nand loaded is\n%s", h.content(""), h.reloads[len(h.reloads)-1])
+				}
+			})
+		}
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -163,7 +163,10 @@
 	f.departed = true
 	f.mu.Unlock()
 	// Before others divide quotas without this replica: one that restarts after that must not count on its fraction.
-	f.persist()
+	if !f.persistDeparture() {
+		f.log.Error("fleet departure not announced, as it can't be written", "file", f.stateFile.path)
+		return
+	}
 	if f.announceDeparture() {
 		time.Sleep(departureGossip)
 	}
--- a/fleet/positions.go
+++ b/fleet/positions.go
@@ -59,7 +59,7 @@
 	moved := p.tracker.Update(f.now(), f.placementSnapshot())
 	f.updateQuotaReplicas()
 	// Loans must end before others may rely on this replica's fraction being smaller.
-	if f.loansFit() && !f.persisted.holds(p.tracker) {
+	if f.loansFit() && !f.persisted.holds(p.tracker) && f.persisted.mayWrite(now) {
 		f.persistReplicaSet()
 	}
 	if moved && p.publish != nil {
--- a/fleet/state_file.go
+++ b/fleet/state_file.go
@@ -12,10 +12,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/google/renameio/v2"
 
 	"ryerill/fleet/membership"
 	"ryerill/fleet/rollout"
+	"ryerill/internal/atomicfile"
 )
 
 const (
@@ -47,7 +47,8 @@
 
 // stateFile is the file of a persisted state. It is safe for concurrent use.
 type stateFile struct {
-	path string // empty if nothing is persisted
+	path  string            // empty if nothing is persisted
+	calls *atomicfile.Calls // nil outside of tests
 
 	mu sync.Mutex // serializes writes
 }
@@ -64,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	return renameio.WriteFile(s.path, seal(text), stateFileMode)
+	return s.calls.Replace(s.path, seal(text), stateFileMode)
 }
 
 // read returns the state in the file. The error is fs.ErrNotExist if there is none.
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -62,6 +62,23 @@
 	ReportedBy  string   `json:"by,omitempty"`
 }
 
+// HostStatus is the status of the fleet and of what this replica needs of its own machine.
+type HostStatus struct {
+	Status
+	StateFileError string `json:"state_file_error,omitempty"` // of the latest write, if it failed
+}
+
+// HostStatus returns the status of the fleet and of this replica's host.
+func (f *Fleet) HostStatus() HostStatus {
+	status := HostStatus{Status: f.Status()}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.persisted.failure; err != nil {
+		status.StateFileError = err.Error()
+	}
+	return status
+}
+
 // Status returns the status of the fleet, as this replica sees it.
 func (f *Fleet) Status() Status {
 	f.mu.Lock()
--- a/internal/overridestore/exhaustion_test.go
+++ b/internal/overridestore/exhaustion_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -13,6 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"ryerill/internal/atomicfile"
 	"ryerill/override"
 )
 
@@ -126,8 +126,8 @@
 	if err := <-done; err != nil || !s.Current().IsDown("b") {
 		t.Errorf("with space again: %v, %+v", err, s.Current())
 	}
-	left, _ := filepath.Glob(path + ".*[0-9]")
-	if len(left) > 0 {
+	left, _ := filepath.Glob(path + ".*")
+	if len(left) != 1 { // the lock
 		t.Errorf("left beside it: %v", left)
 	}
 }
@@ -140,7 +140,7 @@
 	}
 	path := Path(t.TempDir(), "n1", "127.0.0.1:1")
 	s := Open(path, quiet, func(override.Set) {})
-	stalled := fmt.Sprintf("%s.%d", path, os.Getpid())
+	stalled := path + atomicfile.TemporarySuffix
 	if err := unix.Mkfifo(stalled, 0o600); err != nil { // to open it waits for a reader
 		t.Fatal(err)
 	}
--- a/internal/overridestore/faults_test.go
+++ b/internal/overridestore/faults_test.go
@@ -45,8 +45,9 @@
 	failed atomic.Int64 // calls that have failed
 }
 
-// openFaulty opens a store on path. While faults are due, its calls of a kind ("open", "read", "write" or "rename") fail with
-// fault, and reads with EIO; a failing write leaves half of the text behind, as a full disk does.
+// openFaulty opens a store on path. While faults are due, its calls of a kind ("open", "read", "write", "sync", "rename" or
+// "sync directory") fail with fault, and reads with EIO; a failing write leaves half of the text behind, as a full disk
+// does.
 func openFaulty(path, kind string, fault syscall.Errno) *faultyStore {
 	s := &faultyStore{}
 	s.Store = Open(path, slog.New(slog.NewTextHandler(&s.log, nil)), func(override.Set) {})
@@ -67,13 +68,23 @@
 		}
 		return os.OpenFile(name, flag, mode)
 	}
-	s.calls.writeFile = func(name string, text []byte, mode fs.FileMode) error {
+	s.calls.file.Write = func(file *os.File, text []byte) (int, error) {
 		if due("write") {
-			return errors.Join(os.WriteFile(name, text[:len(text)/2], mode), &fs.PathError{Op: "write", Path: name, Err: fault})
+			n, err := file.Write(text[:len(text)/2])
+			return n, errors.Join(err, &fs.PathError{Op: "write", Path: file.Name(), Err: fault})
 		}
-		return os.WriteFile(name, text, mode)
+		return file.Write(text)
 	}
-	s.calls.rename = func(from, to string) error {
+	sync := func(kind string) func(*os.File) error {
+		return func(file *os.File) error {
+			if due(kind) {
+				return &fs.PathError{Op: "sync", Path: file.Name(), Err: fault}
+			}
+			return file.Sync()
+		}
+	}
+	s.calls.file.Sync, s.calls.file.SyncDirectory = sync("sync"), sync("sync directory")
+	s.calls.file.Rename = func(from, to string) error {
 		if due("rename") {
 			return &os.LinkError{Op: "rename", Old: from, New: to, Err: fault}
 		}
@@ -85,13 +96,25 @@
 // stored is what another process finds in the file.
 func stored(path string) override.Set { return Open(path, quiet, func(override.Set) {}).Current() }
 
+// pathInMemory is a path on a file system in memory, where there is one: its only faults are those of the test, and no
+// other program's writes hold it up.
+func pathInMemory(t *testing.T) string {
+	t.Helper()
+	dir, err := os.MkdirTemp("/dev/shm", "overrides")
+	if err != nil {
+		dir = t.TempDir()
+	}
+	t.Cleanup(func() { os.RemoveAll(dir) })
+	return Path(dir, "n1", "127.0.0.1:1")
+}
+
 // A disk that fails for a moment delays a change, one that fails for longer has it refused. The file holds the state
 // before or after it, never half of one, the log tells of the fault once, and the calls are not repeated without pause.
 func TestOverridesUnderStorageFaults(t *testing.T) {
 	for _, fault := range []syscall.Errno{syscall.ENOSPC, syscall.EIO, syscall.EDQUOT} {
-		for _, kind := range []string{"write", "rename"} {
+		for _, kind := range []string{"write", "sync", "rename"} {
 			t.Run(kind+" "+fault.Error(), func(t *testing.T) {
-				path := Path(t.TempDir(), "n1", "127.0.0.1:1")
+				path := pathInMemory(t)
 				s := openFaulty(path, kind, fault)
 				if err := s.Update(takeDown("a")); err != nil {
 					t.Fatal(err)
@@ -129,15 +152,15 @@
 // A change whose caller was told that it is in force stays so, whatever the disk does afterwards, and is written once
 // the disk takes it. Changes after it don't have to wait for that.
 func TestAChangeThatIsInForceIsOwed(t *testing.T) {
-	path := Path(t.TempDir(), "n1", "127.0.0.1:1")
+	path := pathInMemory(t)
 	s := openFaulty(path, "rename", syscall.EIO)
 	s.faults.Store(1 << 30)
-	slow := s.calls.writeFile
-	s.calls.writeFile = func(name string, text []byte, mode fs.FileMode) error {
+	slow := s.calls.file.Write
+	s.calls.file.Write = func(file *os.File, text []byte) (int, error) {
 		if s.failed.Load() == 0 { // the first write outlasts the wait of its caller
 			time.Sleep(3 * updateTimeout)
 		}
-		return slow(name, text, mode)
+		return slow(file, text)
 	}
 	if err := s.Update(takeDown("a")); !errors.Is(err, ErrNotPersisted) {
 		t.Fatalf("answered %v", err)
@@ -203,7 +226,7 @@
 		killAt(point, os.Getenv("RYERILL_KILL_PATH"))
 		return
 	}
-	for point, isNew := range map[string]bool{"before": false, "half": false, "whole": false, "renamed": true} {
+	for point, isNew := range map[string]bool{"before": false, "half": false, "whole": false, "synced": false, "renamed": true} {
 		t.Run(point, func(t *testing.T) {
 			path := Path(t.TempDir(), "n1", "127.0.0.1:1")
 			if err := Open(path, quiet, func(override.Set) {}).Update(takeDown("a")); err != nil {
@@ -226,6 +249,9 @@
 			if set := stored(path); !set.IsDown("a") || !set.IsDown("c") || set.IsDown("b") != isNew {
 				t.Errorf("stored then: %+v", set)
 			}
+			if left, _ := filepath.Glob(path + ".*"); len(left) != 1 { // the lock
+				t.Errorf("left beside it: %v", left)
+			}
 		})
 	}
 }
@@ -234,18 +260,24 @@
 func killAt(point, path string) {
 	kill := func() { _ = syscall.Kill(os.Getpid(), syscall.SIGKILL); select {} }
 	s := Open(path, quiet, func(override.Set) {})
-	write, rename := s.calls.writeFile, s.calls.rename
-	s.calls.writeFile = func(name string, text []byte, mode fs.FileMode) error {
+	write, sync, rename := s.calls.file.Write, s.calls.file.Sync, s.calls.file.Rename
+	s.calls.file.Write = func(file *os.File, text []byte) (int, error) {
 		switch point {
 		case "before":
 			kill()
 		case "half":
-			_ = write(name, text[:len(text)/2], mode)
+			_, _ = write(file, text[:len(text)/2])
+			kill()
+		}
+		return write(file, text)
+	}
+	s.calls.file.Sync = func(file *os.File) error {
+		if point == "whole" {
 			kill()
 		}
-		return write(name, text, mode)
+		return sync(file)
 	}
-	s.calls.rename = func(from, to string) error {
+	s.calls.file.Rename = func(from, to string) error {
 		if point == "renamed" {
 			_ = rename(from, to)
 		}
@@ -279,3 +311,39 @@
 		t.Errorf("beyond the bound: %v, down %v", err, s.Current().IsDown("one more"))
 	}
 }
+
+// A change whose file has been replaced, and whose directory can't be synced, is in force: after a loss of power it may
+// be gone, so that it is owed until the disk takes it.
+func TestAChangeWhoseDirectoryIsNotSyncedIsOwed(t *testing.T) {
+	path := pathInMemory(t)
+	s := openFaulty(path, "sync directory", syscall.EIO)
+	s.faults.Store(3)
+	if err := s.Update(takeDown("a")); err != nil || !s.Current().IsDown("a") {
+		t.Errorf("after a short fault: %v, %+v", err, s.Current())
+	}
+
+	s.faults.Store(1 << 30)
+	s.failed.Store(0)
+	if err := s.Update(takeDown("b")); !errors.Is(err, ErrNotPersisted) || !s.Current().IsDown("b") || !stored(path).IsDown("b") {
+		t.Errorf("during a long fault: %v, %+v, stored %+v", err, s.Current(), stored(path))
+	}
+	if n := s.failed.Load(); n < 4 || n > 100 {
+		t.Errorf("%d tries during a long fault", n)
+	}
+	other := Open(path, quiet, func(override.Set) {})
+	if err := other.Update(takeDown("c")); err != nil {
+		t.Errorf("a change of another process: %v", err)
+	}
+
+	s.faults.Store(0)
+	for end := time.Now().Add(10 * time.Second); s.log.count("overrides written again") != 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never synced")
+		}
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		if !s.Current().IsDown(name) || !stored(path).IsDown(name) {
+			t.Errorf("%s: in force %+v, stored %+v", name, s.Current(), stored(path))
+		}
+	}
+}
--- a/internal/overridestore/file.go
+++ b/internal/overridestore/file.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"ryerill/internal/atomicfile"
 	"ryerill/internal/socket"
 	"ryerill/override"
 )
@@ -21,16 +22,18 @@
 // errUnreadable means that the file can't be read now, and may be later: what it holds is unknown.
 var errUnreadable = errors.New("the file can't be read now")
 
+// fileMode has the file readable by its owner alone.
+const fileMode = 0o600
+
 // fileCalls are the calls of the system that storing takes. Tests inject errors in their place.
 type fileCalls struct {
-	open      func(name string, flag int, mode fs.FileMode) (*os.File, error)
-	writeFile func(name string, text []byte, mode fs.FileMode) error
-	rename    func(from, to string) error
+	open func(name string, flag int, mode fs.FileMode) (*os.File, error) // for reading
+	file *atomicfile.Calls                                               // for replacing
 }
 
 // systemCalls are the calls of every store outside of tests.
 func systemCalls() fileCalls {
-	return fileCalls{open: os.OpenFile, writeFile: os.WriteFile, rename: os.Rename}
+	return fileCalls{open: os.OpenFile, file: atomicfile.SystemCalls()}
 }
 
 // fileVersion identifies one write of a file among others.
@@ -79,18 +82,9 @@
 	}
 }
 
-// write replaces the file. After an error it is as it was.
+// write replaces the file. After an error other than [atomicfile.ErrUnsynced] it is as it was.
 func (s *Store) write(set override.Set) error {
-	temporary := fmt.Sprintf("%s.%d", s.path, os.Getpid())
-	if err := s.calls.writeFile(temporary, override.Encode(set), 0o600); err != nil {
-		os.Remove(temporary)
-		return err
-	}
-	if err := s.calls.rename(temporary, s.path); err != nil {
-		os.Remove(temporary)
-		return err
-	}
-	return nil
+	return s.calls.file.Replace(s.path, override.Encode(set), fileMode)
 }
 
 // mayPass reports whether an error of opening the file may be over soon: a lack of descriptors, or a fault of the disk
--- a/internal/overridestore/store.go
+++ b/internal/overridestore/store.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"ryerill/internal/atomicfile"
 	"ryerill/internal/socket"
 	"ryerill/override"
 )
@@ -54,7 +55,10 @@
 	isUnreadable atomic.Bool // the last read failed for a reason that may pass
 
 	lastRead fileVersion // used by Watch alone
-	failing  bool        // used by persistPending and what it calls alone: its last write failed
+
+	// Used by persistPending and what it calls alone:
+	failing  bool // its last write failed
+	unsynced bool // the file was replaced last without a sync of its directory
 
 	mu sync.Mutex
 	// The fields below, and changes of current, are guarded by mu.
@@ -208,14 +212,18 @@
 }
 
 // finish ends the changes of a batch that is written, or those whose time is over if
-// it could not be.
+// it could not be. Those that are in the file, and may be lost with the power, are owed.
 func (s *Store) finish(batch []*change, set override.Set, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if err == nil {
+	inFile := err == nil || errors.Is(err, atomicfile.ErrUnsynced)
+	if inFile {
 		s.persisted = set
 	}
+	for _, c := range batch {
+		c.owed = c.owed || inFile
+	}
 	var ended []*change
 	s.pending = slices.DeleteFunc(s.pending, func(c *change) bool {
 		if !slices.Contains(batch, c) || err != nil && (c.owed || now.Before(c.deadline)) {
@@ -230,7 +238,8 @@
 	}
 }
 
-// persist writes the file's set with changes on top, and returns what it wrote.
+// persist writes the file's set with changes on top, and returns what the file holds then. That is the new set also
+// with an [atomicfile.ErrUnsynced].
 func (s *Store) persist(batch []*change) (override.Set, error) {
 	unlock, err := s.lock(batch[0].deadline)
 	if err != nil {
@@ -248,11 +257,13 @@
 		base = held
 	}
 	set := applyAll(base, batch)
-	if set.Version == base.Version {
+	if set.Version == base.Version && !s.unsynced {
 		return set, nil
 	}
-	if err := s.write(set); err != nil {
-		return override.Set{}, fmt.Errorf("the overrides can't be kept: %w", err)
+	err = s.write(set)
+	s.unsynced = errors.Is(err, atomicfile.ErrUnsynced) || err != nil && s.unsynced
+	if err != nil {
+		return set, fmt.Errorf("the overrides can't be kept: %w", err)
 	}
 	return set, nil
 }
--- a/proxy/fleet.go
+++ b/proxy/fleet.go
@@ -218,7 +218,7 @@
 // Fleet implements [admin.Controller].
 func (p *Proxy) Fleet() (json.RawMessage, error) {
 	if host := p.fleetHost(); host != nil {
-		return json.Marshal(host.Status())
+		return json.Marshal(host.HostStatus())
 	}
 	if p.fleet != nil {
 		return nil, admin.ErrFleetNotJoined
