Bound what the wall time of an order can do after a step of the clock

A drain that another process had ordered counted by wall time: after a step of an hour forward it was an hour old, so that new requests were rejected at once. A restore found at a start after a step back kept a time of the future.

The override store now says when it last looked at the file: what turns up later is no older (Store.KnownAt). A restore of the future counts as of the start (Set.Found); a drain of the future began now already.

Measured: TestDrainOfAnotherProcessAcrossAStep failed with a drain 1 h too old, TestOrdersFoundAtARestartAcrossAStep with a restore 1 h ahead; both pass.

--- a/internal/overridestore/store.go
+++ b/internal/overridestore/store.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io/fs"
 	"log/slog"
 	"maps"
 	"os"
@@ -54,7 +55,8 @@
 
 	isUnreadable atomic.Bool // the last read failed for a reason that may pass
 
-	lastRead fileVersion // used by Watch alone
+	knownAt  atomic.Pointer[time.Time] // see KnownAt
+	lastRead fileVersion               // used by Watch alone
 
 	// Used by persistPending and what it calls alone:
 	failing  bool // its last write failed
@@ -82,6 +84,8 @@
 // [Store.Watch]; notify must not block.
 func Open(path string, log *slog.Logger, notify func(override.Set)) *Store {
 	s := &Store{path: path, log: log, notify: notify, calls: systemCalls()}
+	looked := time.Now()
+	s.knownAt.Store(&looked)
 	if path != "" {
 		if set, err := s.read(); err == nil {
 			s.persisted = set
@@ -92,6 +96,10 @@
 	return s
 }
 
+// KnownAt returns when this process last looked at what the file holds, or began. While notify runs, it is the time
+// before that: what another process has ordered, and notify learns of, is no older.
+func (s *Store) KnownAt() time.Time { return *s.knownAt.Load() }
+
 // Current returns the overrides in force.
 func (s *Store) Current() override.Set { return *s.current.Load() }
 
@@ -289,22 +297,29 @@
 // poll reads the file if it has changed. If that fails, for lack of a descriptor for
 // example, the next poll retries.
 func (s *Store) poll() {
+	looked := time.Now()
 	info, err := os.Lstat(s.path)
 	if err != nil {
+		if errors.Is(err, fs.ErrNotExist) {
+			s.knownAt.Store(&looked)
+		}
 		return
 	}
 	version := versionOf(info)
 	if version == s.lastRead {
+		s.knownAt.Store(&looked)
 		return
 	}
 	set, err := s.read()
-	if !errors.Is(err, errUnreadable) {
-		s.lastRead = version
+	if errors.Is(err, errUnreadable) {
+		return
 	}
+	s.lastRead = version
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil && set.Version > s.persisted.Version {
 		s.persisted = set
 		s.setLocked(applyAll(set, s.pending))
 	}
+	s.knownAt.Store(&looked)
 }
--- a/override/overrides.go
+++ b/override/overrides.go
@@ -111,6 +111,16 @@
 	return down
 }
 
+// Found returns the set as it counts in a process that finds it at its start, at a time of its own clock. A restore
+// that is stated to be later is of now, as the wall clock has stepped back since; any other counts as stated.
+func (s Set) Found(now time.Duration) Set {
+	s.Restored = clone(s.Restored)
+	for name, at := range s.Restored {
+		s.Restored[name] = min(at, now)
+	}
+	return s
+}
+
 // Observed returns the set as it counts in a process that finds it in the place of another at a time of its own clock:
 // stated is that other set, and counted is how it counted. A restore that is new is of now, as the wall clock by which
 // it was ordered may have stepped since the process started. One that is known goes on counting as it did.
--- a/proxy/overrides.go
+++ b/proxy/overrides.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ryerill/admin"
+	"ryerill/internal/overridestore"
 	"ryerill/override"
 )
 
@@ -53,6 +54,14 @@
 	return slices.ContainsFunc(p.activePools(), func(c *core) bool { return c.hasListed(endpoint) })
 }
 
+// openOverrides reads the overrides that the processes of this proxy share.
+func (p *Proxy) openOverrides(path string) {
+	p.store = overridestore.Open(path, p.log, p.setOverrides)
+	p.statedOverrides = p.store.Current()
+	p.overrides = p.statedOverrides.Found(p.clock.now())
+	p.drainStart.found = p.overrides.DrainSince
+}
+
 // setOverrides brings new overrides into force: everywhere, before it returns.
 func (p *Proxy) setOverrides(overrides override.Set) {
 	p.mu.Lock()
@@ -70,8 +79,9 @@
 		if p.fleet != nil {
 			go p.announcePhase()
 		}
+		start := p.drainStartLocked() // now, also without a listener: see there
 		for _, l := range p.listeners {
-			l.server.Drain(p.drainStartLocked())
+			l.server.Drain(start)
 		}
 	}
 	if !maps.Equal(overrides.Down, previous.Down) {
@@ -81,12 +91,15 @@
 
 // drainStart is when a drain began, by the monotonic clock of this process.
 type drainStart struct {
-	ordered time.Duration // as the overrides state it: Unix time
+	found   time.Duration // the order that this process found at its start, as the overrides state it: Unix time
+	ordered time.Duration // likewise, the order that at is of
 	at      time.Time
 }
 
 // drainStartLocked is when the drain began that is ordered; zero is none. It
-// may have been ordered at another process of this proxy, whose clock reads the same Unix time.
+// may have been ordered at another process of this proxy, whose clock reads the same Unix time unless it has stepped
+// since: then a drain that was not there when this process last looked began after that, and none begins later than
+// now.
 // It is worked out once: a listener that opens after the wall clock has stepped follows the others.
 func (p *Proxy) drainStartLocked() time.Time {
 	if p.overrides.DrainSince == 0 {
@@ -95,7 +108,11 @@
 	if p.drainStart.ordered != p.overrides.DrainSince {
 		now := time.Now()
 		elapsed := time.Duration(now.UnixNano()) - p.overrides.DrainSince
-		p.drainStart = drainStart{ordered: p.overrides.DrainSince, at: now.Add(-max(elapsed, 0))}
+		if p.store != nil && p.overrides.DrainSince != p.drainStart.found {
+			elapsed = min(elapsed, now.Sub(p.store.KnownAt()))
+		}
+		p.drainStart.ordered = p.overrides.DrainSince
+		p.drainStart.at = now.Add(-max(elapsed, 0))
 	}
 	return p.drainStart.at
 }
--- a/proxy/overridestep_test.go
+++ b/proxy/overridestep_test.go
@@ -1,10 +1,14 @@
 package proxy
 
 import (
+	"context"
+	"errors"
 	"log/slog"
+	"path/filepath"
 	"testing"
 	"time"
 
+	"ryerill/internal/overridestore"
 	"ryerill/override"
 )
 
@@ -68,3 +72,83 @@
 		t.Errorf("no drain began at %v", start)
 	}
 }
+
+// orderAcrossAStep has another process of a proxy order a change, after which the wall clock steps.
+func orderAcrossAStep(t *testing.T, path string, step time.Duration, order overridestore.ChangeFunc) {
+	t.Helper()
+	other := overridestore.Open(path, slog.New(slog.DiscardHandler), func(override.Set) {})
+	err := other.Update(func(set override.Set, now time.Duration) (override.Set, error) { return order(set, now-step) })
+	if err != nil && !errors.Is(err, overridestore.ErrNotPersisted) {
+		t.Fatal(err)
+	}
+}
+
+func startDrain(set override.Set, now time.Duration) (override.Set, error) {
+	return set.StartDrain(now), nil
+}
+
+// processOf is a process of a proxy that begins and has read the overrides.
+func processOf(path string) *Proxy {
+	p := &Proxy{log: slog.New(slog.DiscardHandler), clock: clock{time.Now()}}
+	p.openOverrides(path)
+	return p
+}
+
+// A drain that another process has ordered is no older than what this one saw of the file before: neither does a step
+// of the wall clock between the order and here have all its phases at once, nor does it begin later than it is seen.
+func TestDrainOfAnotherProcessAcrossAStep(t *testing.T) {
+	for _, step := range append(steps, 0) {
+		path := filepath.Join(t.TempDir(), "overrides")
+		p := processOf(path)
+		ctx, cancel := context.WithCancel(t.Context())
+		watching := make(chan struct{})
+		go func() { defer close(watching); p.store.Watch(ctx) }()
+		began := time.Now()
+		until(t, "the file is looked at", func() bool { return p.store.KnownAt().After(began) })
+		orderAcrossAStep(t, path, step, startDrain)
+		until(t, "the drain is seen", func() bool { return p.store.Current().DrainSince != 0 })
+		p.mu.Lock()
+		start := p.drainStartLocked()
+		p.mu.Unlock()
+		if start.Before(began) || start.After(time.Now()) {
+			t.Errorf("step of %v: began %v after the file was looked at last, %v ago", step, start.Sub(began), time.Since(began))
+		}
+		cancel()
+		<-watching
+	}
+}
+
+// What a process finds at its start is of the past: a step back between the order and the restart neither has a drain
+// begin later, nor a restored endpoint start later, than they are found.
+func TestOrdersFoundAtARestartAcrossAStep(t *testing.T) {
+	for _, step := range append(steps, 0) {
+		path := filepath.Join(t.TempDir(), "overrides")
+		orderAcrossAStep(t, path, step, startDrain)
+		orderAcrossAStep(t, path, step, func(set override.Set, now time.Duration) (override.Set, error) {
+			set, err := set.TakeDown("a", now)
+			return set.Restore("a", now), err
+		})
+		p := processOf(path)
+		stated := p.statedOverrides.Restored["a"]
+		counted := p.overrides.Restored["a"]
+		if counted > p.clock.now() || counted > stated {
+			t.Errorf("step of %v: restored %v after the start, as stated %v after it", step, counted-p.clock.now(),
+				stated-p.clock.now())
+		}
+		p.mu.Lock()
+		start := p.drainStartLocked()
+		p.mu.Unlock()
+		if start.After(time.Now()) {
+			t.Errorf("step of %v: the drain begins in %v", step, time.Until(start))
+		}
+		// Another order doesn't change how what was found counts.
+		next, err := p.statedOverrides.TakeDown("b", p.clock.now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.setOverrides(next)
+		if again := p.overrides.Restored["a"]; again != counted {
+			t.Errorf("step of %v: restored at %v, then at %v", step, counted, again)
+		}
+	}
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -130,9 +130,7 @@
 			p.log.Warn("overrides last only as long as this process", "reason", config.EnvTempDir+" is not set")
 		}
 	}
-	p.store = overridestore.Open(path, p.log, p.setOverrides)
-	p.overrides = p.store.Current()
-	p.statedOverrides = p.overrides
+	p.openOverrides(path)
 	var err error
 	p.processes.registry, err = handover.Register(path, p.log)
 	if err != nil {
