--- a/cli/settingstrial.go
+++ b/cli/settingstrial.go
@@ -9,9 +9,8 @@
 	"syscall"
 	"time"
 
-	"github.com/google/renameio/v2"
-
 	"ryerill/config"
+	"ryerill/internal/atomicfile"
 )
 
 const (
@@ -141,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	return errors.Join(renameio.WriteFile(t.file, lastGood, configFileMode), t.end())
+	return errors.Join(replaceFile(t.file, lastGood), t.end())
 }
 
 // hasEnded reports whether no other process has a number: in a container each process may have that of the one before.
@@ -170,5 +169,10 @@
 	if err != nil {
 		return err
 	}
-	return renameio.WriteFile(t.file+trialSuffix, text, configFileMode)
+	return replaceFile(t.file+trialSuffix, text)
+}
+
+// replaceFile replaces a file beside the configuration, or that itself.
+func replaceFile(path string, contents []byte) error {
+	return atomicfile.SystemCalls().Replace(path, contents, configFileMode)
 }
--- a/internal/overridestore/store.go
+++ b/internal/overridestore/store.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io/fs"
 	"log/slog"
 	"maps"
 	"os"
@@ -14,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"ryerill/internal/atomicfile"
 	"ryerill/internal/socket"
 	"ryerill/override"
 )
@@ -53,8 +55,12 @@
 
 	isUnreadable atomic.Bool // the last read failed for a reason that may pass
 
-	lastRead fileVersion // used by Watch alone
-	failing  bool        // used by persistPending and what it calls alone: its last write failed
+	knownAt  atomic.Pointer[time.Time] // see KnownAt
+	lastRead fileVersion               // used by Watch alone
+
+	// Used by persistPending and what it calls alone:
+	failing  bool // its last write failed
+	unsynced bool // the file was replaced last without a sync of its directory
 
 	mu sync.Mutex
 	// The fields below, and changes of current, are guarded by mu.
@@ -78,6 +84,8 @@
 // [Store.Watch]; notify must not block.
 func Open(path string, log *slog.Logger, notify func(override.Set)) *Store {
 	s := &Store{path: path, log: log, notify: notify, calls: systemCalls()}
+	looked := time.Now()
+	s.knownAt.Store(&looked)
 	if path != "" {
 		if set, err := s.read(); err == nil {
 			s.persisted = set
@@ -88,6 +96,10 @@
 	return s
 }
 
+// KnownAt returns when this process last looked at what the file holds, or began. While notify runs, it is the time
+// before that: what another process has ordered, and notify learns of, is no older.
+func (s *Store) KnownAt() time.Time { return *s.knownAt.Load() }
+
 // Current returns the overrides in force.
 func (s *Store) Current() override.Set { return *s.current.Load() }
 
@@ -208,14 +220,18 @@
 }
 
 // finish ends the changes of a batch that is written, or those whose time is over if
-// it could not be.
+// it could not be. Those that are in the file, and may be lost with the power, are owed.
 func (s *Store) finish(batch []*change, set override.Set, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if err == nil {
+	inFile := err == nil || errors.Is(err, atomicfile.ErrUnsynced)
+	if inFile {
 		s.persisted = set
 	}
+	for _, c := range batch {
+		c.owed = c.owed || inFile
+	}
 	var ended []*change
 	s.pending = slices.DeleteFunc(s.pending, func(c *change) bool {
 		if !slices.Contains(batch, c) || err != nil && (c.owed || now.Before(c.deadline)) {
@@ -230,7 +246,8 @@
 	}
 }
 
-// persist writes the file's set with changes on top, and returns what it wrote.
+// persist writes the file's set with changes on top, and returns what the file holds then. That is the new set also
+// with an [atomicfile.ErrUnsynced].
 func (s *Store) persist(batch []*change) (override.Set, error) {
 	unlock, err := s.lock(batch[0].deadline)
 	if err != nil {
@@ -248,11 +265,13 @@
 		base = held
 	}
 	set := applyAll(base, batch)
-	if set.Version == base.Version {
+	if set.Version == base.Version && !s.unsynced {
 		return set, nil
 	}
-	if err := s.write(set); err != nil {
-		return override.Set{}, fmt.Errorf("the overrides can't be kept: %w", err)
+	err = s.write(set)
+	s.unsynced = errors.Is(err, atomicfile.ErrUnsynced) || err != nil && s.unsynced
+	if err != nil {
+		return set, fmt.Errorf("the overrides can't be kept: %w", err)
 	}
 	return set, nil
 }
@@ -278,22 +297,29 @@
 // poll reads the file if it has changed. If that fails, for lack of a descriptor for
 // example, the next poll retries.
 func (s *Store) poll() {
+	looked := time.Now()
 	info, err := os.Lstat(s.path)
 	if err != nil {
+		if errors.Is(err, fs.ErrNotExist) {
+			s.knownAt.Store(&looked)
+		}
 		return
 	}
 	version := versionOf(info)
 	if version == s.lastRead {
+		s.knownAt.Store(&looked)
 		return
 	}
 	set, err := s.read()
-	if !errors.Is(err, errUnreadable) {
-		s.lastRead = version
+	if errors.Is(err, errUnreadable) {
+		return
 	}
+	s.lastRead = version
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err == nil && set.Version > s.persisted.Version {
 		s.persisted = set
 		s.setLocked(applyAll(set, s.pending))
 	}
+	s.knownAt.Store(&looked)
 }
