--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -130,9 +130,7 @@
 			p.log.Warn("overrides last only as long as this process", "reason", config.EnvTempDir+" is not set")
 		}
 	}
-	p.store = overridestore.Open(path, p.log, p.setOverrides)
-	p.overrides = p.store.Current()
-	p.statedOverrides = p.overrides
+	p.openOverrides(path)
 	var err error
 	p.processes.registry, err = handover.Register(path, p.log)
 	if err != nil {
@@ -206,6 +204,9 @@
 	return nil
 }
 
+// Starting reports whether the proxy doesn't serve yet.
+func (p *Proxy) Starting() bool { return errors.Is(p.Readiness(), errStarting) }
+
 // Run serves until ctx ends and all that was accepted has its result. It is called once.
 func (p *Proxy) Run(ctx context.Context) error {
 	ctx, stop := context.WithCancel(ctx)
