Bound datagrams of strangers by the credit that bounds each source

The transport kept a credit of its own beside the type that the credits of sources have, with the same arithmetic; and the checker of the platform's form wrote the text of yamlfile.Problem again.

Change: sourceCredits holds all of them, by the type credit, and decides in one call. The two tests that set the transport's credit set that one, with its time. The platform's checker reports a yamlfile.Problem: the same text.

--- a/config/platform.go
+++ b/config/platform.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ryerill/discovery"
+	"ryerill/internal/yamlfile"
 	"ryerill/route"
 )
 
@@ -124,7 +125,7 @@
 func (c *platformChecker) fault(err error) { c.faults = append(c.faults, err) }
 
 func (c *platformChecker) bad(key string, value any, want string) {
-	c.fault(fmt.Errorf("%s: unexpected value %q, want %s", key, fmt.Sprint(value), want))
+	c.fault(yamlfile.Problem{Key: key, Value: value, Want: want})
 }
 
 func (c *platformChecker) address(key, value string) {
--- a/fleet/source_credits.go
+++ b/fleet/source_credits.go
@@ -11,6 +11,9 @@
 	maxSourceRate  = 500 // of one source
 	maxSourceBurst = 1000
 
+	maxStrangerRate  = 2000 // of all sources that no valid frame came from
+	maxStrangerBurst = 4000
+
 	maxMemberRate  = 10_000 // of all sources that valid frames came from
 	maxMemberBurst = 20_000
 
@@ -23,16 +26,22 @@
 // the credits of a fixed number of buckets, by their host, and one of all together. Where a datagram comes from may be
 // forged: a flood that states a member's address and port has that member's datagrams dropped.
 type sourceCredits struct {
-	members    map[string]*credit
-	allMembers credit
-	strangers  [strangerBuckets]credit
-	hash       maphash.Seed
+	members      map[string]*credit
+	allMembers   credit
+	strangers    [strangerBuckets]credit
+	allStrangers credit
+	hash         maphash.Seed
 }
 
 func newSourceCredits() *sourceCredits {
 	return &sourceCredits{members: map[string]*credit{}, hash: maphash.MakeSeed()}
 }
 
+// spend reports whether a datagram is within the rate of its source.
+func (s *sourceCredits) spend(now time.Time, address string) bool {
+	return s.spendOfMember(now, address) || s.spendOfStranger(now, address)
+}
+
 // spendOfMember reports whether a datagram is within the rate of the member that it comes from, and of all members.
 func (s *sourceCredits) spendOfMember(now time.Time, address string) bool {
 	own := s.members[address]
@@ -40,11 +49,13 @@
 		s.allMembers.spend(now, maxMemberRate, maxMemberBurst)
 }
 
-// spendOfStranger reports whether a datagram is within the rate of the hosts that share a bucket with its source.
+// spendOfStranger reports whether a datagram is within the rate of the hosts that share a bucket with its source, and
+// of all sources that no valid frame came from.
 func (s *sourceCredits) spendOfStranger(now time.Time, address string) bool {
 	host := address[:max(strings.LastIndexByte(address, ':'), 0)]
 	bucket := &s.strangers[maphash.String(s.hash, host)%strangerBuckets]
-	return bucket.spend(now, maxSourceRate, maxSourceBurst)
+	return bucket.spend(now, maxSourceRate, maxSourceBurst) &&
+		s.allStrangers.spend(now, maxStrangerRate, maxStrangerBurst)
 }
 
 // addMember takes note that a valid frame came from a source.
--- a/fleet/source_credits_test.go
+++ b/fleet/source_credits_test.go
@@ -72,7 +72,7 @@
 
 // Frames of members that were not heard before arrive while one host floods, but for one that may share its bucket.
 func TestMembersJoinUnderAFloodFromOneHost(t *testing.T) {
-	const flood, joining = 10 * maxDatagramBurst, 5
+	const flood, joining = 10 * maxStrangerBurst, 5
 	receiver := newFloodedTransport(t)
 	for i := range flood {
 		receiver.decodeDatagram(receiver.forged, fmt.Sprint("203.0.113.9:", i))
--- a/fleet/transport.go
+++ b/fleet/transport.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	maxDatagramRate  = 2000 // datagrams a second that are decoded of all sources that no valid frame came from
-	maxDatagramBurst = 4000
-
 	maxListenAttempts = 50 // at ports that the system chooses
 )
 
@@ -50,12 +47,10 @@
 	udp       *net.UDPConn
 	tcp       *net.TCPListener
 
-	mu       sync.Mutex // guards what follows
-	codec    *codec.Codec
-	stats    Stats
-	credit   float64 // datagrams that may be decoded of sources that no valid frame came from
-	creditAt time.Time
-	sources  *sourceCredits
+	mu      sync.Mutex // guards what follows
+	codec   *codec.Codec
+	stats   Stats
+	sources *sourceCredits
 }
 
 // newTransport opens the sockets.
@@ -79,8 +74,6 @@
 		tcp:       tcp,
 		codec:     frames,
 		stats:     Stats{Invalid: map[string]uint64{}},
-		credit:    maxDatagramBurst,
-		creditAt:  time.Now(),
 		sources:   newSourceCredits(),
 	}, nil
 }
@@ -211,10 +204,10 @@
 		t.drop(err, from)
 		return nil
 	}
-	if !t.admitDatagram(from) {
+	if !t.sources.spend(time.Now(), from) {
 		t.stats.Invalid[faultFlood]++
 		t.log.warnOccasionally("more fleet datagrams than are decoded are dropped",
-			"limit", maxDatagramRate, "address", from)
+			"limit", maxStrangerRate, "address", from)
 		return nil
 	}
 	message, err := t.codec.Decode(frame, codec.MaxDatagram)
@@ -226,24 +219,6 @@
 	return message
 }
 
-// admitDatagram reports whether a datagram is within the rate of its source. The mutex is held.
-func (t *transport) admitDatagram(from string) bool {
-	now := time.Now()
-	return t.sources.spendOfMember(now, from) || t.sources.spendOfStranger(now, from) && t.spendCredit(now)
-}
-
-// spendCredit reports whether a datagram of a source that no valid frame came from is within the rate of all of them.
-// The mutex is held.
-func (t *transport) spendCredit(now time.Time) bool {
-	t.credit = min(t.credit+maxDatagramRate*now.Sub(t.creditAt).Seconds(), maxDatagramBurst)
-	t.creditAt = now
-	if t.credit < 1 {
-		return false
-	}
-	t.credit--
-	return true
-}
-
 // drop counts a frame that is dropped. It is never answered. The mutex is held.
 func (t *transport) drop(err error, from string) {
 	for _, fault := range codec.Errors {
--- a/fleet/transport_test.go
+++ b/fleet/transport_test.go
@@ -90,16 +90,16 @@
 	tr := newTestTransport(t, nil)
 	forged := frameOf(t, testMessage(membership.Gossip))
 	forged[len(forged)-1] ^= 1
-	tr.credit = 1
-	tr.creditAt = time.Now().Add(time.Hour) // no credit is gained
+	tr.sources.allStrangers.available = 1
+	tr.sources.allStrangers.updatedAt = time.Now().Add(time.Hour) // no credit is gained
 	for range 3 {
 		tr.decodeDatagram(forged, "127.0.0.1:1")
 	}
 	if s := tr.statistics(); s.FramesIn != 3 || s.Invalid[faultFlood] < 2 {
 		t.Errorf("%+v", s)
 	}
-	tr.creditAt = time.Now().Add(-time.Second)
-	tr.credit = 0
+	tr.sources.allStrangers.updatedAt = time.Now().Add(-time.Second)
+	tr.sources.allStrangers.available = 0
 	before := tr.statistics().Invalid[codec.ErrAuthentication.Error()]
 	tr.decodeDatagram(forged, "127.0.0.1:1")
 	if after := tr.statistics().Invalid[codec.ErrAuthentication.Error()]; after != before+1 {
@@ -129,8 +129,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			tr := newTestTransport(t, nil)
-			const strangers = 2 * maxDatagramBurst
-			tr.credit = 1
+			const strangers = 2 * maxStrangerBurst
+			tr.sources.allStrangers = credit{available: 1, updatedAt: time.Now()}
 			for range strangers {
 				tr.decodeDatagram(tc.frame, "127.0.0.1:1")
 			}
