Have the record of a trial wait for the disk as the settings do

A change of settings waits 5 s for a disk that fails, but wrote the record of the trial past that wait and past the seam of the tests. And where a dial failed, a discovery connection kept the note that the one before it was broken.

Change: settingsTrial is given the means by which it replaces a file. The note is reset when a call begins; a dial that fails at once after an answer is thereby no longer made again at once, which was never meant.

--- a/cli/rolloutchange.go
+++ b/cli/rolloutchange.go
@@ -94,7 +94,7 @@
 		return err
 	}
 	file := c.getenv(config.EnvFile)
-	trial := settingsTrial{file: file}
+	trial := settingsTrial{file: file, replace: c.replace}
 	current, err := os.ReadFile(file)
 	if err != nil {
 		return err
--- a/cli/rolloutchange_test.go
+++ b/cli/rolloutchange_test.go
@@ -236,6 +236,8 @@
 		}{
 			{"the last good ones, for a moment", lastGoodSuffix, 0, 2, false, true, ""},
 			{"the last good ones, for long", lastGoodSuffix, 0, lasting, false, false, good},
+			{"the record of the trial, for a moment", trialSuffix, 0, 2, false, true, ""},
+			{"the record of the trial, for long", trialSuffix, 0, lasting, false, false, good},
 			{"the new ones, for a moment", "", 0, 2, false, true, ""},
 			{"the new ones, for long", "", 0, lasting, false, false, good},
 			{"going back, for a moment", "", 1, 2, true, false, good},
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -46,7 +46,7 @@
 	// The reader of the log may exit: unless SIGPIPE is ignored, the next line would end the process.
 	signal.Ignore(syscall.SIGPIPE)
 	log := logging.New(stderr)
-	trial := settingsTrial{file: getenv(config.EnvFile)}
+	trial := newSettingsTrial(getenv(config.EnvFile))
 	failedTarget, pending := trial.beginStart(log)
 	cfg, warnings, err := config.Load(getenv)
 	if err != nil {
--- a/cli/settingstrial.go
+++ b/cli/settingstrial.go
@@ -26,7 +26,12 @@
 // are taken until a process that was started with them serves. If a process ends before it is ready with them, the
 // next one starts with the last good ones. The record of the trial is a file beside the configuration.
 type settingsTrial struct {
-	file string // of the configuration
+	file    string // of the configuration
+	replace func(path string, contents []byte) error
+}
+
+func newSettingsTrial(file string) settingsTrial {
+	return settingsTrial{file: file, replace: replaceFile}
 }
 
 // trialRecord is what is stored of a trial.
@@ -140,7 +145,7 @@
 	if err != nil {
 		return err
 	}
-	return errors.Join(replaceFile(t.file, lastGood), t.end())
+	return errors.Join(t.replace(t.file, lastGood), t.end())
 }
 
 // hasEnded reports whether no other process has a number: in a container each process may have that of the one before.
@@ -169,7 +174,7 @@
 	if err != nil {
 		return err
 	}
-	return replaceFile(t.file+trialSuffix, text)
+	return t.replace(t.file+trialSuffix, text)
 }
 
 // replaceFile replaces a file beside the configuration, or that itself.
--- a/cli/settingstrial_test.go
+++ b/cli/settingstrial_test.go
@@ -46,7 +46,7 @@
 		{"long ago", &trialRecord{Process: ended, Since: time.Now().Add(-trialPeriod - time.Hour)}, planned, false, false, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			trial := settingsTrial{file: file(t, tc.file)}
+			trial := newSettingsTrial(file(t, tc.file))
 			if err := os.WriteFile(trial.file+lastGoodSuffix, []byte(good), configFileMode); err != nil {
 				t.Fatal(err)
 			}
@@ -83,7 +83,7 @@
 
 // Where the last good settings are gone, the start goes on with what there is, and says why.
 func TestAStartWithoutLastGoodSettings(t *testing.T) {
-	trial := settingsTrial{file: file(t, good)}
+	trial := newSettingsTrial(file(t, good))
 	if err := trial.begin([]byte(good)); err != nil {
 		t.Fatal(err)
 	}
@@ -99,7 +99,7 @@
 func TestAProcessThatDiesWithSettingsGoesBack(t *testing.T) {
 	h := newChangerHarness(t)
 	settings, target := h.planned(good, laterDeadline)
-	trial := settingsTrial{file: h.file}
+	trial := newSettingsTrial(h.file)
 	died := errors.New("died")
 	h.reload = func(config.Config) error { panic(died) }
 	func() {
--- a/discovery/connection.go
+++ b/discovery/connection.go
@@ -87,6 +87,7 @@
 // get makes one call and returns the list that answers it.
 func (c *Client) get(ctx context.Context, conn *connection, call listCall) (EndpointList, error) {
 	began := time.Now()
+	conn.broken = false
 	if err := conn.openBy(ctx, began.Add(c.timing.answer)); err != nil {
 		return EndpointList{}, err
 	}
