Log and count calls of the system that fail, and why connections end

Need: the reported loss left no line in the log: neither the call that failed, nor its error, nor the request, nor why the connection ended. Change: a recorder of failed calls by place, call, error and consequence, which logs the first of a row and its end; reasons of the ends of clients' connections; GET /ops/faults has the counts. Behaviour is as before.

--- a/admin/controller.go
+++ b/admin/controller.go
@@ -22,6 +22,8 @@
 	Readiness() error
 	// Stats returns the counters of this process.
 	Stats() Stats
+	// Faults returns, in JSON, the counts of calls of the system that failed, and of why connections ended.
+	Faults() (json.RawMessage, error)
 	// TakeDown takes an endpoint administratively down. [ErrUnknownEndpoint] is
 	// answered by 404, any other error by 503, here and in the next three.
 	TakeDown(endpoint string) error
--- a/admin/routes.go
+++ b/admin/routes.go
@@ -31,6 +31,7 @@
 var routes = map[string]route{
 	"/ops/readiness":       {get: readiness},
 	"/ops/stats":           {get: stats},
+	"/ops/faults":          {get: document(Controller.Faults)},
 	"/ops/backends/down":   {post: orderFor(Controller.TakeDown), name: endpointName},
 	"/ops/backends/up":     {post: orderFor(Controller.Restore), name: endpointName},
 	"/ops/drain/start":     {post: order(Controller.StartDrain)},
--- a/admin/server_test.go
+++ b/admin/server_test.go
@@ -27,6 +27,8 @@
 func (s *controller) Stats() Stats {
 	return Stats{InFlight: 14, Requests: map[string]RequestCounts{"C": {Served: 812}}}
 }
+func (s *controller) Faults() (json.RawMessage, error) { return json.RawMessage(`{}`), nil }
+
 func (s *controller) TakeDown(id string) error {
 	s.changes.Add(1)
 	s.last.Store(&id)
--- a/downstream/conn.go
+++ b/downstream/conn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ryerill/internal/buffer"
+	"ryerill/internal/faultlog"
 	"ryerill/internal/socket"
 	"ryerill/message"
 )
@@ -60,6 +61,8 @@
 	overLimit    bool   // requests are shed: the server has no capacity for the connection
 	http10       bool   // the client speaks HTTP/1.0
 	requestClass string // that the present request states; empty if none is known
+	requestID    string // of the present request, once it is accepted; empty before
+	end          endReason
 	pacing       bodyPacing
 
 	unwatched atomic.Bool // no read notices at once that the client leaves: more of it has been, or is to be, received
@@ -72,6 +75,7 @@
 	uploadAbandoned bool      // the body that is being received is not wanted any more
 	evicted         bool      // it is to end as soon as possible, unless a request has been received already
 	open            openRequest
+	truncated       bool // the last response could not be written whole
 }
 
 func newConn(s *Server, nc *net.TCPConn) *conn {
@@ -153,9 +157,24 @@
 		c.pacing.bytes += int64(n)
 	}
 	c.broken = err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	if c.broken {
+		c.recordFault("read", err)
+	}
 	return n, err
 }
 
+// recordFault records a call on the connection that failed. An orderly end and a deadline are no faults.
+func (c *conn) recordFault(call string, err error) {
+	if errors.Is(err, io.EOF) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	consequence := faultlog.PeerEnded
+	if socket.MayPass(err) {
+		consequence = faultlog.GivenUp
+	}
+	c.server.faults.Failed(c.server.name, call, err, consequence, c.requestID)
+}
+
 // readsPastDeadline reports whether bytes that wait are read although the deadline is over: they were, or may
 // have been, received before it.
 func (c *conn) readsPastDeadline() bool {
@@ -184,6 +203,7 @@
 // evicted and nothing has been received.
 func (c *conn) awaitRequest() bool {
 	if _, err := c.reader.Peek(1); err != nil {
+		c.end = c.idleEnd(err)
 		return false
 	}
 	c.server.mu.Lock()
@@ -215,7 +235,15 @@
 func (c *conn) writeMessage(head []byte, body *buffer.Body) bool {
 	c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	buffers := body.AppendTo(net.Buffers{head})
+	return c.writeAll(buffers)
+}
+
+// writeAll writes buffers, and reports whether all of them are written.
+func (c *conn) writeAll(buffers net.Buffers) bool {
 	_, err := buffers.WriteTo(c.nc)
+	if err != nil {
+		c.recordFault("write", err)
+	}
 	return err == nil
 }
 
@@ -270,6 +298,7 @@
 		c.server.evicted--
 	}
 	c.state = stateClosed
+	c.server.faults.Ended(string(c.finalReasonLocked()))
 	delete(c.server.conns, c)
 	c.server.descriptors.Fill()
 	c.server.connEnded.Broadcast()
--- a/downstream/response.go
+++ b/downstream/response.go
@@ -100,6 +100,7 @@
 	defer c.server.mu.Unlock()
 	switch {
 	case !whole: // what is truncated must not look whole
+		c.truncated = true
 		c.nc.Close()
 	case closes && early:
 		c.beginLingerLocked(progressTimeout)
@@ -148,8 +149,7 @@
 		body = framing.AppendChunk(nil, body)
 	}
 	c.nc.SetWriteDeadline(time.Now().Add(progressTimeout))
-	_, err := body.WriteTo(c.nc)
-	return err == nil
+	return c.writeAll(body)
 }
 
 // writeReadiness answers whether this proxy is ready. It is from its start on, with the endpoints known from before. It
@@ -177,8 +177,10 @@
 func (c *conn) reject(err error) {
 	var rejected *requestError
 	if !errors.As(err, &rejected) {
+		c.end = endClosedByClient
 		return
 	}
+	c.end = endRejected
 	if c.requestClass != "" {
 		c.server.router.CountRejected(c.requestClass, rejected.status == http.StatusServiceUnavailable)
 	}
--- a/downstream/serve.go
+++ b/downstream/serve.go
@@ -28,6 +28,8 @@
 func (c *conn) serveRequest(written chan bool) (goesOn bool) {
 	c.readLimit = maxHeadBytes
 	c.requestClass = ""
+	c.requestID = ""
+	c.end = endAfterResponse
 	if !c.awaitRequest() {
 		return false
 	}
@@ -51,6 +53,7 @@
 		return false
 	}
 	request.Remaining = c.server.limitRemaining(request.Remaining)
+	c.requestID = id
 	remaining := request.Remaining // the request is its service's once it is accepted
 	stream, _ := request.Outgoing.Stream.(*upload)
 	closes := req.Close || c.http10
@@ -71,6 +74,7 @@
 	goesOn, clientLeft := c.awaitResult(written)
 	if clientLeft {
 		c.broken = true
+		c.end = endClientLeft
 		open.service.ClientLeft(open.ticket)
 		c.server.releaseID(id, c)
 	}
@@ -97,12 +101,14 @@
 func (c *conn) mayAccept(id string) bool {
 	if c.overLimit || c.server.phase().Rejects {
 		c.server.router.CountRejected(c.requestClass, true)
+		c.end = endRejected
 		shed := responseHead{status: http.StatusServiceUnavailable, retryAfter: overloadRetryAfter, closes: true}
 		c.writeMessage(shed.encode(), nil)
 		return false
 	}
 	if socket.PeerClosed(c.nc) { // while its request waited in the listener's queue, or after another request
 		c.broken = true
+		c.end = endClientLeft
 		return false
 	}
 	if !c.server.claimID(id, c) {
@@ -133,6 +139,7 @@
 			open.service.ClientLeft(open.ticket)
 			stream.abandon()
 			c.broken = true // nobody else reads it any more
+			c.end = endClientLeft
 			c.server.releaseID(id, c)
 			return false
 		}
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -15,6 +15,7 @@
 
 	"ryerill/drain"
 	"ryerill/internal/buffer"
+	"ryerill/internal/faultlog"
 	"ryerill/internal/socket"
 )
 
@@ -45,6 +46,8 @@
 	buffers     *buffer.Pool
 	descriptors *socket.Reserve
 	fileConn    func(*os.File) (net.Conn, error) // net.FileConn, outside of tests
+	name        string                           // of the listener
+	faults      *faultlog.Recorder               // nil records nothing
 
 	// mu guards what follows, and the state of each connection.
 	mu             sync.Mutex
@@ -88,6 +91,13 @@
 	return s, nil
 }
 
+// RecordFaults has the server record calls that fail, under its name, and why connections end. It must be called before
+// Serve.
+func (s *Server) RecordFaults(name string, faults *faultlog.Recorder) {
+	s.name = name
+	s.faults = faults
+}
+
 // withoutReserve is how many connections may bring requests, of all that a server may hold.
 func withoutReserve(maxConnections int) int { return max(maxConnections-reservedConnections, 1) }
 
@@ -248,6 +258,7 @@
 		s.connEnded.Wait() // for a moment: connections that are evicted have nothing left to do
 	}
 	if len(s.conns) >= limit {
+		s.faults.Ended(string(endUnread))
 		refuseUnread(nc)
 		return
 	}
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -10,6 +10,7 @@
 	"ryerill/config"
 	"ryerill/downstream"
 	"ryerill/internal/buffer"
+	"ryerill/internal/faultlog"
 	"ryerill/override"
 	"ryerill/upstream"
 )
@@ -51,6 +52,7 @@
 	log       *slog.Logger
 	clock     clock
 	counters  *counters
+	faults    *faultlog.Recorder
 	overrides override.Set
 	// refetch requests the whole list from discovery even where one is known: the known list of a
 	// second process of a proxy may be as old as the first one.
@@ -85,6 +87,7 @@
 		timers:    timerSet{pending: make(map[*time.Timer]struct{})},
 		discovery: newDiscoveryWatch(),
 	}
+	c.connections.RecordFaults(cfg.Name, parts.faults)
 	c.connections.SetBodyBudget(&parts.resources.bodies)
 	trim := c.connections.TrimIdle
 	parts.resources.trimIdle.Store(&trim)
--- a/proxy/counters.go
+++ b/proxy/counters.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"encoding/json"
 	"sync"
 	"sync/atomic"
 
@@ -99,6 +100,9 @@
 // CountFailedReload counts a reload whose configuration could not even be read.
 func (p *Proxy) CountFailedReload() { p.counters.reloadsFailed.Add(1) }
 
+// Faults implements [admin.Controller].
+func (p *Proxy) Faults() (json.RawMessage, error) { return json.Marshal(p.faults.Counts()) }
+
 // Stats implements [admin.Controller].
 func (p *Proxy) Stats() admin.Stats {
 	stats := admin.Stats{
--- a/proxy/listeners.go
+++ b/proxy/listeners.go
@@ -35,6 +35,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listener %s: %w", cfg.Name, err)
 	}
+	server.RecordFaults(cfg.Name, p.faults)
 	return &listener{Listener: cfg, server: server}, nil
 }
 
--- a/proxy/pools.go
+++ b/proxy/pools.go
@@ -79,6 +79,7 @@
 		log:        p.log,
 		clock:      p.clock,
 		counters:   &p.counters,
+		faults:     p.faults,
 		overrides:  p.overrides,
 		refetch:    refetch,
 		succession: from,
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"ryerill/fleet"
 	"ryerill/fleet/rollout"
 	"ryerill/internal/buffer"
+	"ryerill/internal/faultlog"
 	"ryerill/internal/handover"
 	"ryerill/internal/overridestore"
 	"ryerill/override"
@@ -45,6 +46,7 @@
 	buffers   *buffer.Pool
 	resources *resources // of the machine
 	counters  counters
+	faults    *faultlog.Recorder
 	router    atomic.Pointer[router] // set by Run
 	admin     *admin.Server          // nil is none
 	store     *overridestore.Store
@@ -112,6 +114,7 @@
 	if len(cfg.Listeners) == 0 || len(cfg.Pools) == 0 {
 		return nil, fmt.Errorf("proxy %s: a listener or a pool is missing", cfg.Name)
 	}
+	p.faults = faultlog.New(p.log)
 	p.openShared()
 	if err := p.open(); err != nil {
 		p.Close()
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -43,6 +43,7 @@
 // of a long response until that is closed.
 type conn struct {
 	transport
+	pool        *Pool
 	destination destination
 	limit       io.LimitedReader // bounds what one response may bring
 	reader      *bufio.Reader    // of limit
@@ -60,6 +61,7 @@
 	n, err := c.transport.Read(b)
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.endErr = err
+		c.pool.recordFault("read", err)
 	}
 	return n, err
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -4,9 +4,12 @@
 import (
 	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"ryerill/internal/buffer"
+	"ryerill/internal/faultlog"
+	"ryerill/internal/socket"
 )
 
 const (
@@ -34,6 +37,8 @@
 	bodies      Budget // bytes of responses that are held; nil has no bound
 	buffers     *buffer.Pool
 	dial        dialFunc
+	name        string             // of the pool
+	faults      *faultlog.Recorder // nil records nothing
 
 	// mu guards what follows.
 	mu             sync.Mutex
@@ -61,6 +66,25 @@
 // first attempt.
 func (p *Pool) SetBodyBudget(bodies Budget) { p.bodies = bodies }
 
+// RecordFaults has the pool record calls that fail, under its name. It must be called before the first attempt.
+func (p *Pool) RecordFaults(name string, faults *faultlog.Recorder) {
+	p.name = name
+	p.faults = faults
+}
+
+// recordFault records a call that failed. A deadline, an orderly end and an attempt that was cancelled are no faults.
+func (p *Pool) recordFault(call string, err error) {
+	var number syscall.Errno
+	if p == nil || !errors.As(err, &number) { // a connection of no pool
+		return
+	}
+	consequence := faultlog.PeerEnded
+	if socket.MayPass(err) {
+		consequence = faultlog.GivenUp
+	}
+	p.faults.Failed(p.name, call, err, consequence, "")
+}
+
 // SetTimeouts changes how long idle connections are kept and new ones waited for, from the next on.
 func (p *Pool) SetTimeouts(idleClose, connectTimeout time.Duration) {
 	p.mu.Lock()
@@ -97,10 +121,11 @@
 
 	opened, err := a.dial(p.dial, timeout)
 	if err != nil {
+		p.recordFault("connect", err)
 		p.connections.Give(1)
 		return nil, err
 	}
-	c := &conn{transport: opened, destination: to}
+	c := &conn{transport: opened, destination: to, pool: p}
 	c.limit.R = c
 	c.reader = p.buffers.Reader(&c.limit)
 	return c, nil
--- a/upstream/write.go
+++ b/upstream/write.go
@@ -32,7 +32,7 @@
 	if request.Stream == nil {
 		buffers = request.Body.AppendTo(buffers)
 		if _, err := buffers.WriteTo(conn.transport); err != nil {
-			return brokenBy(err)
+			return p.brokenBy(err)
 		}
 		return writtenWhole
 	}
@@ -45,7 +45,8 @@
 }
 
 // brokenBy is how the writing of a request ended that err broke off.
-func brokenBy(err error) writeResult {
+func (p *Pool) brokenBy(err error) writeResult {
+	p.recordFault("write", err)
 	if isOwnFault(err) {
 		return machineFailed
 	}
@@ -64,7 +65,7 @@
 		case err != nil && conn.hasInput():
 			return answeredEarly
 		case err != nil:
-			return brokenBy(err)
+			return p.brokenBy(err)
 		case last:
 			return writtenWhole
 		case conn.hasInput():
