--- a/lab/cli/command.go
+++ b/lab/cli/command.go
@@ -78,6 +78,7 @@
 		rolloutsCommand(stdout),
 		rolloutReportCommand(stdout),
 		chaosCommand(stdout),
+		faultsCommand(stdout, stderr),
 		reportCommand(stdout),
 		compareCommand(stdout),
 		scenarioCommand(stdout),
