--- a/cmd/proxy/systemfaults_test.go
+++ b/cmd/proxy/systemfaults_test.go
@@ -16,16 +16,11 @@
 	"ryerill/lab/syscallfault"
 )
 
-// An incident: of the requests that a proxy had accepted, one got no response. Its connection ended instead, at the very
-// moment at which the request's time was over; the attempt to its endpoint, which hung, was given up within a
-// millisecond. Calls of the system failed for a moment just then, and the log said nothing.
-//
-// How it came about: the result was written as the time ended, and the system refused the write for want of a buffer.
-// The cause: a passing fault of this machine was taken for the end of the other side. The first error of any write ended
-// the connection, and any error of a read counted as the client's departure.
-//
-// What proved it: with one write to a client that fails (the first cases) the unchanged program shows the same
-// sequence, and a replay with the cause in the log named that write.
+// Seen while an incident was looked for, in which a request got no response while calls of the system failed: with single
+// calls of the real program that fail, clients read the end of their connection and no response, or a 503 though time
+// was left. The cause: a passing fault of this machine was taken for the end of the other side. The first error of any
+// write ended the connection, any error of a read counted as the client's departure, and a connection that could not be
+// registered at once was closed. What proved it: each case below fails with only its rule in force.
 
 // passingFault is a fault that a proxy must survive without a loss.
 type passingFault struct {
