Keep a margin before the client's time, and let passing faults of the machine pass

Cause of the incident: a result that is due because the time is over was given at the very end of the client's time, counted from when the request was read, with nothing kept for a process that is held up (proxy/request.go, Accept: deadline = ReceivedAt + Remaining). Class of bug: a deadline without a margin. Cause of what was found on the way: a passing fault of this machine was taken for the end of the other side. One judgement of errors (internal/socket/fault.go) serves clients, endpoints, discovery and the management endpoint: writes go on from the byte at which they stopped, reads read again, dialling tries again, an end is believed if a poll agrees; connections are accepted as descriptors, so that one that can't be registered at once is not closed by the library; settings that can't be read now are read again for 3 s; a SIGHUP during the start is carried out after it. Tests changed: the injection into accept moved to the new seam; cases of errors that stay run side by side, as such an error is endured for 5 s now, with the same outcomes.

--- a/admin/server.go
+++ b/admin/server.go
@@ -42,14 +42,8 @@
 	conns map[*conn]struct{} // guarded by mu, with the fields of each that change
 }
 
-// tcpConn is a *net.TCPConn.
-type tcpConn interface {
-	net.Conn
-	CloseWrite() error
-}
-
 type conn struct {
-	tcp        tcpConn
+	tcp        *net.TCPConn
 	acceptedAt time.Time
 	received   bool // the request has been received
 	answered   bool // the response has been written: the connection only lingers
@@ -57,7 +51,7 @@
 
 // Listen opens a server at an address; no request is answered before [Server.Serve].
 func Listen(address string) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := socket.Persist(func() (net.Listener, error) { return net.Listen("tcp", address) })
 	if err != nil {
 		return nil, err
 	}
@@ -159,7 +153,8 @@
 		s.reserve.Fill()
 	}()
 	c.tcp.SetReadDeadline(c.acceptedAt.Add(readTimeout))
-	req, err := readRequest(bufio.NewReaderSize(c.tcp, maxHead), c.tcp)
+	steady := socket.Steady{Conn: c.tcp} // a fault that passes does not end the call
+	req, err := readRequest(bufio.NewReaderSize(steady, maxHead), steady)
 	var invalid *statusError
 	var resp response
 	switch {
@@ -177,13 +172,14 @@
 		return // the client has gone
 	}
 	c.tcp.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if _, err := c.tcp.Write(resp.encode()); err != nil || c.tcp.CloseWrite() != nil {
+	if _, err := steady.Write(resp.encode()); err != nil {
 		return
 	}
+	socket.CloseWrite(c.tcp)
 	s.mu.Lock()
 	c.received = true
 	c.answered = true
 	s.mu.Unlock()
 	c.tcp.SetReadDeadline(time.Now().Add(linger))
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.tcp, maxLinger)) // whatever ends it, the connection is closed next
+	_, _ = io.Copy(io.Discard, io.LimitReader(steady, maxLinger)) // whatever ends it, the connection is closed next
 }
--- a/cli/rolloutchange.go
+++ b/cli/rolloutchange.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"os"
 	"sync"
 	"time"
 
@@ -40,7 +39,7 @@
 		storageTimeout: storageTimeout,
 	}
 	parsePlan := func(text []byte) (rollout.Plan, error) {
-		current, err := os.ReadFile(getenv(config.EnvFile))
+		current, err := atomicfile.Read(getenv(config.EnvFile))
 		if err != nil {
 			return rollout.Plan{}, err
 		}
@@ -95,7 +94,7 @@
 	}
 	file := c.getenv(config.EnvFile)
 	trial := settingsTrial{file: file, replace: c.replace}
-	current, err := os.ReadFile(file)
+	current, err := atomicfile.Read(file)
 	if err != nil {
 		return err
 	}
@@ -138,7 +137,7 @@
 	file string, current []byte, target string, settings []byte, rollBack bool,
 ) ([]byte, error) {
 	if rollBack {
-		previous, err := os.ReadFile(file + lastGoodSuffix)
+		previous, err := atomicfile.Read(file + lastGoodSuffix)
 		if err != nil {
 			return nil, fmt.Errorf("what it held before: %w", err)
 		}
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -77,7 +77,9 @@
 	}
 	go func() { // ends with the process: hangups is never closed
 		for range hangups {
-			reload(p, getenv, maxDescriptors, log)
+			if awaitStart(ctx, p) { // what the start has read may be older
+				reload(p, getenv, maxDescriptors, log)
+			}
 		}
 	}()
 	if pending {
@@ -89,17 +91,24 @@
 	return nil
 }
 
-// endTrial ends the trial of the settings that the proxy was started with, once it has started.
-func endTrial(ctx context.Context, p *proxy.Proxy, trial settingsTrial, log *slog.Logger) {
+// awaitStart waits until the proxy serves. It reports false if the proxy is to end.
+func awaitStart(ctx context.Context, p *proxy.Proxy) bool {
 	ticker := time.NewTicker(startPollInterval)
 	defer ticker.Stop()
-	for p.Starting() {
+	for ctx.Err() == nil && p.Starting() {
 		select {
 		case <-ctx.Done():
-			return
 		case <-ticker.C:
 		}
 	}
+	return ctx.Err() == nil
+}
+
+// endTrial ends the trial of the settings that the proxy was started with, once it has started.
+func endTrial(ctx context.Context, p *proxy.Proxy, trial settingsTrial, log *slog.Logger) {
+	if !awaitStart(ctx, p) {
+		return
+	}
 	if err := trial.endStart(); err != nil {
 		log.Error("trial of a rollout's settings can't be kept", "file", trial.file, "err", err)
 	}
--- a/cli/settingstrial.go
+++ b/cli/settingstrial.go
@@ -122,7 +122,7 @@
 	if err != nil || record == nil {
 		return "", false, err
 	}
-	text, err := os.ReadFile(t.file)
+	text, err := atomicfile.Read(t.file)
 	if err != nil {
 		return "", false, err
 	}
@@ -141,7 +141,7 @@
 
 // restoreLastGood puts the settings back that the rollout replaced.
 func (t settingsTrial) restoreLastGood() error {
-	lastGood, err := os.ReadFile(t.file + lastGoodSuffix)
+	lastGood, err := atomicfile.Read(t.file + lastGoodSuffix)
 	if err != nil {
 		return err
 	}
@@ -155,7 +155,7 @@
 
 // read returns the record; nil if there is no trial.
 func (t settingsTrial) read() (*trialRecord, error) {
-	text, err := os.ReadFile(t.file + trialSuffix)
+	text, err := atomicfile.Read(t.file + trialSuffix)
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, nil
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -4,11 +4,11 @@
 
 import (
 	"fmt"
-	"os"
 	"strconv"
 	"time"
 
 	"ryerill/discovery"
+	"ryerill/internal/atomicfile"
 	"ryerill/route"
 )
 
@@ -93,7 +93,7 @@
 	if file == "" {
 		return Config{}, nil, fmt.Errorf("%s: not set", EnvFile)
 	}
-	text, err := os.ReadFile(file)
+	text, err := atomicfile.Read(file)
 	if err != nil {
 		return Config{}, nil, fmt.Errorf("%s: %w", EnvFile, err)
 	}
--- a/config/fleet.go
+++ b/config/fleet.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"time"
 
 	"ryerill/fleet"
 	"ryerill/fleet/codec"
 	"ryerill/fleet/membership"
+	"ryerill/internal/atomicfile"
 )
 
 // FleetFile switches the fleet on: the proxies that exchange membership, and whatever else is configured, with this
@@ -60,7 +60,7 @@
 // ReadKeys reads a key file: a key a line, the one that signs first. Empty lines and those that begin with # are
 // skipped.
 func ReadKeys(file string) (keys [][]byte, err error) {
-	text, err := os.ReadFile(file)
+	text, err := atomicfile.Read(file)
 	if err != nil {
 		return nil, err
 	}
--- a/downstream/conn.go
+++ b/downstream/conn.go
@@ -146,33 +146,28 @@
 	if c.pacing.bytes > 0 {
 		c.extendBodyDeadline()
 	}
-	n, err := c.nc.Read(p)
+	n, err := c.receive(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) && socket.Peek(c.nc) == socket.Waiting && c.readsPastDeadline() {
 		c.nc.SetReadDeadline(time.Now().Add(freshPeriod))
-		n, err = c.nc.Read(p)
+		n, err = c.receive(p)
 		c.nc.SetReadDeadline(socket.PastDeadline)
 	}
 	c.readLimit -= int64(n)
 	if !c.pacing.began.IsZero() {
 		c.pacing.bytes += int64(n)
 	}
-	c.broken = err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
-	if c.broken {
-		c.recordFault("read", err)
-	}
+	c.broken = err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !socket.MayPass(err)
 	return n, err
 }
 
-// recordFault records a call on the connection that failed. An orderly end and a deadline are no faults.
-func (c *conn) recordFault(call string, err error) {
-	if errors.Is(err, io.EOF) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed) {
-		return
-	}
-	consequence := faultlog.PeerEnded
-	if socket.MayPass(err) {
-		consequence = faultlog.GivenUp
-	}
-	c.server.faults.Failed(c.server.name, call, err, consequence, c.requestID)
+// receive reads from the client. Only the system's word is taken for its end: a fault of this machine passes.
+func (c *conn) receive(p []byte) (int, error) {
+	return socket.Read(c.nc, p, socket.Retry{Call: "read", Observer: c, Peer: c.nc})
+}
+
+// CallFailed implements [socket.Observer].
+func (c *conn) CallFailed(call string, err error, verdict socket.Verdict) {
+	c.server.faults.Failed(c.server.name, call, err, faultlog.Consequence(verdict), c.requestID)
 }
 
 // readsPastDeadline reports whether bytes that wait are read although the deadline is over: they were, or may
@@ -238,13 +233,9 @@
 	return c.writeAll(buffers)
 }
 
-// writeAll writes buffers, and reports whether all of them are written.
+// writeAll writes buffers until the write deadline, and reports whether all of them are written.
 func (c *conn) writeAll(buffers net.Buffers) bool {
-	_, err := buffers.WriteTo(c.nc)
-	if err != nil {
-		c.recordFault("write", err)
-	}
-	return err == nil
+	return socket.Write(c.nc, buffers, socket.Retry{Call: "write", Observer: c, Peer: c.nc}) == nil
 }
 
 // beginLingerLocked closes the sending side, and sets how long what is still received is read. None of it is executed:
@@ -257,7 +248,7 @@
 		period = shortLingerPeriod
 	}
 	c.enterStateLocked(stateLingering, c.server.beforeKillLocked(time.Now().Add(period)))
-	_ = c.nc.CloseWrite() // one that is broken has no sending side
+	socket.CloseWrite(c.nc)
 }
 
 // linger ends a connection whose client is still connected: the sending side first, the receiving side once the client
@@ -279,7 +270,7 @@
 			c.nc.SetReadDeadline(earlier(deadline, now.Add(lingerPeriod)))
 		}
 		c.server.mu.Unlock()
-		n, err := c.nc.Read(block[:])
+		n, err := c.receive(block[:])
 		remaining -= int64(n)
 		if err != nil || !now.Before(deadline) {
 			return
--- a/downstream/faults_test.go
+++ b/downstream/faults_test.go
@@ -19,7 +19,7 @@
 
 // faultyListener fails calls of accept for a while with an error of the system, and accepts as usual otherwise.
 type faultyListener struct {
-	*net.TCPListener
+	clientListener
 
 	mu      sync.Mutex
 	fault   error
@@ -49,41 +49,30 @@
 	l.failed.Store(0)
 }
 
-func (l *faultyListener) AcceptTCP() (*net.TCPConn, error) {
+func (l *faultyListener) Await() (int, error) {
 	if err := l.next(false); err != nil {
-		return nil, err
+		return -1, err
 	}
 	l.mu.Lock()
 	backlog := l.backlog
 	l.mu.Unlock()
 	if backlog {
 		<-l.stopped
-		return nil, os.ErrDeadlineExceeded
+		return -1, os.ErrDeadlineExceeded
 	}
-	return l.TCPListener.AcceptTCP()
+	return l.clientListener.Await()
 }
 
 func (l *faultyListener) SetDeadline(t time.Time) error {
 	close(l.stopped)
-	return l.TCPListener.SetDeadline(t)
+	return l.clientListener.SetDeadline(t)
 }
 
-func (l *faultyListener) SyscallConn() (syscall.RawConn, error) {
-	raw, err := l.TCPListener.SyscallConn()
-	return faultyRawConn{raw, l}, err
-}
-
-// faultyRawConn is the raw listener of a faultyListener.
-type faultyRawConn struct {
-	syscall.RawConn
-	listener *faultyListener
-}
-
-func (c faultyRawConn) Control(f func(fd uintptr)) error {
-	if err := c.listener.next(true); err != nil {
-		return err
+func (l *faultyListener) Next() (int, error) {
+	if err := l.next(true); err != nil {
+		return -1, err
 	}
-	return c.RawConn.Control(f)
+	return l.clientListener.Next()
 }
 
 // listenFaulty returns a server whose calls of accept can be made to fail.
@@ -93,7 +82,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener := &faultyListener{TCPListener: s.listener.(*net.TCPListener), stopped: make(chan struct{})}
+	listener := &faultyListener{clientListener: s.listener, stopped: make(chan struct{})}
 	s.listener = listener
 	return s, listener
 }
--- a/downstream/lifecycle_test.go
+++ b/downstream/lifecycle_test.go
@@ -431,7 +431,7 @@
 	}
 	defer s.Close()
 	client, _ := connect(t, s.Address())
-	nc, err := s.listener.AcceptTCP()
+	nc, err := acceptOne(s)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -466,7 +466,7 @@
 	for _, size := range []int{0, 100, 16 << 10} {
 		client, r := connect(t, s.Address())
 		send(t, client, get(1, "")+strings.Repeat("x", size)) // has arrived once it is written
-		nc, err := s.listener.AcceptTCP()
+		nc, err := acceptOne(s)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/downstream/request.go
+++ b/downstream/request.go
@@ -16,6 +16,7 @@
 	"ryerill/internal/buffer"
 	"ryerill/internal/framing"
 	"ryerill/internal/http1"
+	"ryerill/internal/socket"
 	"ryerill/message"
 	"ryerill/route"
 )
@@ -124,6 +125,8 @@
 		return &requestError{tooLargeStatus, "the " + part + " is too large"}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &requestError{http.StatusRequestTimeout, "the " + part + " did not come in time"}
+	case socket.MayPass(err):
+		return &requestError{http.StatusServiceUnavailable, "the " + part + " can't be received now"}
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), c.broken:
 		return err
 	}
--- a/downstream/serve.go
+++ b/downstream/serve.go
@@ -161,7 +161,8 @@
 // awaitResult waits until the result is written, and reports whether the connection goes on, or that the client has
 // left, which may be seen only after the beginning of a next request.
 func (c *conn) awaitResult(written <-chan bool) (goesOn, clientLeft bool) {
-	if _, err := c.reader.Peek(1); err != nil {
+	// Where the client can't be read for long it is polled, as behind the beginning of a next request.
+	if _, err := c.reader.Peek(1); err != nil && !socket.MayPass(err) {
 		c.server.mu.Lock()
 		hasResult := len(written) > 0 // writeResult sends before it unlocks the mutex
 		c.server.mu.Unlock()
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"ryerill/drain"
 	"ryerill/internal/buffer"
 	"ryerill/internal/faultlog"
@@ -31,14 +26,6 @@
 	overloadRetryAfter = time.Second // advice to clients that are rejected for lack of capacity
 )
 
-// clientListener is the part of a net.TCPListener that a server needs. Tests inject system-call errors in its place.
-type clientListener interface {
-	net.Listener
-	AcceptTCP() (*net.TCPConn, error)
-	SyscallConn() (syscall.RawConn, error)
-	SetDeadline(t time.Time) error
-}
-
 // Server accepts the connections of clients and speaks HTTP/1.1 on them.
 type Server struct {
 	listener    clientListener
@@ -70,16 +57,12 @@
 //
 // A shared address may be listened at by several processes, to which the system distributes new connections.
 func Listen(address string, maxConnections int, shared bool, buffers *buffer.Pool) (*Server, error) {
-	var config net.ListenConfig
-	if shared {
-		config.Control = socket.SharePort
-	}
-	listener, err := config.Listen(context.Background(), "tcp", address)
+	listener, err := listenTCP(address, shared)
 	if err != nil {
 		return nil, fmt.Errorf("listen for clients: %w", err)
 	}
 	s := &Server{
-		listener:       listener.(*net.TCPListener),
+		listener:       listener,
 		buffers:        buffers,
 		maxConnections: withoutReserve(maxConnections),
 		descriptors:    socket.NewReserve(reservedDescriptors),
@@ -141,99 +124,6 @@
 	return nil
 }
 
-// acceptAll accepts connections until the shutdown ends it.
-func (s *Server) acceptAll() error {
-	var backoff socket.Backoff
-	for {
-		nc, err := s.listener.AcceptTCP()
-		lastDescriptor := socket.OutOfDescriptors(err) && s.freeDescriptor()
-		if lastDescriptor { // readiness checks must be answered even now, and other requests shed
-			nc, err = s.listener.AcceptTCP()
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil
-		}
-		if errors.Is(err, net.ErrClosed) {
-			return fmt.Errorf("accept clients: %w", err)
-		}
-		if err != nil { // the client is gone again, or another has taken the descriptor
-			s.descriptors.Fill()
-			time.Sleep(backoff.Next())
-			continue
-		}
-		backoff.Reset()
-		shed := lastDescriptor && !s.descriptors.Fill() // others may have been closed since
-		s.addConn(nc, shed)
-	}
-}
-
-// acceptBacklog accepts what still waits in the listener's queue, which would be reset with it. An expired deadline
-// hides it from Accept, and setting another would take so long that more might come.
-func (s *Server) acceptBacklog() {
-	raw, err := s.listener.SyscallConn()
-	if err != nil {
-		return
-	}
-	var backoff socket.Backoff
-	for end := time.Now().Add(newConnectionGrace); time.Now().Before(end); {
-		fd, err := acceptRaw(raw)
-		if errors.Is(err, unix.EAGAIN) || isClosed(err) {
-			return
-		}
-		if err != nil { // who waits there has connected: a pause is worth it
-			if socket.OutOfDescriptors(err) {
-				s.freeDescriptor()
-			}
-			time.Sleep(backoff.Next())
-			continue
-		}
-		if nc := s.connOf(fd, end); nc != nil {
-			backoff.Reset()
-			s.addConn(nc, false)
-		}
-	}
-}
-
-// isClosed reports whether an error of accept says that the listener accepts nobody any more. Any other says nothing of
-// those who wait behind: the system reports faults of one connection there, such as EPROTO or EHOSTUNREACH.
-func isClosed(err error) bool {
-	return errors.Is(err, net.ErrClosed) || errors.Is(err, unix.EBADF) || errors.Is(err, unix.EINVAL)
-}
-
-// rawListener is the part of syscall.RawConn that accepting needs.
-type rawListener interface {
-	Control(func(fd uintptr)) error
-}
-
-// acceptRaw accepts a connection without waiting for one.
-func acceptRaw(listener rawListener) (fd int, err error) {
-	fd = -1
-	controlErr := listener.Control(func(l uintptr) {
-		fd, _, err = unix.Accept4(int(l), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-	})
-	return fd, errors.Join(controlErr, err)
-}
-
-// connOf makes a connection of a descriptor, or nil if that can't be. It needs a second descriptor for a moment, and
-// waits for one until the deadline: who is accepted has connected.
-func (s *Server) connOf(fd int, deadline time.Time) *net.TCPConn {
-	file := os.NewFile(uintptr(fd), "consumer")
-	defer file.Close()
-	var backoff socket.Backoff
-	for {
-		nc, err := s.fileConn(file)
-		if err == nil {
-			return nc.(*net.TCPConn)
-		}
-		if !socket.OutOfDescriptors(err) || time.Now().After(deadline) {
-			return nil
-		}
-		if !s.freeDescriptor() {
-			time.Sleep(backoff.Next())
-		}
-	}
-}
-
 // awaitConnections returns when all connections have ended.
 func (s *Server) awaitConnections() {
 	s.mu.Lock()
@@ -276,16 +166,6 @@
 	go c.serve()
 }
 
-// refuseUnread sheds a connection without reading its request, and closes it.
-func refuseUnread(nc *net.TCPConn) {
-	nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	refusal := responseHead{status: http.StatusServiceUnavailable, retryAfter: overloadRetryAfter, closes: true}
-	_, _ = nc.Write(refusal.encode()) // a client that is gone needs none
-	_ = nc.CloseWrite()
-	socket.Discard(nc, maxHeadBytes) // what lies there unread would have the answer reset
-	nc.Close()
-}
-
 // claimID records that a request with this id is open. It reports false if another one is: ids are fresh on every
 // request, and endpoints identify requests by them.
 func (s *Server) claimID(id string, c *conn) bool {
--- a/downstream/server_test.go
+++ b/downstream/server_test.go
@@ -35,7 +35,7 @@
 			t.Fatal(err)
 		}
 		defer client.Close()
-		nc, err := s.listener.AcceptTCP()
+		nc, err := acceptOne(s)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -255,3 +255,12 @@
 	default:
 	}
 }
+
+// acceptOne accepts the next connection.
+func acceptOne(s *Server) (*net.TCPConn, error) {
+	descriptor, err := s.listener.Await()
+	if err != nil {
+		return nil, err
+	}
+	return s.connOf(descriptor, time.Now().Add(longWait)), nil
+}
--- a/fleet/state_file.go
+++ b/fleet/state_file.go
@@ -77,7 +77,7 @@
 	if info.Size() > maxStateFile {
 		return persistedState{}, errors.New("too large")
 	}
-	sealed, err := os.ReadFile(s.path)
+	sealed, err := atomicfile.Read(s.path)
 	if err != nil {
 		return persistedState{}, err
 	}
--- a/fleet/transport.go
+++ b/fleet/transport.go
@@ -14,6 +14,7 @@
 
 	"ryerill/fleet/codec"
 	"ryerill/fleet/membership"
+	"ryerill/internal/socket"
 )
 
 const (
@@ -178,14 +179,17 @@
 // readDatagrams hands each valid datagram to receive, until the transport is closed.
 func (t *transport) readDatagrams(receive func(message *membership.Message, address string)) {
 	buffer := make([]byte, codec.MaxDatagram+1)
+	var backoff socket.Backoff
 	for {
 		n, from, err := t.udp.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		if err != nil {
-			continue // the network's answer to something that was sent: the next read goes on
+		if err != nil { // the network's answer to something that was sent, or a fault that passes
+			time.Sleep(backoff.Next())
+			continue
 		}
+		backoff.Reset()
 		address := netip.AddrPortFrom(from.Addr().Unmap(), from.Port()).String()
 		if message := t.decodeDatagram(buffer[:n], address); message != nil {
 			receive(message, address)
--- a/internal/socket/peek.go
+++ b/internal/socket/peek.go
@@ -40,7 +40,11 @@
 	state := Broken
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n := 0
+		err := repeat(func() (err error) {
+			n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			return err
+		})
 		switch {
 		case errors.Is(err, syscall.EAGAIN):
 			state = Quiet
@@ -66,7 +70,11 @@
 	closed := false
 	err = raw.Control(func(fd uintptr) {
 		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(polled, 0)
+		n := 0
+		err := repeat(func() (err error) {
+			n, err = unix.Poll(polled, 0)
+			return err
+		})
 		closed = err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
 	return closed || err != nil
@@ -81,7 +89,10 @@
 	_ = raw.Control(func(fd uintptr) { // a connection that is closed has nothing to discard
 		var block [4 << 10]byte
 		for n := 1; n > 0 && maxBytes > 0; maxBytes -= n {
-			n, _, _ = syscall.Recvfrom(int(fd), block[:], syscall.MSG_DONTWAIT)
+			_ = repeat(func() (err error) { // an error is the end of what can be discarded
+				n, _, err = syscall.Recvfrom(int(fd), block[:], syscall.MSG_DONTWAIT)
+				return err
+			})
 		}
 	})
 }
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -48,7 +48,7 @@
 		Endpoint:      uint64(endpoint.id),
 		Address:       endpoint.address,
 		Deadline:      deadline,
-		StreamTimeout: min(a.timeout, r.Remaining),
+		StreamTimeout: min(a.timeout, resultTime(r.Remaining)),
 		WriteDeadline: time.Now().Add(action.WriteTimeout),
 		MaySend:       endpoint.ready.Load,
 		OnWritten:     func() time.Time { return c.attemptWritten(a) },
@@ -77,11 +77,11 @@
 	defer c.mu.Unlock()
 	if !r.done {
 		c.receivedLocked(r)
-		r.deadline = time.Now().Add(r.Remaining)
-		r.expiry.Reset(r.Remaining + c.settings.Balancer.Contract.AnswerSlack)
+		r.deadline = time.Now().Add(resultTime(r.Remaining))
+		r.expiry.Reset(resultTime(r.Remaining) + c.settings.Balancer.Contract.AnswerSlack)
 	}
 	a.startedAt = c.clock.now()
-	return time.Now().Add(min(a.timeout, r.Remaining))
+	return time.Now().Add(min(a.timeout, resultTime(r.Remaining)))
 }
 
 // endAttemptLocked records how an attempt ended. The first response that served goes to
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -25,7 +25,7 @@
 type openRequest struct {
 	*message.Request
 	id       balancer.RequestID
-	deadline time.Time // the client gives up
+	deadline time.Time // its result is due, before the client gives up
 	attempts []*attempt
 	inFlight int  // attempts
 	done     bool // it has its result, or its client has left
@@ -87,7 +87,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := &openRequest{Request: req, deadline: req.ReceivedAt.Add(req.Remaining)}
+	r := &openRequest{Request: req, deadline: req.ReceivedAt.Add(resultTime(req.Remaining))}
 	c.requests.add(r)
 	if req.Outgoing.Stream == nil {
 		c.receivedLocked(r)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -58,10 +58,9 @@
 	if c.endErr != nil {
 		return 0, c.endErr
 	}
-	n, err := c.transport.Read(b)
+	n, err := socket.Read(c.transport, b, socket.Retry{Call: "read", Observer: c.pool})
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.endErr = err
-		c.pool.recordFault("read", err)
 	}
 	return n, err
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"os"
-	"syscall"
 	"time"
 
 	"ryerill/balancer"
@@ -160,12 +159,9 @@
 	return reusable && conn.reader.Buffered() == 0
 }
 
-// isOwnFault reports whether a connection could not be opened, or written to, for lack of a resource of this machine or
-// because a signal interrupted the call, which is no evidence against the endpoint.
-func isOwnFault(err error) bool {
-	return errors.Is(err, errNoDescriptor) || socket.OutOfDescriptors(err) ||
-		errors.Is(err, syscall.EADDRNOTAVAIL) || errors.Is(err, syscall.EINTR)
-}
+// isOwnFault reports whether a connection could not be opened, or written to, for a fault of this machine, which is no
+// evidence against the endpoint.
+func isOwnFault(err error) bool { return errors.Is(err, errNoDescriptor) || socket.MayPass(err) }
 
 // outcomeOf is the outcome of an attempt whose response can't be read.
 func outcomeOf(err error) balancer.Outcome {
--- a/upstream/faults_test.go
+++ b/upstream/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -158,21 +159,24 @@
 	} {
 		for _, writable := range []int{0, 1, 1000} {
 			for _, streamed := range []bool{false, true} {
-				address, requests := serveWhole(t)
-				p, descriptors := faultyPool(faultyTransport{writeFault: fault, writable: writable})
-				a := posting(t, p, address, 4<<10)
-				if streamed {
-					a.Request.Stream = &zeroUpload{left: 4 << 10}
-					a.Request.Length = 8 << 10
-				}
-				outcome, _ := p.Do(a)
-				if outcome != want || !outcome.NeverRan() {
-					t.Errorf("%v after %d bytes, streamed %v: %v, want %v", fault, writable, streamed, outcome, want)
-				}
-				if descriptors.used() != 0 || requests.Load() != 0 {
-					t.Errorf("%v: %d connections held, %d requests", fault, descriptors.used(), requests.Load())
-				}
-				p.Close()
+				t.Run(fmt.Sprintf("%v after %d bytes, streamed %v", fault, writable, streamed), func(t *testing.T) {
+					t.Parallel() // a fault that stays is endured for a while
+					address, requests := serveWhole(t)
+					p, descriptors := faultyPool(faultyTransport{writeFault: fault, writable: writable})
+					defer p.Close()
+					a := posting(t, p, address, 4<<10)
+					if streamed {
+						a.Request.Stream = &zeroUpload{left: 4 << 10}
+						a.Request.Length = 8 << 10
+					}
+					outcome, _ := p.Do(a)
+					if outcome != want || !outcome.NeverRan() {
+						t.Errorf("%v, want %v", outcome, want)
+					}
+					if descriptors.used() != 0 || requests.Load() != 0 {
+						t.Errorf("%d connections held, %d requests", descriptors.used(), requests.Load())
+					}
+				})
 			}
 		}
 	}
@@ -184,17 +188,20 @@
 		syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ENOBUFS, syscall.ENOMEM,
 		syscall.EINTR, syscall.EIO,
 	} {
-		address, _, requests := serve(t, okay, nil)
-		p, descriptors := faultyPool(faultyTransport{readFault: fault})
-		outcome, _ := p.Do(newCall(address))
-		if outcome != balancer.Reset || outcome.NeverRan() {
-			t.Errorf("%v: %v", fault, outcome)
-		}
-		<-requests
-		if descriptors.used() != 0 {
-			t.Errorf("%v: %d connections held", fault, descriptors.used())
-		}
-		p.Close()
+		t.Run(fault.Error(), func(t *testing.T) {
+			t.Parallel() // a fault that stays is endured for a while
+			address, _, requests := serve(t, okay, nil)
+			p, descriptors := faultyPool(faultyTransport{readFault: fault})
+			defer p.Close()
+			outcome, _ := p.Do(newCall(address))
+			if outcome != balancer.Reset || outcome.NeverRan() {
+				t.Errorf("%v", outcome)
+			}
+			<-requests
+			if descriptors.used() != 0 {
+				t.Errorf("%d connections held", descriptors.used())
+			}
+		})
 	}
 }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -4,7 +4,6 @@
 import (
 	"errors"
 	"sync"
-	"syscall"
 	"time"
 
 	"ryerill/internal/buffer"
@@ -17,6 +16,9 @@
 	// lost in a reset, and it might have been executed.
 	idleMargin = 500 * time.Millisecond
 
+	// maxDials is how often a connection is dialled for an attempt while this machine lacks something for it.
+	maxDials = 5
+
 	// minSweepInterval is the least time between two searches for connections that are idle too long.
 	minSweepInterval = 100 * time.Millisecond
 )
@@ -72,17 +74,11 @@
 	p.faults = faults
 }
 
-// recordFault records a call that failed. A deadline, an orderly end and an attempt that was cancelled are no faults.
-func (p *Pool) recordFault(call string, err error) {
-	var number syscall.Errno
-	if p == nil || !errors.As(err, &number) { // a connection of no pool
-		return
+// CallFailed implements [socket.Observer].
+func (p *Pool) CallFailed(call string, err error, verdict socket.Verdict) {
+	if p != nil { // else it is a connection of no pool
+		p.faults.Failed(p.name, call, err, faultlog.Consequence(verdict), "")
 	}
-	consequence := faultlog.PeerEnded
-	if socket.MayPass(err) {
-		consequence = faultlog.GivenUp
-	}
-	p.faults.Failed(p.name, call, err, consequence, "")
 }
 
 // SetTimeouts changes how long idle connections are kept and new ones waited for, from the next on.
@@ -119,9 +115,8 @@
 	timeout := p.connectTimeout
 	p.mu.Unlock()
 
-	opened, err := a.dial(p.dial, timeout)
+	opened, err := p.open(a, timeout)
 	if err != nil {
-		p.recordFault("connect", err)
 		p.connections.Give(1)
 		return nil, err
 	}
@@ -131,6 +126,18 @@
 	return c, nil
 }
 
+// open opens a connection for an attempt. Where this machine lacks something for it, it tries again a few times:
+// nothing was sent yet, and the endpoint is not to blame.
+func (p *Pool) open(a *Attempt, timeout time.Duration) (transport, error) {
+	retry := socket.Retry{Call: "connect", Observer: p}
+	for tries := 1; ; tries++ {
+		opened, err := a.dial(p.dial, timeout)
+		if err == nil || tries >= maxDials || !retry.Again(err) {
+			return opened, err
+		}
+	}
+}
+
 // takeIdleLocked takes the usable connection to a destination that was used last, or nil. Those that are not usable are
 // closed on the way.
 func (p *Pool) takeIdleLocked(to destination) *conn {
--- a/upstream/write.go
+++ b/upstream/write.go
@@ -31,8 +31,8 @@
 	buffers := net.Buffers{encodeHead(request, a.timeLeft())}
 	if request.Stream == nil {
 		buffers = request.Body.AppendTo(buffers)
-		if _, err := buffers.WriteTo(conn.transport); err != nil {
-			return p.brokenBy(err)
+		if err := conn.writeAll(buffers); err != nil {
+			return brokenBy(err)
 		}
 		return writtenWhole
 	}
@@ -45,8 +45,7 @@
 }
 
 // brokenBy is how the writing of a request ended that err broke off.
-func (p *Pool) brokenBy(err error) writeResult {
-	p.recordFault("write", err)
+func brokenBy(err error) writeResult {
 	if isOwnFault(err) {
 		return machineFailed
 	}
@@ -60,12 +59,12 @@
 	chunked := a.Request.Length == message.UnknownLength
 	for last := false; ; {
 		a.setDeadline(conn, time.Now().Add(progressTimeout))
-		_, err := buffers.WriteTo(conn.transport)
+		err := conn.writeAll(buffers)
 		switch {
 		case err != nil && conn.hasInput():
 			return answeredEarly
 		case err != nil:
-			return p.brokenBy(err)
+			return brokenBy(err)
 		case last:
 			return writtenWhole
 		case conn.hasInput():
@@ -86,6 +85,11 @@
 	}
 }
 
+// writeAll writes buffers whole, from the byte on at which a fault of this machine has stopped it, until the deadline.
+func (c *conn) writeAll(buffers net.Buffers) error {
+	return socket.Write(c.transport, buffers, socket.Retry{Call: "write", Observer: c.pool})
+}
+
 // hasInput reports whether the endpoint has sent something that has not been read.
 func (c *conn) hasInput() bool {
 	return c.reader.Buffered() > 0 || c.peek() == socket.Waiting
