Write responses on where the system does not tell that there is room again

Cause: a write of a response that got EAGAIN without the system's telling later that there is room waited for its whole time of 5 s, and its connection was closed. Change: it is tried again in growing steps from 50 ms.

--- a/downstream/accept.go
+++ b/downstream/accept.go
@@ -121,7 +121,7 @@
 // refuseUnread sheds a connection without reading its request, and closes it.
 func refuseUnread(nc *net.TCPConn) {
 	nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_ = socket.Write(nc, net.Buffers{refusal()}, socket.Retry{Call: "write"}) // a client that is gone needs none
+	_ = socket.Write(nc, &net.Buffers{refusal()}, &socket.Retry{Call: "write"}) // a client that is gone needs none
 	socket.CloseWrite(nc)
 	socket.Discard(nc, maxHeadBytes) // what lies there unread would have the answer reset
 	nc.Close()
--- a/downstream/conn.go
+++ b/downstream/conn.go
@@ -27,6 +27,10 @@
 	writeTimeout = 5 * time.Second  // a message is written in this time
 	watchMargin  = 30 * time.Second // a connection is watched this long beyond its request's time
 
+	// A write that waits for room is tried again after so long, the pause growing.
+	firstWriteStep = 50 * time.Millisecond
+	maxWriteStep   = time.Second
+
 	// What is received after a last response is read for this long: closing over unread bytes would reset it.
 	lingerPeriod = 500 * time.Millisecond
 	// An evicted connection lingers only this long: another one waits for its slot.
@@ -228,14 +232,22 @@
 
 // writeMessage writes a head and the body behind it. It reports whether all of it is written.
 func (c *conn) writeMessage(head []byte, body *buffer.Body) bool {
-	c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	buffers := body.AppendTo(net.Buffers{head})
-	return c.writeAll(buffers)
+	return c.writeAll(buffers, writeTimeout)
 }
 
-// writeAll writes buffers until the write deadline, and reports whether all of them are written.
-func (c *conn) writeAll(buffers net.Buffers) bool {
-	return socket.Write(c.nc, buffers, socket.Retry{Call: "write", Observer: c, Peer: c.nc}) == nil
+// writeAll writes buffers, and reports whether all of them are written in time. It tries again in steps, should the
+// system not tell that there is room again.
+func (c *conn) writeAll(buffers net.Buffers, timeout time.Duration) bool {
+	retry := socket.Retry{Call: "write", Observer: c, Peer: c.nc}
+	end := time.Now().Add(timeout)
+	for step := firstWriteStep; ; step = min(2*step, maxWriteStep) {
+		c.nc.SetWriteDeadline(earlier(end, time.Now().Add(step)))
+		err := socket.Write(c.nc, &buffers, &retry)
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(end) {
+			return err == nil
+		}
+	}
 }
 
 // beginLingerLocked closes the sending side, and sets how long what is still received is read. None of it is executed:
--- a/downstream/response.go
+++ b/downstream/response.go
@@ -148,8 +148,7 @@
 	if chunked {
 		body = framing.AppendChunk(nil, body)
 	}
-	c.nc.SetWriteDeadline(time.Now().Add(progressTimeout))
-	return c.writeAll(body)
+	return c.writeAll(body, progressTimeout)
 }
 
 // writeReadiness answers whether this proxy is ready. It is from its start on, with the endpoints known from before. It
--- a/internal/socket/fault.go
+++ b/internal/socket/fault.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net"
-	"os"
 	"slices"
 	"syscall"
 	"time"
@@ -62,7 +61,8 @@
 
 	began   time.Time // of the faults in a row
 	backoff Backoff
-	repeats int // since an error that a poll did not confirm
+	repeats int   // since an error that a poll did not confirm
+	lasting error // the last fault; nil after progress
 }
 
 // Again reports whether a call that failed with err is to be made again, after the pause that it has made then. The
@@ -79,6 +79,7 @@
 	if verdict != Retried {
 		return false
 	}
+	r.lasting = err
 	time.Sleep(r.backoff.Next())
 	return true
 }
@@ -103,33 +104,31 @@
 // progress records that the call has done part of its work.
 func (r *Retry) progress() {
 	r.began = time.Time{}
+	r.lasting = nil
 	r.backoff.Reset()
 }
 
 // Write writes buffers whole. A fault that passes does not end that: what is left is written from the very byte on at
-// which it stopped, until the connection's write deadline. Where it lasts so long it is the error, in place of the
-// deadline: the other side is not to blame.
-func Write(conn io.Writer, buffers net.Buffers, retry Retry) error {
-	var lasting error
+// which it stopped, until the connection's write deadline. What is written is taken from buffers.
+func Write(conn io.Writer, buffers *net.Buffers, retry *Retry) error {
 	for {
-		n, err := buffers.WriteTo(conn) // which takes from buffers what is written
+		n, err := buffers.WriteTo(conn)
 		if err == nil {
 			return nil
 		}
 		if n > 0 {
 			retry.progress()
-			lasting = nil
-		}
-		if lasting != nil && errors.Is(err, os.ErrDeadlineExceeded) {
-			return lasting
 		}
 		if !retry.Again(err) {
 			return err
 		}
-		lasting = err
 	}
 }
 
+// Lasting returns the fault that has kept the call from doing anything since its last progress, or nil. Where a deadline
+// ends the call then, the other side is not to blame.
+func (r *Retry) Lasting() error { return r.lasting }
+
 // Read reads once. A fault that passes does not end that: it reads again, until the connection's read deadline.
 func Read(conn io.Reader, p []byte, retry Retry) (int, error) {
 	for {
@@ -153,7 +152,8 @@
 
 // Write implements [io.Writer].
 func (s Steady) Write(p []byte) (int, error) {
-	if err := Write(s.Conn, net.Buffers{p}, Retry{Call: "write", Observer: s.Observer}); err != nil {
+	retry := Retry{Call: "write", Observer: s.Observer}
+	if err := Write(s.Conn, &net.Buffers{p}, &retry); err != nil {
 		return 0, err
 	}
 	return len(p), nil
--- a/upstream/write.go
+++ b/upstream/write.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"time"
 
 	"ryerill/internal/framing"
@@ -87,7 +88,12 @@
 
 // writeAll writes buffers whole, from the byte on at which a fault of this machine has stopped it, until the deadline.
 func (c *conn) writeAll(buffers net.Buffers) error {
-	return socket.Write(c.transport, buffers, socket.Retry{Call: "write", Observer: c.pool})
+	retry := socket.Retry{Call: "write", Observer: c.pool}
+	err := socket.Write(c.transport, &buffers, &retry)
+	if errors.Is(err, os.ErrDeadlineExceeded) && retry.Lasting() != nil {
+		return retry.Lasting() // no blame on the endpoint
+	}
+	return err
 }
 
 // hasInput reports whether the endpoint has sent something that has not been read.
