Soak real proxies of two tiers while calls fail, with accounts that must agree

Need: failing calls, signals in series, hold-ups, bad clients and endpoints have to be tried together, from seeds.

--- a/lab/cli/command.go
+++ b/lab/cli/command.go
@@ -79,6 +79,7 @@
 		rolloutReportCommand(stdout),
 		chaosCommand(stdout),
 		faultsCommand(stdout, stderr),
+		soakCommand(stdout),
 		reportCommand(stdout),
 		compareCommand(stdout),
 		scenarioCommand(stdout),
--- /dev/null
+++ b/lab/cli/soak.go
@@ -0,0 +1,110 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ryerill/lab/soak"
+)
+
+// soakOptions are the flags of the command soak.
+type soakOptions struct {
+	proxy  string
+	report string
+	first  uint64
+	seeds  int
+	length time.Duration
+}
+
+func soakCommand(stdout io.Writer) *cobra.Command {
+	var options soakOptions
+	c := &cobra.Command{
+		Use:   "soak",
+		Short: "Run real proxies of two tiers while calls of the system fail, from seeds",
+		Long: "Run real proxies of two tiers while calls of the system fail, signals arrive in series and clients and " +
+			"endpoints\nmisbehave, all drawn from seeds. Exit status 1 if accounts don't agree.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return runSoak(cmd.Context(), options, stdout) },
+	}
+	flags := c.Flags()
+	flags.StringVar(&options.proxy, "proxy", filepath.Join("bin", "proxy"), "the program")
+	flags.StringVar(&options.report, "report", filepath.Join(resultsDir, "soak"), "folder for the report and the files of runs")
+	flags.Uint64Var(&options.first, "seed", 1, "of the first run")
+	flags.IntVar(&options.seeds, "seeds", 50, "runs, each with a seed of its own")
+	flags.DurationVar(&options.length, "length", 10*time.Second, "of the load of one run")
+	return c
+}
+
+// runSoak plays the runs and reports them, also those so far if it is interrupted.
+func runSoak(ctx context.Context, options soakOptions, stdout io.Writer) error {
+	laboratory, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(options.report, resultDirMode); err != nil {
+		return err
+	}
+	var results []*soak.Result
+	breaks := 0
+	var failed error
+	for seed := options.first; seed < options.first+uint64(options.seeds) && ctx.Err() == nil; seed++ {
+		schedule := soak.Draw(seed, options.length)
+		directory := filepath.Join(options.report, fmt.Sprint("seed-", seed))
+		result, err := soak.Play(ctx, schedule, soak.Options{
+			Proxy: options.proxy, Laboratory: laboratory, Directory: directory,
+		})
+		if err != nil {
+			failed = errors.Join(failed, fmt.Errorf("seed %d: %w", seed, err))
+			fmt.Fprintf(stdout, "seed %d: not played: %v\n", seed, err)
+			continue
+		}
+		results = append(results, result)
+		breaks += len(result.Breaks)
+		printSoak(stdout, schedule, result)
+	}
+	if err := writeSoak(options.report, results); err != nil {
+		return err
+	}
+	fmt.Fprintf(stdout, "%d runs, %d breaks\n", len(results), breaks)
+	if breaks > 0 {
+		failed = errors.Join(failed, fmt.Errorf("%d breaks", breaks))
+	}
+	if failed != nil {
+		return shortError{failed}
+	}
+	return ctx.Err()
+}
+
+// printSoak prints what a run came to, with the schedule if accounts don't agree.
+func printSoak(stdout io.Writer, schedule *soak.Schedule, result *soak.Result) {
+	fmt.Fprintf(stdout, "seed %d: %d requests, statuses %v, excused %v, %d calls disturbed, %d breaks\n",
+		result.Seed, result.Requests, result.Statuses, result.Excuses, result.Injected, len(result.Breaks))
+	for i, b := range result.Breaks {
+		if i == 0 {
+			for _, event := range schedule.Events() {
+				fmt.Fprintln(stdout, "  ", event)
+			}
+		}
+		fmt.Fprintln(stdout, " ", b.Rule)
+		for _, line := range b.Timeline {
+			fmt.Fprintln(stdout, "    ", line)
+		}
+	}
+}
+
+// writeSoak writes the results as a file.
+func writeSoak(directory string, results []*soak.Result) error {
+	text, err := json.MarshalIndent(results, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(directory, "soak.json"), text, resultFileMode)
+}
--- /dev/null
+++ b/lab/soak/proxy.go
@@ -0,0 +1,265 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"ryerill/config"
+	"ryerill/lab/syscallfault"
+)
+
+// The classes of requests.
+const (
+	readClass   = "read" // safe to repeat
+	keyedClass  = "pay"  // with an idempotency key, which all endpoints know
+	unsafeClass = "burn" // never to be executed twice
+)
+
+const (
+	startTimeout  = 10 * time.Second // from a process's start until it serves
+	logBytes      = 64 << 10         // of a log that are kept, its last ones
+	proxySockets  = 200
+	signalSpacing = 120 * time.Millisecond // between the signals of a series
+	privateMode   = 0o600
+)
+
+var errNotServing = errors.New("a proxy has not begun to serve in time")
+
+// life is when a process was told to end, was killed, and had ended. Zero is not yet, or never.
+type life struct{ terminated, killed, ended time.Time }
+
+// proxy is one proxy with its processes, one after another, each run by the tool that makes calls fail.
+type proxy struct {
+	index     int
+	program   string // the proxy
+	tool      string // proxy-lab
+	directory string // for its files
+	address   string
+	plan      *syscallfault.Plan
+	discovery string
+
+	mu      sync.Mutex
+	command *exec.Cmd // the running process; nil is none
+	serving chan struct{}
+	ended   chan struct{}
+	log     []byte
+	lives   []life // of its processes, the running one last
+	crashed error  // a process has ended by itself
+}
+
+func newProxy(index int, options Options, schedule *Schedule, directory, discoveryAddress string) (*proxy, error) {
+	address, err := freeAddress(index, schedule.Seed)
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{
+		index:     index,
+		program:   options.Proxy,
+		tool:      options.Laboratory,
+		directory: filepath.Join(directory, fmt.Sprint("proxy", index)),
+		address:   address,
+		plan:      &schedule.Plans[index],
+		discovery: discoveryAddress,
+	}
+	if err := os.MkdirAll(p.directory, 0o700); err != nil {
+		return nil, err
+	}
+	return p, p.writeFiles()
+}
+
+// writeFiles writes the configuration and the fault plan.
+func (p *proxy) writeFiles() error {
+	file := config.File{
+		Name:      fmt.Sprint("p", p.index),
+		Machine:   config.MachineFile{Sockets: proxySockets, MemoryMB: 64},
+		Listeners: []config.ListenerFile{{Name: "main", Address: p.address}},
+		Routes:    []config.RouteFile{{Name: "all", Pool: "main"}},
+		Pools: []config.PoolFile{{
+			Name: "main", Zone: "a", Discovery: p.discovery,
+			Limits: config.LimitsFile{ConnectTimeout: time.Second},
+			Classes: []config.ClassFile{
+				{Name: readClass, Effect: "safe", Deadline: longestDeadline},
+				{Name: keyedClass, Effect: "keyed", Group: "all", IdempotencyWindow: 10 * time.Second,
+					Deadline: longestDeadline},
+				{Name: unsafeClass, Effect: "unsafe", Deadline: longestDeadline},
+			},
+		}},
+	}
+	text, err := yaml.Marshal(&file)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(p.directory, "config.yaml"), text, privateMode); err != nil {
+		return err
+	}
+	rules, err := yaml.Marshal(p.plan)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(p.directory, "faults.yaml"), rules, privateMode)
+}
+
+// start starts a process and waits until it serves.
+func (p *proxy) start(ctx context.Context) error {
+	command := exec.Command(p.tool, "faults", "--plan", filepath.Join(p.directory, "faults.yaml"),
+		"--record", p.recordFile(), "--discovery", p.discovery, "--", p.program, "serve")
+	command.Env = append(os.Environ(), "ROUTER_CONFIG="+filepath.Join(p.directory, "config.yaml"),
+		"ROUTER_NAME=", "ROUTER_LISTEN=", "ROUTER_DISCOVERY=", "ROUTER_MGMT=", "TMPDIR="+p.directory)
+	stderr, err := command.StderrPipe()
+	if err != nil {
+		return err
+	}
+	if err := command.Start(); err != nil {
+		return err
+	}
+	serving := make(chan struct{})
+	ended := make(chan struct{})
+	p.mu.Lock()
+	p.command = command
+	p.serving = serving
+	p.ended = ended
+	p.lives = append(p.lives, life{})
+	p.mu.Unlock()
+	go func() { // ends with the process, for which kill waits
+		defer close(ended)
+		isServing := false
+		for lines := bufio.NewScanner(stderr); lines.Scan(); {
+			if !isServing && bytes.Contains(lines.Bytes(), []byte("msg=serving")) {
+				isServing = true
+				close(serving)
+			}
+			p.keepLog(lines.Bytes())
+		}
+		p.recordEnd(command.Wait())
+	}()
+	select {
+	case <-serving:
+		return nil
+	case <-ended:
+		return fmt.Errorf("proxy %d: %w: it ended", p.index, errNotServing)
+	case <-time.After(startTimeout):
+		return fmt.Errorf("proxy %d: %w", p.index, errNotServing)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (p *proxy) recordFile() string { return filepath.Join(p.directory, "faults.jsonl") }
+
+func (p *proxy) keepLog(line []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.log = append(append(p.log, line...), '\n')
+	if len(p.log) > logBytes {
+		p.log = bytes.Clone(p.log[len(p.log)-logBytes/2:])
+	}
+}
+
+// recordEnd records that a process has ended, which nobody wants but by a signal of the schedule.
+func (p *proxy) recordEnd(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lives[len(p.lives)-1] == (life{}) {
+		p.crashed = fmt.Errorf("proxy %d ended by itself: %w", p.index, errors.Join(err, errNotServing))
+	}
+}
+
+// signal sends a signal to the running process, through the tool, which passes it on.
+func (p *proxy) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	running := &p.lives[len(p.lives)-1]
+	switch {
+	case s == syscall.SIGTERM && running.terminated.IsZero():
+		running.terminated = time.Now()
+	case s == syscall.SIGKILL && running.killed.IsZero():
+		running.killed = time.Now()
+	}
+	_ = p.command.Process.Signal(s) // one that has ended needs none
+}
+
+// kill ends the running process, which ends with the tool, and waits for it.
+func (p *proxy) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lives[len(p.lives)-1].ended = time.Now()
+}
+
+// play carries out one event of the schedule.
+func (p *proxy) play(ctx context.Context, kind SignalKind) error {
+	switch kind {
+	case Reload:
+		p.signal(syscall.SIGHUP)
+		return nil
+	case ReloadInSeries:
+		for range 3 {
+			p.signal(syscall.SIGHUP)
+			time.Sleep(signalSpacing)
+		}
+		return nil
+	case Kill:
+		p.kill()
+		go func() { // during the start
+			time.Sleep(2 * signalSpacing)
+			p.signal(syscall.SIGHUP)
+		}()
+		return p.start(ctx)
+	}
+	began := time.Now()
+	p.signal(syscall.SIGTERM)
+	time.Sleep(signalSpacing)
+	switch kind {
+	case RestartTwice:
+		p.signal(syscall.SIGTERM)
+	case RestartReload:
+		p.signal(syscall.SIGHUP)
+	}
+	select { // it may end earlier by itself
+	case <-p.ended:
+	case <-time.After(time.Until(began.Add(longestDeadline + killGrace))):
+	}
+	p.kill()
+	return p.start(ctx)
+}
+
+// lifeAt returns the life of the process that was there at a time, or of the next one.
+func (p *proxy) lifeAt(t time.Time) life {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.lives {
+		if l.ended.IsZero() || l.ended.After(t) {
+			return l
+		}
+	}
+	return life{}
+}
+
+// freeAddress finds an address that stays free over restarts: below the ports that the system gives out.
+func freeAddress(index int, seed uint64) (string, error) {
+	const (
+		minPort  = 11_000
+		maxPort  = 19_000
+		attempts = 200
+	)
+	for attempt := range uint64(attempts) {
+		port := minPort + (seed*31+uint64(index)*101+attempt*7+uint64(os.Getpid()))%(maxPort-minPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if isFree(address) {
+			return address, nil
+		}
+	}
+	return "", errors.New("no free port")
+}
--- /dev/null
+++ b/lab/soak/run.go
@@ -0,0 +1,262 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"ryerill/lab/syscallfault"
+)
+
+const (
+	outageLength = 1500 * time.Millisecond
+	quietTime    = 1500 * time.Millisecond // after which a proxy holds no descriptors of requests any more
+	maxKept      = 70                      // descriptors that a quiet proxy holds at most: reserves, and idle connections
+)
+
+// Options are what a run needs.
+type Options struct {
+	Proxy      string // the program
+	Laboratory string // the program that makes its calls fail
+	Directory  string // for files of the run, which stay
+}
+
+// run is one run.
+type run struct {
+	schedule  *Schedule
+	account   *account
+	endpoints []*endpoint
+	directory []*directory // by tier
+	proxies   []*proxy     // front proxies first
+	began     time.Time
+}
+
+// Play plays a schedule and compares the accounts. An error means that the run could not be played.
+func Play(ctx context.Context, schedule *Schedule, options Options) (*Result, error) {
+	r := &run{schedule: schedule, account: newAccount()}
+	defer r.close()
+	if err := r.build(options); err != nil {
+		return nil, err
+	}
+	r.began = time.Now()
+	if err := r.startProxies(ctx); err != nil {
+		return nil, r.withLogs(err)
+	}
+	if err := r.load(ctx); err != nil {
+		return nil, r.withLogs(err)
+	}
+	result := r.account.settle(r.began)
+	result.Seed = schedule.Seed
+	result.Breaks = append(result.Breaks, r.keptDescriptors()...)
+	for _, p := range r.proxies {
+		p.kill()
+		if p.crashed != nil {
+			result.Breaks = append(result.Breaks, Break{Rule: p.crashed.Error(), Timeline: []string{string(p.log)}})
+		}
+		injected, err := readInjections(p)
+		if err != nil {
+			return nil, err
+		}
+		result.Injected += len(injected)
+		r.addInjections(&result, p, injected)
+	}
+	return &result, nil
+}
+
+// build makes the stand-ins and the proxies' files.
+func (r *run) build(options Options) error {
+	var addresses []string
+	for i := range endpoints {
+		e, err := startEndpoint(i, r.schedule, r.account)
+		if err != nil {
+			return err
+		}
+		r.endpoints = append(r.endpoints, e)
+		addresses = append(addresses, e.address)
+	}
+	back, err := r.buildTier(addresses, options, frontProxies, frontProxies+backProxies)
+	if err != nil {
+		return err
+	}
+	_, err = r.buildTier(back, options, 0, frontProxies)
+	return err
+}
+
+// buildTier makes a tier of proxies with its discovery service, and returns their addresses.
+func (r *run) buildTier(upstream []string, options Options, from, to int) (addresses []string, err error) {
+	d, err := startDirectory(upstream, r.schedule.Silent)
+	if err != nil {
+		return nil, err
+	}
+	r.directory = append(r.directory, d)
+	for index := from; index < to; index++ {
+		p, err := newProxy(index, options, r.schedule, options.Directory, d.address)
+		if err != nil {
+			return nil, err
+		}
+		r.proxies = append(r.proxies, p)
+		addresses = append(addresses, p.address)
+	}
+	return addresses, nil
+}
+
+// startProxies starts all proxies at once.
+func (r *run) startProxies(ctx context.Context) error {
+	failures := make(chan error, len(r.proxies))
+	for _, p := range r.proxies {
+		go func() { failures <- p.start(ctx) }()
+	}
+	var all error
+	for range r.proxies {
+		all = errors.Join(all, <-failures)
+	}
+	return all
+}
+
+// load has clients ask the front proxies while the schedule is played.
+func (r *run) load(ctx context.Context) error {
+	playing, stop := context.WithTimeout(ctx, r.schedule.Length)
+	defer stop()
+	var working sync.WaitGroup
+	for _, p := range r.proxies {
+		if p.index >= frontProxies {
+			continue
+		}
+		crowded := r.schedule.Crowd && p.index == 0
+		if crowded {
+			working.Go(func() { crowd(playing, p.address) })
+		}
+		for range clientsOfProxy {
+			working.Go(func() {
+				c := &client{proxy: p, account: r.account, crowded: crowded, seed: r.schedule.Seed}
+				c.run(playing)
+			})
+		}
+	}
+	failures := make(chan error, len(r.schedule.Signals))
+	for _, signal := range r.schedule.Signals {
+		working.Go(func() {
+			time.Sleep(time.Until(r.began.Add(signal.At)))
+			failures <- r.proxyOf(signal.Proxy).play(ctx, signal.Kind)
+		})
+	}
+	if r.schedule.Outage > 0 {
+		working.Go(r.playOutage)
+	}
+	working.Wait()
+	var all error
+	for range r.schedule.Signals {
+		all = errors.Join(all, <-failures)
+	}
+	return all
+}
+
+// proxyOf returns a proxy by its index.
+func (r *run) proxyOf(index int) *proxy {
+	for _, p := range r.proxies {
+		if p.index == index {
+			return p
+		}
+	}
+	return nil
+}
+
+// playOutage takes discovery down for a while.
+func (r *run) playOutage() {
+	time.Sleep(time.Until(r.began.Add(r.schedule.Outage)))
+	for _, d := range r.directory {
+		d.down.Store(true)
+	}
+	time.Sleep(outageLength)
+	for _, d := range r.directory {
+		d.down.Store(false)
+	}
+}
+
+// keptDescriptors returns a break for each proxy that holds more descriptors than it should when all is quiet.
+func (r *run) keptDescriptors() (breaks []Break) {
+	time.Sleep(quietTime)
+	for _, p := range r.proxies {
+		open, err := p.openDescriptors()
+		if err == nil && open > maxKept {
+			breaks = append(breaks, Break{
+				Rule:     fmt.Sprintf("proxy %d holds %d descriptors when all is quiet", p.index, open),
+				Timeline: []string{string(p.log)},
+			})
+		}
+	}
+	return breaks
+}
+
+func (r *run) close() {
+	for _, p := range r.proxies {
+		if p.command != nil {
+			p.kill()
+		}
+	}
+	for _, d := range r.directory {
+		d.close()
+	}
+	for _, e := range r.endpoints {
+		e.close()
+	}
+}
+
+// withLogs adds the proxies' logs to an error.
+func (r *run) withLogs(err error) error {
+	var text strings.Builder
+	for _, p := range r.proxies {
+		p.mu.Lock()
+		fmt.Fprintf(&text, "\nproxy %d:\n%s", p.index, p.log)
+		p.mu.Unlock()
+	}
+	return fmt.Errorf("%w%s", err, text.String())
+}
+
+// readInjections reads what was injected at a proxy.
+func readInjections(p *proxy) ([]syscallfault.Injection, error) {
+	file, err := os.Open(p.recordFile())
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return syscallfault.ReadInjections(file)
+}
+
+// addInjections adds to the timelines of breaks what was injected at a proxy meanwhile.
+func (r *run) addInjections(result *Result, p *proxy, injected []syscallfault.Injection) {
+	for i := range result.Breaks {
+		b := &result.Breaks[i]
+		if b.until.IsZero() {
+			continue
+		}
+		for _, injection := range injected {
+			if injection.Time.Before(b.from) || injection.Time.After(b.until) {
+				continue
+			}
+			b.Timeline = append(b.Timeline, fmt.Sprintf("%8.3f proxy %d: %s of %s %d: %s %s",
+				injection.Time.Sub(r.began).Seconds(), p.index, injection.Call, injection.Kind, injection.Descriptor,
+				injection.Error, injection.Delay))
+		}
+	}
+}
+
+// openDescriptors returns how many descriptors the running process holds.
+func (p *proxy) openDescriptors() (int, error) {
+	children, err := os.ReadFile(fmt.Sprintf("/proc/%d/task/%d/children", p.command.Process.Pid, p.command.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	for child := range strings.FieldsSeq(string(children)) {
+		entries, err := os.ReadDir(filepath.Join("/proc", child, "fd"))
+		if err == nil {
+			return len(entries), nil
+		}
+	}
+	return 0, os.ErrNotExist
+}
--- a/lab/syscallfault/tracer_linux_amd64.go
+++ b/lab/syscallfault/tracer_linux_amd64.go
@@ -68,14 +68,14 @@
 		threads:     make(map[int]*thread),
 	}
 	command.SysProcAttr = &syscall.SysProcAttr{Ptrace: true}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, forwarded...)
+	defer signal.Stop(signals)
 	if err := command.Start(); err != nil {
 		return 0, fmt.Errorf("start the program traced: %w", err)
 	}
 	t.started = time.Now()
 	t.process = command.Process.Pid
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, forwarded...)
-	defer signal.Stop(signals)
 	go func() {
 		for s := range signals { // ends with this process
 			_ = command.Process.Signal(s) // a program that has ended needs none
