--- a/internal/socket/fault.go
+++ b/internal/socket/fault.go
@@ -125,8 +125,8 @@
 	}
 }
 
-// Lasting returns the fault that has kept the call from doing anything since its last progress, or nil. Where a deadline
-// ends the call then, the other side is not to blame.
+// Lasting returns the fault that has kept the call from doing anything since its last progress, or nil. Where a
+// deadline ends the call then, the other side is not to blame.
 func (r *Retry) Lasting() error { return r.lasting }
 
 // Read reads once. A fault that passes does not end that: it reads again, until the connection's read deadline.
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -16,7 +18,8 @@
 const (
 	outageLength = 1500 * time.Millisecond
 	quietTime    = 1500 * time.Millisecond // after which a proxy holds no descriptors of requests any more
-	maxKept      = 70                      // descriptors that a quiet proxy holds at most: reserves, and idle connections
+	recoveryTime = 10 * time.Second
+	maxKept      = 70 // descriptors that a quiet proxy holds at most: reserves, idle connections
 )
 
 // Options are what a run needs.
@@ -38,6 +41,9 @@
 
 // Play plays a schedule and compares the accounts. An error means that the run could not be played.
 func Play(ctx context.Context, schedule *Schedule, options Options) (*Result, error) {
+	if err := os.RemoveAll(options.Directory); err != nil { // of an earlier run
+		return nil, err
+	}
 	r := &run{schedule: schedule, account: newAccount()}
 	defer r.close()
 	if err := r.build(options); err != nil {
@@ -53,6 +59,7 @@
 	result := r.account.settle(r.began)
 	result.Seed = schedule.Seed
 	result.Breaks = append(result.Breaks, r.keptDescriptors()...)
+	result.Breaks = append(result.Breaks, r.silentProxies()...)
 	for _, p := range r.proxies {
 		p.kill()
 		if p.crashed != nil {
@@ -193,6 +200,37 @@
 	return breaks
 }
 
+// silentProxies returns a break for each front proxy that serves nothing any more once all trouble is over.
+func (r *run) silentProxies() (breaks []Break) {
+	for _, p := range r.proxies {
+		if p.index < frontProxies && !p.serves(time.Now().Add(recoveryTime)) {
+			breaks = append(breaks, Break{
+				Rule:     fmt.Sprintf("proxy %d serves nothing once all is quiet", p.index),
+				Timeline: []string{string(p.log)},
+			})
+		}
+	}
+	return breaks
+}
+
+// serves reports whether the proxy serves a request until a deadline.
+func (p *proxy) serves(deadline time.Time) bool {
+	for time.Now().Before(deadline) {
+		c := &client{proxy: p, account: newAccount(), seed: math.MaxUint32}
+		if c.connect() {
+			c.ask()
+			c.disconnect()
+		}
+		for _, r := range c.account.requests {
+			if r.status == http.StatusOK {
+				return true
+			}
+		}
+		time.Sleep(quietTime / 10)
+	}
+	return false
+}
+
 func (r *run) close() {
 	for _, p := range r.proxies {
 		if p.command != nil {
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -158,7 +158,8 @@
 // Events describes the schedule, an event a line.
 func (s *Schedule) Events() (lines []string) {
 	for _, signal := range s.Signals {
-		lines = append(lines, fmt.Sprintf("%v proxy %d: %s", signal.At.Round(time.Millisecond), signal.Proxy, signal.Kind))
+		at := signal.At.Round(time.Millisecond)
+		lines = append(lines, fmt.Sprintf("%v proxy %d: %s", at, signal.Proxy, signal.Kind))
 	}
 	for proxy, plan := range s.Plans {
 		for _, rule := range plan.Rules {
