Make connections that are not registered at once beside others, and answer those that can't be

Change: such connections are tried beside others, 64 at most; the answer is sent without waiting and without fcntl. The soak draws failing calls by chance and not at intervals, which hit every attempt for ever.

--- a/cmd/proxy/systemfaults_test.go
+++ b/cmd/proxy/systemfaults_test.go
@@ -38,6 +38,7 @@
 	{"reads from clients, no buffers", "{call: read, descriptor: client, error: ENOBUFS, every: 3}", false},
 	{"reads from clients, I/O error", "{call: read, descriptor: client, error: EIO, every: 4}", false},
 	{"registration of accepted connections", "{call: epoll_ctl, descriptor: client, error: ENOMEM, every: 2}", false},
+	{"duplicating accepted connections", "{call: fcntl, descriptor: client, error: EMFILE, every: 3, most: 90}", false},
 	{"registration, no room", "{call: epoll_ctl, descriptor: client, error: ENOSPC, every: 3}", false},
 	{"reads from clients, interrupted", "{call: read, descriptor: client, error: EINTR, every: 2}", false},
 	{"reads from clients, not ready", "{call: read, descriptor: client, error: EAGAIN, every: 6}", false},
--- a/downstream/accept.go
+++ b/downstream/accept.go
@@ -36,11 +36,7 @@
 			continue
 		}
 		backoff.Reset()
-		nc := s.connOf(descriptor, time.Now().Add(newConnectionGrace))
-		if nc != nil {
-			shed := lastDescriptor && !s.descriptors.Fill() // others may have been closed since
-			s.addConn(nc, shed)
-		}
+		s.admit(descriptor, lastDescriptor, time.Now().Add(newConnectionGrace))
 	}
 }
 
@@ -60,10 +56,8 @@
 			time.Sleep(backoff.Next())
 			continue
 		}
-		if nc := s.connOf(descriptor, end); nc != nil {
-			backoff.Reset()
-			s.addConn(nc, false)
-		}
+		backoff.Reset()
+		s.admit(descriptor, false, end)
 	}
 }
 
@@ -71,22 +65,48 @@
 	s.faults.Failed(s.name, call, err, consequence, "")
 }
 
-// connOf makes a connection of a descriptor that was accepted. It needs a second descriptor for a moment, and the
-// system has to register it for waiting: it tries until the deadline, as the client has connected. If that can't be it
-// answers the client unread and returns nil.
-func (s *Server) connOf(descriptor int, deadline time.Time) *net.TCPConn {
+// admit makes a connection of a descriptor that was accepted, and starts it. That takes a second descriptor for a
+// moment, and the system has to register it for waiting. Where it fails now it is tried again beside other connections,
+// until the deadline: the client has connected. lastDescriptor is whether the process had no other.
+func (s *Server) admit(descriptor int, lastDescriptor bool, deadline time.Time) {
 	file := os.NewFile(uintptr(descriptor), "client")
-	defer file.Close()
+	nc, err := s.fileConn(file)
+	if err == nil {
+		s.start(file, nc, lastDescriptor)
+		return
+	}
+	s.acceptFailed("register", err, faultlog.Retried)
+	if !s.beginAdmission() {
+		s.admitLate(file, lastDescriptor, deadline)
+		return
+	}
+	go func() {
+		defer s.endAdmission()
+		s.admitLate(file, lastDescriptor, deadline)
+	}()
+}
+
+// start starts a connection, in place of the file that it was made of.
+func (s *Server) start(file *os.File, nc net.Conn, lastDescriptor bool) {
+	file.Close()
+	shed := lastDescriptor && !s.descriptors.Fill() // others may have been closed since
+	s.addConn(nc.(*net.TCPConn), shed)
+}
+
+// admitLate tries to make a connection of a file until the deadline, and then answers the client unread.
+func (s *Server) admitLate(file *os.File, lastDescriptor bool, deadline time.Time) {
 	var backoff socket.Backoff
 	for {
 		nc, err := s.fileConn(file)
 		if err == nil {
-			return nc.(*net.TCPConn)
+			s.start(file, nc, lastDescriptor)
+			return
 		}
 		if time.Now().After(deadline) {
 			s.acceptFailed("register", err, faultlog.GivenUp)
-			refuseDescriptor(descriptor)
-			return nil
+			s.faults.Ended(string(endUnread))
+			refuseFile(file)
+			return
 		}
 		s.acceptFailed("register", err, faultlog.Retried)
 		if !socket.OutOfDescriptors(err) || !s.freeDescriptor() {
@@ -95,27 +115,38 @@
 	}
 }
 
+// beginAdmission reports whether one more connection may be made beside others.
+func (s *Server) beginAdmission() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lateAdmissions >= maxLateAdmissions {
+		return false
+	}
+	s.lateAdmissions++
+	return true
+}
+
+func (s *Server) endAdmission() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateAdmissions--
+	s.connEnded.Broadcast()
+}
+
 // refusal is the answer to a connection for which there is no room.
 func refusal() []byte {
 	head := responseHead{status: http.StatusServiceUnavailable, retryAfter: overloadRetryAfter, closes: true}
 	return head.encode()
 }
 
-// refuseDescriptor sheds a connection that is not registered for waiting. Nothing was written to it before, so that the
-// answer fits into its buffer. What waits there unread would have the answer reset. The caller closes it.
-func refuseDescriptor(descriptor int) {
-	if unix.SetNonblock(descriptor, true) != nil {
-		return // its client sees an end
-	}
-	_, _ = unix.Write(descriptor, refusal()) // a client that is gone needs none
+// refuseFile sheds a connection that is not registered for waiting, and closes it. Nothing was written to it before, so
+// that the answer fits into its buffer. What waits there unread would have the answer reset.
+func refuseFile(file *os.File) {
+	defer file.Close()
+	descriptor := int(file.Fd())
+	_ = socket.Send(descriptor, refusal()) // a client that is gone needs none
 	_ = unix.Shutdown(descriptor, unix.SHUT_WR)
-	var block [4 << 10]byte
-	for unread := maxHeadBytes; unread > 0; unread -= len(block) {
-		n, _, err := unix.Recvfrom(descriptor, block[:], unix.MSG_DONTWAIT)
-		if err != nil || n == 0 {
-			return
-		}
-	}
+	socket.DiscardFrom(descriptor, maxHeadBytes)
 }
 
 // refuseUnread sheds a connection without reading its request, and closes it.
--- a/downstream/faults_test.go
+++ b/downstream/faults_test.go
@@ -163,9 +163,10 @@
 			service := newHolding(time.Second)
 			service.plan = func(time.Duration) drain.Plan { return drain.Plan{CloseIdle: time.Millisecond} }
 			listener.breakFor(0, nil, true)
-			failures := 5
+			var failures atomic.Int64
+			failures.Store(5)
 			s.fileConn = func(file *os.File) (net.Conn, error) {
-				if failures--; failures >= 0 {
+				if failures.Add(-1) >= 0 {
 					return nil, os.NewSyscallError("fcntl", fault)
 				}
 				return net.FileConn(file)
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -19,6 +19,8 @@
 	reservedConnections = 8
 	// Descriptors kept aside for when the process has no others.
 	reservedDescriptors = 2
+	// Accepted connections that are made beside others, as the system does not register them at once.
+	maxLateAdmissions = 64
 
 	// While all connections end, a new one may still bring a request for so long.
 	newConnectionGrace = 500 * time.Millisecond
@@ -41,6 +43,7 @@
 	maxConnections int
 	connEnded      *sync.Cond // a connection has ended, or goes on after all
 	conns          map[*conn]struct{}
+	lateAdmissions int              // accepted connections that the system does not register at once
 	evicted        int              // connections that have been evicted and not ended yet
 	openIDs        map[string]*conn // by Req-Id: connections whose request is open
 
@@ -132,7 +135,7 @@
 	if s.expireTimer != nil {
 		defer s.expireTimer.Stop()
 	}
-	for len(s.conns) > 0 {
+	for len(s.conns)+s.lateAdmissions > 0 {
 		s.connEnded.Wait()
 	}
 }
--- a/downstream/server_test.go
+++ b/downstream/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"slices"
 	"testing"
@@ -262,5 +263,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.connOf(descriptor, time.Now().Add(longWait)), nil
+	file := os.NewFile(uintptr(descriptor), "client")
+	defer file.Close()
+	nc, err := net.FileConn(file)
+	if err != nil {
+		return nil, err
+	}
+	return nc.(*net.TCPConn), nil
 }
--- a/internal/socket/peek.go
+++ b/internal/socket/peek.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"io"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -86,13 +87,28 @@
 	if err != nil {
 		return
 	}
-	_ = raw.Control(func(fd uintptr) { // a connection that is closed has nothing to discard
-		var block [4 << 10]byte
-		for n := 1; n > 0 && maxBytes > 0; maxBytes -= n {
-			_ = repeat(func() (err error) { // an error is the end of what can be discarded
-				n, _, err = syscall.Recvfrom(int(fd), block[:], syscall.MSG_DONTWAIT)
-				return err
-			})
+	// A connection that is closed has nothing to discard.
+	_ = raw.Control(func(fd uintptr) { DiscardFrom(int(fd), maxBytes) })
+}
+
+// DiscardFrom is Discard on a descriptor.
+func DiscardFrom(descriptor, maxBytes int) {
+	var block [4 << 10]byte
+	for n := 1; n > 0 && maxBytes > 0; maxBytes -= n {
+		_ = repeat(func() (err error) { // an error is the end of what can be discarded
+			n, _, err = syscall.Recvfrom(descriptor, block[:], syscall.MSG_DONTWAIT)
+			return err
+		})
+	}
+}
+
+// Send sends a message on a descriptor without waiting. One that has been sent in part is an error.
+func Send(descriptor int, message []byte) error {
+	return repeat(func() error {
+		n, err := unix.SendmsgN(descriptor, message, nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
+		if err == nil && n < len(message) {
+			err = io.ErrShortWrite
 		}
+		return err
 	})
 }
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -117,8 +117,9 @@
 	return schedule
 }
 
-// drawPlan draws calls that fail now and then, for the whole life of each process. A share of all stays sound, and some
-// are cut short or late.
+// drawPlan draws calls that fail now and then, for the whole life of each process, and some that are cut short or late.
+// What fails is drawn by chance and not at intervals: one call in three is every attempt at what takes three such
+// calls, and a fault that never passes leaves nothing to be served.
 func drawPlan(random *rand.Rand, seed uint64) syscallfault.Plan {
 	const kinds = 5
 	plan := syscallfault.Plan{Seed: seed}
@@ -128,7 +129,7 @@
 			Call:       chosen.call,
 			Descriptor: chosen.kind,
 			Error:      chosen.errors[random.IntN(len(chosen.errors))],
-			Every:      2 + random.IntN(12),
+			Share:      1 / float64(2+random.IntN(12)),
 			Skip:       random.IntN(20),
 		})
 	}
@@ -163,8 +164,8 @@
 	}
 	for proxy, plan := range s.Plans {
 		for _, rule := range plan.Rules {
-			lines = append(lines, fmt.Sprintf("proxy %d: %s of %s: %s, %d bytes, late by %v, one in %d",
-				proxy, rule.Call, rule.Descriptor, rule.Error, rule.Bytes, rule.Delay, rule.Every))
+			lines = append(lines, fmt.Sprintf("proxy %d: %s of %s: %s, %d bytes, late by %v, one in %d, share %.2f",
+				proxy, rule.Call, rule.Descriptor, rule.Error, rule.Bytes, rule.Delay, rule.Every, rule.Share))
 		}
 	}
 	if s.Crowd {
