Let write steps follow progress, and bound them at 0.1 s

Change: the first pause again after progress, 0.1 s at most. The soak's accounts time the head of a response, excuse a response whose source was killed, and its crowd comes no faster than a traced proxy accepts.

--- a/downstream/conn.go
+++ b/downstream/conn.go
@@ -27,9 +27,9 @@
 	writeTimeout = 5 * time.Second  // a message is written in this time
 	watchMargin  = 30 * time.Second // a connection is watched this long beyond its request's time
 
-	// A write that waits for room is tried again after so long, the pause growing.
-	firstWriteStep = 50 * time.Millisecond
-	maxWriteStep   = time.Second
+	// A write that waits for room is tried again after so long, the pause growing while it does not get on.
+	firstWriteStep = 20 * time.Millisecond
+	maxWriteStep   = 100 * time.Millisecond
 
 	// What is received after a last response is read for this long: closing over unread bytes would reset it.
 	lingerPeriod = 500 * time.Millisecond
@@ -241,13 +241,28 @@
 func (c *conn) writeAll(buffers net.Buffers, timeout time.Duration) bool {
 	retry := socket.Retry{Call: "write", Observer: c, Peer: c.nc}
 	end := time.Now().Add(timeout)
-	for step := firstWriteStep; ; step = min(2*step, maxWriteStep) {
+	left := -1 // bytes, at the last step
+	for step := firstWriteStep; ; {
 		c.nc.SetWriteDeadline(earlier(end, time.Now().Add(step)))
 		err := socket.Write(c.nc, &buffers, &retry)
 		if !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(end) {
 			return err == nil
 		}
+		step = min(2*step, maxWriteStep)
+		now := totalLength(buffers)
+		if now != left { // it gets on
+			step = firstWriteStep
+		}
+		left = now
+	}
+}
+
+// totalLength is how many bytes buffers hold.
+func totalLength(buffers net.Buffers) (bytes int) {
+	for _, b := range buffers {
+		bytes += len(b)
 	}
+	return bytes
 }
 
 // beginLingerLocked closes the sending side, and sets how long what is still received is read. None of it is executed:
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -16,17 +16,19 @@
 
 // How clients behave.
 const (
-	clientsOfProxy = 8
-	crowdSize      = 260 // more than a proxy may hold
-	pauseShare     = 10  // one in so many pauses between requests
-	leaveShare     = 25  // leaves while its request is out
-	stopShare      = 40  // stops in the middle of a request and stays
-	pipelineShare  = 15  // sends several at once
-	renewShare     = 12  // connects anew
-	pipelined      = 3
-	stopTimeout    = 3500 * time.Millisecond // in which who stops in the middle is told, or cut off
-	inspectTime    = 100 * time.Microsecond  // for a connection's end to be seen before a request is sent
-	shortWait      = 861 * time.Millisecond
+	clientsOfProxy  = 8
+	crowdInterval   = 15 * time.Millisecond
+	crowdSize       = 260 // more than a proxy may hold
+	pauseShare      = 10  // one in so many pauses between requests
+	leaveShare      = 25  // leaves while its request is out
+	stopShare       = 40  // stops in the middle of a request and stays
+	pipelineShare   = 15  // sends several at once
+	renewShare      = 12  // connects anew
+	pipelined       = 3
+	stopTimeout     = 3500 * time.Millisecond // in which who stops in the middle is told, or cut off
+	inspectTime     = 100 * time.Microsecond  // for a connection's end to be seen before a request is sent
+	longBodyTimeout = 5 * time.Second         // from the head of a response on
+	shortWait       = 861 * time.Millisecond
 )
 
 var requestNumber atomic.Uint64
@@ -210,7 +212,9 @@
 	response, err := http.ReadResponse(c.reader, nil)
 	var body []byte
 	if err == nil {
-		c.conn.SetReadDeadline(time.Now().Add(longestDeadline)) // a long one may take its time
+		began := time.Now()
+		c.account.update(r, func(r *request) { r.beganAt = began })
+		c.conn.SetReadDeadline(began.Add(longBodyTimeout))
 		body, err = io.ReadAll(response.Body)
 	}
 	now := time.Now()
@@ -253,13 +257,15 @@
 	return ok && timeout.Timeout()
 }
 
-// crowd holds idle connections to a proxy until ctx ends.
+// crowd holds idle connections to a proxy until ctx ends. They come no faster than a proxy whose calls are traced
+// accepts them: else who waits behind them is late by the tool.
 func crowd(ctx context.Context, address string) {
 	var all []net.Conn
 	for range crowdSize {
 		if conn, err := net.DialTimeout("tcp", address, time.Second); err == nil {
 			all = append(all, conn)
 		}
+		time.Sleep(crowdInterval)
 	}
 	<-ctx.Done()
 	for _, conn := range all {
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -49,6 +49,9 @@
 	if err := r.build(options); err != nil {
 		return nil, err
 	}
+	for index := frontProxies; index < frontProxies+backProxies; index++ {
+		r.account.backs = append(r.account.backs, r.proxyOf(index))
+	}
 	r.began = time.Now()
 	if err := r.startProxies(ctx); err != nil {
 		return nil, r.withLogs(err)
