Read what waits on idle connections without an event

Traced: one read in six gets EAGAIN though bytes wait, so that the reader waits for an event that never comes; by chance the case had hit only reads that had nothing to read. Change: idle connections are inspected every 0.25 s in one call (poll), and the reader is woken where bytes have waited twice.

--- a/cmd/proxy/systemfaults_test.go
+++ b/cmd/proxy/systemfaults_test.go
@@ -42,6 +42,7 @@
 	{"registration, no room", "{call: epoll_ctl, descriptor: client, error: ENOSPC, every: 3}", false},
 	{"reads from clients, interrupted", "{call: read, descriptor: client, error: EINTR, every: 2}", false},
 	{"reads from clients, not ready", "{call: read, descriptor: client, error: EAGAIN, every: 6}", false},
+	{"reads from clients, often not ready", "{call: read, descriptor: client, error: EAGAIN, every: 2}", false},
 	{"writes of responses, not ready", "{call: writev, descriptor: client, error: EAGAIN, every: 5}", false},
 	{"accepting", "{call: accept4, error: ENOBUFS, every: 2}", false},
 	{"inspecting clients", "{call: ppoll, error: ENOMEM, every: 2}", false},
--- a/downstream/conn.go
+++ b/downstream/conn.go
@@ -58,6 +58,7 @@
 	nc         *net.TCPConn
 	reader     *bufio.Reader
 	acceptedAt time.Time
+	descriptor int32 // for inspections alone
 
 	// Of the goroutine that reads:
 	readLimit    int64  // bytes that one request may still bring
@@ -83,7 +84,7 @@
 }
 
 func newConn(s *Server, nc *net.TCPConn) *conn {
-	c := &conn{server: s, nc: nc, readLimit: maxHeadBytes, acceptedAt: time.Now()}
+	c := &conn{server: s, nc: nc, readLimit: maxHeadBytes, acceptedAt: time.Now(), descriptor: descriptorOf(nc)}
 	c.reader = s.buffers.Reader(c)
 	c.becomeIdleLocked()
 	return c
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -118,6 +118,9 @@
 	s.router = router
 	defer s.Close()
 	defer context.AfterFunc(ctx, s.beginShutdown)()
+	done := make(chan struct{})
+	defer close(done)
+	go s.watchUnread(done)
 	if err := s.acceptAll(); err != nil {
 		return err
 	}
