Set what a list service of the tests follows under its lock

Cause: the tests' own list service begins to accept before what it follows is set, without its lock. Change: it is set under the lock. Nothing is asserted otherwise.

--- a/proxy/drainscale_test.go
+++ b/proxy/drainscale_test.go
@@ -354,11 +354,7 @@
 	for i, proxy := range s.proxies {
 		service := newListService(s.t, s.registry, pushed)
 		service.setFaults(func(f *listFaults) { *f = faults })
-		service.before = s.services[i]
-		service.replacedAt = time.Now()
-		if pushed {
-			service.reachableAt = time.Now().Add(moveKnown)
-		}
+		service.follow(s.services[i])
 		cfg := s.configs[i]
 		cfg.Pools = slices.Clone(cfg.Pools)
 		cfg.Routes = slices.Clone(cfg.Routes)
--- a/proxy/listservice_test.go
+++ b/proxy/listservice_test.go
@@ -162,6 +162,17 @@
 	change(&s.faults)
 }
 
+// follow has the service take the place of another one, now.
+func (s *listService) follow(before *listService) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.before = before
+	s.replacedAt = time.Now()
+	if s.pushed {
+		s.reachableAt = s.replacedAt.Add(moveKnown)
+	}
+}
+
 // lastWatchAnswerLocked returns when a watch was answered last, also at the service's address before.
 func (s *listService) lastWatchAnswerLocked() time.Time {
 	if s.before == nil || !s.faults.goesOn {
