--- a/lab/processes/replica.go
+++ b/lab/processes/replica.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -50,6 +51,18 @@
 	err     error // of Wait; it may be read once ended is closed
 }
 
+// newReplica returns a replica that is not started, with its configuration file in a folder and its ports at addresses,
+// replicaPorts of them.
+func newReplica(name, dir string, addresses []netip.AddrPort) *Replica {
+	return &Replica{
+		Name:           name,
+		Address:        addresses[0].String(),
+		AdminAddresses: [2]string{addresses[1].String(), addresses[3].String()},
+		ConfigFile:     filepath.Join(dir, name+".yaml"),
+		fleetAddress:   addresses[2],
+	}
+}
+
 // launch starts a process and waits until it is ready.
 func (r *Replica) launch(ctx context.Context, command []string, tempDir string) error {
 	cmd := exec.Command(command[0], command[1:]...)
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"ryerill/lab/ports"
 	"ryerill/lab/syscallfault"
 )
 
@@ -33,6 +34,7 @@
 type run struct {
 	schedule  *Schedule
 	account   *account
+	reserved  *ports.Reservation // of the proxies' addresses, by index
 	endpoints []*endpoint
 	directory []*directory // by tier
 	proxies   []*proxy     // front proxies first
@@ -80,6 +82,11 @@
 
 // build makes the stand-ins and the proxies' files.
 func (r *run) build(options Options) error {
+	var err error
+	r.reserved, err = ports.Reserve(frontProxies + backProxies)
+	if err != nil {
+		return err
+	}
 	var addresses []string
 	for i := range endpoints {
 		e, err := startEndpoint(i, r.schedule, r.account)
@@ -105,7 +112,8 @@
 	}
 	r.directory = append(r.directory, d)
 	for index := from; index < to; index++ {
-		p, err := newProxy(index, options, r.schedule, options.Directory, d.address)
+		address := r.reserved.Addresses[index].String()
+		p, err := newProxy(index, options, &r.schedule.Plans[index], address, d.address)
 		if err != nil {
 			return nil, err
 		}
@@ -246,6 +254,9 @@
 	for _, e := range r.endpoints {
 		e.close()
 	}
+	if r.reserved != nil {
+		r.reserved.Release()
+	}
 }
 
 // withLogs adds the proxies' logs to an error.
