Serve the request of a client that could not be told of its connection's end

Cause: an idle connection that is evicted, or ended by a shutdown, discards what is received after its sending side is shut down. Where that call failed four times in a row the client had not been told, and its request was discarded.

Change: the call is made again for 50 ms, and a request that comes before it works is served as if the connection had not been evicted; then the close tells the client.

--- a/downstream/conn.go
+++ b/downstream/conn.go
@@ -35,6 +35,8 @@
 	lingerPeriod = 500 * time.Millisecond
 	// An evicted connection lingers only this long: another one waits for its slot.
 	shortLingerPeriod = 5 * time.Millisecond
+	// An idle connection whose sending side can't be shut down is closed after this.
+	closeFaultPeriod = 50 * time.Millisecond
 
 	// How often a client that can't be read is polled. No attempt begins meanwhile: each asks Left before it writes.
 	clientPollInterval = 50 * time.Millisecond
@@ -279,6 +281,30 @@
 	_ = c.server.closeWrite(c.nc)
 }
 
+// requestBeforeEnd ends the sending side of a connection whose client does not know yet that it ends. Where that fails
+// for a while the client is not told, so what it sends is a request like any other: requestBeforeEnd reports whether
+// one waits.
+func (c *conn) requestBeforeEnd() bool {
+	if c.broken || c.end != endIdle && c.end != endEvicted {
+		return false
+	}
+	var backoff socket.Backoff
+	for deadline := time.Now().Add(closeFaultPeriod); ; {
+		err := c.server.closeWrite(c.nc)
+		if err == nil {
+			return false
+		}
+		c.CallFailed("shutdown", err, socket.Retried)
+		if socket.Peek(c.nc) == socket.Waiting {
+			return true
+		}
+		if time.Now().After(deadline) {
+			return false // the close tells the client
+		}
+		time.Sleep(backoff.Next())
+	}
+}
+
 // linger ends a connection whose client is still connected: the sending side first, the receiving side once the client
 // has closed its own, or after a timeout. Closing over unread bytes would reset it, and lose the last response.
 func (c *conn) linger() {
--- a/downstream/serve.go
+++ b/downstream/serve.go
@@ -19,7 +19,7 @@
 func (c *conn) serve() {
 	defer c.close()
 	written := make(chan bool, 1) // from writeResult: whether the connection goes on
-	for c.serveRequest(written) {
+	for c.serveRequest(written) || c.requestBeforeEnd() {
 	}
 	c.linger()
 }
