Accept calls to the management endpoint as descriptors, as clients' connections

Cause: net.TCPListener closes what it has accepted and the system can't register.

Change: the listener of the package downstream is socket.Listener now; the management endpoint makes a connection of each descriptor beside the others, for up to 1 s. A closed listener says os.ErrClosed: by itself the os package returns an error of its own there, so that accepting did not end (a test of admin stood still until its time-out).

--- a/admin/server.go
+++ b/admin/server.go
@@ -24,6 +24,7 @@
 const (
 	maxConnections = 32
 	readTimeout    = 3 * time.Second        // from the accept on until the request has been received
+	openTimeout    = time.Second            // from the accept on until the system has registered the connection
 	writeTimeout   = 500 * time.Millisecond // for the response
 	linger         = 200 * time.Millisecond // what arrives after a response is read for so long, lest it be reset
 	maxLinger      = 64 << 10               // bytes that are read then
@@ -33,30 +34,32 @@
 
 // Server is the listener with its connections.
 type Server struct {
-	listener   *net.TCPListener
+	listener   *socket.Listener
 	controller Controller
 	reserve    *socket.Reserve
 	serving    sync.WaitGroup // a goroutine for each connection
 
-	mu    sync.Mutex
-	conns map[*conn]struct{} // guarded by mu, with the fields of each that change
+	mu      sync.Mutex
+	conns   map[*conn]struct{} // guarded by mu, with the fields of each that change
+	stopped bool               // guarded by mu: no request is received any more
 }
 
 type conn struct {
-	tcp        *net.TCPConn
+	accepted   *os.File // the descriptor that tcp is made of
 	acceptedAt time.Time
-	received   bool // the request has been received
-	answered   bool // the response has been written: the connection only lingers
+	tcp        *net.TCPConn // nil at first: the system may not register it at once
+	received   bool         // the request has been received
+	answered   bool         // the response has been written: the connection only lingers
 }
 
 // Listen opens a server at an address; no request is answered before [Server.Serve].
 func Listen(address string) (*Server, error) {
-	listener, err := socket.Persist(func() (net.Listener, error) { return net.Listen("tcp", address) })
+	listener, err := socket.Listen(address, false)
 	if err != nil {
 		return nil, err
 	}
 	return &Server{
-		listener: listener.(*net.TCPListener),
+		listener: listener,
 		reserve:  socket.NewReserve(reservedDescriptors),
 		conns:    make(map[*conn]struct{}),
 	}, nil
@@ -78,11 +81,11 @@
 	defer s.reserve.Close()
 	var backoff socket.Backoff
 	for {
-		tcp, err := s.listener.AcceptTCP()
+		descriptor, err := s.listener.Await()
 		if socket.OutOfDescriptors(err) && s.reserve.Lend() {
-			tcp, err = s.listener.AcceptTCP()
+			descriptor, err = s.listener.Await()
 		}
-		if errors.Is(err, net.ErrClosed) {
+		if socket.IsClosed(err) {
 			break
 		}
 		if err != nil { // the client has gone, or another socket has taken the descriptor
@@ -91,7 +94,7 @@
 			continue
 		}
 		backoff.Reset()
-		s.add(&conn{tcp: tcp, acceptedAt: time.Now()})
+		s.add(&conn{accepted: os.NewFile(uintptr(descriptor), "management"), acceptedAt: time.Now()})
 	}
 	s.serving.Wait()
 }
@@ -101,8 +104,9 @@
 	s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stopped = true
 	for c := range s.conns {
-		if !c.received {
+		if c.tcp != nil && !c.received {
 			c.tcp.SetDeadline(socket.PastDeadline)
 		}
 	}
@@ -115,7 +119,7 @@
 	if len(s.conns) >= maxConnections {
 		evicted := s.evictableLocked()
 		if evicted == nil {
-			c.tcp.Close()
+			c.accepted.Close()
 			return
 		}
 		delete(s.conns, evicted)
@@ -128,11 +132,11 @@
 
 // evictableLocked returns the connection to close for a new one: the oldest that has its
 // response, else the oldest whose request has not been received. Those that wait for their
-// response, which takes moments, stay; nil is none.
+// response, or to be registered, which takes moments, stay; nil is none.
 func (s *Server) evictableLocked() (evicted *conn) {
 	for c := range s.conns {
 		switch {
-		case c.received && !c.answered:
+		case c.tcp == nil, c.received && !c.answered:
 		case evicted == nil,
 			c.answered && !evicted.answered,
 			c.answered == evicted.answered && c.acceptedAt.Before(evicted.acceptedAt):
@@ -142,6 +146,37 @@
 	return evicted
 }
 
+// open makes the connection of its descriptor. Where the system does not register it now it is tried again for a while:
+// the client has connected. It reports false if there is none to serve.
+func (s *Server) open(c *conn) bool {
+	defer c.accepted.Close()
+	var backoff socket.Backoff
+	for {
+		opened, err := net.FileConn(c.accepted)
+		if err == nil {
+			return s.opened(c, opened.(*net.TCPConn))
+		}
+		if time.Since(c.acceptedAt) > openTimeout {
+			return false
+		}
+		if !socket.OutOfDescriptors(err) || !s.reserve.Lend() {
+			time.Sleep(backoff.Next())
+		}
+	}
+}
+
+// opened records that a connection is made. It reports false if the server has been stopped meanwhile.
+func (s *Server) opened(c *conn, tcp *net.TCPConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		tcp.Close()
+		return false
+	}
+	c.tcp = tcp
+	return true
+}
+
 // serve answers one connection's request, and closes it.
 func (s *Server) serve(c *conn) {
 	defer s.serving.Done()
@@ -149,9 +184,12 @@
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
-		c.tcp.Close()
 		s.reserve.Fill()
 	}()
+	if !s.open(c) {
+		return
+	}
+	defer c.tcp.Close()
 	c.tcp.SetReadDeadline(c.acceptedAt.Add(readTimeout))
 	steady := socket.Steady{Conn: c.tcp} // a fault that passes does not end the call
 	req, err := readRequest(bufio.NewReaderSize(steady, maxHead), steady)
--- a/cmd/proxy/managementfaults_test.go
+++ b/cmd/proxy/managementfaults_test.go
@@ -19,6 +19,7 @@
 	{"writes of a part", "{call: writev, descriptor: client, bytes: 9}"},
 	{"accepting", "{call: accept4, error: ENOBUFS, every: 2}"},
 	{"registration", "{call: epoll_ctl, descriptor: client, error: ENOMEM, every: 2}"}, // seen
+	{"options", "{call: getsockopt, error: ENOBUFS, every: 3}"},
 	{"shutdown", "{call: shutdown, error: ENOBUFS}"},
 }
 
--- a/downstream/accept.go
+++ b/downstream/accept.go
@@ -14,6 +14,15 @@
 	"ryerill/internal/socket"
 )
 
+// clientListener is where clients connect: a [socket.Listener]. Tests inject system-call errors in its place.
+type clientListener interface {
+	Await() (descriptor int, err error)
+	Next() (descriptor int, err error)
+	SetDeadline(t time.Time) error
+	Addr() net.Addr
+	Close()
+}
+
 // acceptAll accepts connections until the shutdown ends it.
 func (s *Server) acceptAll() error {
 	var backoff socket.Backoff
@@ -26,7 +35,7 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil
 		}
-		if isClosed(err) {
+		if socket.IsClosed(err) {
 			return fmt.Errorf("accept clients: %w", err)
 		}
 		if err != nil { // the client is gone again, or another has taken the descriptor
@@ -45,7 +54,7 @@
 	var backoff socket.Backoff
 	for end := time.Now().Add(newConnectionGrace); time.Now().Before(end); {
 		descriptor, err := s.listener.Next()
-		if errors.Is(err, unix.EAGAIN) || isClosed(err) {
+		if errors.Is(err, unix.EAGAIN) || socket.IsClosed(err) {
 			return
 		}
 		if err != nil { // who waits there has connected: a pause is worth it
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -61,7 +61,7 @@
 //
 // A shared address may be listened at by several processes, to which the system distributes new connections.
 func Listen(address string, maxConnections int, shared bool, buffers *buffer.Pool) (*Server, error) {
-	listener, err := listenTCP(address, shared)
+	listener, err := socket.Listen(address, shared)
 	if err != nil {
 		return nil, fmt.Errorf("listen for clients: %w", err)
 	}
--- a/internal/socket/peek.go
+++ b/internal/socket/peek.go
@@ -10,16 +10,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// SharePort lets several processes of one user listen at an address. It is the
-// Control of a net.ListenConfig.
-func SharePort(_, _ string, raw syscall.RawConn) error {
-	var optionErr error
-	controlErr := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
-	})
-	return errors.Join(controlErr, optionErr)
-}
-
 // State is what the receiving end of a connection is at.
 type State uint8
 
