Show that orders are kept or refused whole while calls of files fail

Cause: the hard cases of the fault list had no tests of their own: no room at the rename of an order and a kill right after it, failing syncs, locks and openings.

Change: TestOrdersAreKeptOrRefusedWholeDespiteFaults on the real program.

--- a/cmd/proxy/managementfaults_test.go
+++ b/cmd/proxy/managementfaults_test.go
@@ -72,3 +72,59 @@
 	}
 	return ""
 }
+
+// orderFaults are faults of the file that keeps an order, just as it is given. ".word" is part of the file's name.
+var orderFaults = []struct{ name, rule string }{
+	{"no room at the rename", "{call: renameat, path: .word, error: ENOSPC, most: 1}"},
+	{"no room at each rename", "{call: renameat, path: .word, error: ENOSPC}"},
+	{"no room for the bytes", "{call: write, descriptor: file, path: .word, error: ENOSPC, most: 1}"},
+	{"a part of the bytes", "{call: write, descriptor: file, path: .word, bytes: 5}"},
+	{"an I/O error at the sync", "{call: fsync, error: EIO, most: 1}"},
+	{"I/O errors at all syncs", "{call: fsync, error: EIO}"},
+	{"no descriptor", "{call: openat, path: .word, error: EMFILE, most: 3}"},
+	{"a file system that can only be read", "{call: openat, path: .word, error: EROFS, skip: 1}"},
+	{"no lock", "{call: flock, error: ENOLCK, most: 1}"},
+	{"an interrupted lock", "{call: flock, error: EINTR, most: 2}"},
+}
+
+// An order that was answered with success is in force after a kill at once and a start; one that was refused is not, nor
+// is half of it. Reports of readiness tell: a drain makes it fail.
+func TestOrdersAreKeptOrRefusedWholeDespiteFaults(t *testing.T) {
+	program := build(t)
+	laboratory := buildLaboratory(t)
+	endpoint := slowEndpoint(t, false)
+	for _, fault := range orderFaults {
+		t.Run(fault.name, func(t *testing.T) {
+			t.Parallel()
+			settings := configuration(freeAddress(t), endpoint)
+			scratch := t.TempDir()
+			cmd, record := underFaults(t, program, laboratory, settings, "rules: ["+fault.rule+"]")
+			disturbed := launchCommand(t, cmd, scratch)
+			disturbed.waitReady(t)
+			status, text := disturbed.call(t, "POST", "drain/start", "")
+			if err := disturbed.Process.Kill(); err != nil {
+				t.Fatal(err)
+			}
+			<-disturbed.ended
+			after := launch(t, program, settings, scratch)
+			after.says(t, "msg=serving")
+			if isKept := staysUnready(t, after); isKept != (status == http.StatusOK) {
+				t.Errorf("answered %d %s, in force after a start: %v", status, text, isKept)
+			}
+			if len(injections(t, record)) == 0 {
+				t.Error("no call has failed: the test shows nothing")
+			}
+		})
+	}
+}
+
+// staysUnready reports whether a process that serves does not say that it is ready, as in a drain.
+func staysUnready(t *testing.T, p *process) bool {
+	t.Helper()
+	for end := time.Now().Add(500 * time.Millisecond); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if status, _ := p.call(t, "GET", "readiness", ""); status == http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
--- a/lab/syscallfault/rule_test.go
+++ b/lab/syscallfault/rule_test.go
@@ -77,3 +77,21 @@
 		t.Errorf("output: %q", text)
 	}
 }
+
+// What was seen: a proxy that ended before it began, as a fault of files hit the library that the dynamic loader opens.
+// Files of the system's directories are none of the program's.
+func TestFilesOfTheSystemAreNoneOfThePrograms(t *testing.T) {
+	for path, want := range map[string]Kind{
+		"/lib/x86_64-linux-gnu/libc.so.6": Other,
+		"/etc/ld.so.cache":                Other,
+		"/usr/lib/libc.so.6":              Other,
+		"/proc/self/maps":                 Other,
+		"/tmp/proxy/config.yaml":          File,
+		"/library/settings.yaml":          File,
+		"config.yaml":                     File,
+	} {
+		if got := kindOfPath(path); got != want {
+			t.Errorf("%s: %q, want %q", path, got, want)
+		}
+	}
+}
