Count by pool why requests and attempts ended and why attempts were made again

Change: GET /ops/faults has request_ends, attempt_ends and retries of each pool (proxy/reasons.go): counters of fixed kinds, no allocation. No debug line of each end: the log has no level that shows one.

--- a/lab/syscallfault/descriptors.go
+++ b/lab/syscallfault/descriptors.go
@@ -28,8 +28,8 @@
 	return found
 }
 
-// systemDirectories hold files that are not the program's own: the dynamic loader opens its libraries before the program
-// begins, and a fault there is none of the program's.
+// systemDirectories hold files that are not the program's own: the dynamic loader opens its libraries before the
+// program begins, and a fault there is none of the program's.
 var systemDirectories = []string{"/dev/", "/etc/", "/lib/", "/lib64/", "/proc/", "/sys/", "/usr/"}
 
 // opened records a file. Those of the system's own directories are no files of the program.
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -15,8 +15,9 @@
 	request   *openRequest
 	index     int // among the request's attempts
 	endpoint  balancer.EndpointID
-	startedAt time.Duration // by the core's clock; of a request that streams, when its last byte was written
-	timeout   time.Duration // from its last byte on, of a request that streams
+	startedAt time.Duration    // by the core's clock; of a request that streams, when its last byte was written
+	timeout   time.Duration    // from its last byte on, of a request that streams
+	outcome   balancer.Outcome // once it has ended
 }
 
 // startAttemptLocked starts the attempt of a Send action.
@@ -26,6 +27,7 @@
 		return
 	}
 	a := &attempt{request: r, index: len(r.attempts), endpoint: action.Endpoint, startedAt: c.clock.now()}
+	c.reasons.attemptStarted(r.attempts, r.inFlight)
 	r.attempts = append(r.attempts, a)
 	r.inFlight++
 	endpoint := c.endpoints.byID[action.Endpoint]
@@ -89,6 +91,8 @@
 func (c *core) endAttemptLocked(a *attempt, outcome balancer.Outcome, response *message.Response) {
 	r := a.request
 	r.inFlight--
+	a.outcome = outcome
+	c.reasons.attemptEnded(outcome)
 	if response != nil { // what a response costs is known only now
 		c.resources.work.used.Add(int64(config.Cost(response.Body.Len())))
 	}
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -42,6 +42,7 @@
 	overrides override.Set
 	timers    timerSet
 	activity  *activity // for the fleet; nil where nothing is shared
+	reasons   reasons
 }
 
 // coreConfig is what a pool is made of, beside its own configuration.
--- a/proxy/counters.go
+++ b/proxy/counters.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"encoding/json"
 	"sync"
 	"sync/atomic"
 
@@ -100,9 +99,6 @@
 // CountFailedReload counts a reload whose configuration could not even be read.
 func (p *Proxy) CountFailedReload() { p.counters.reloadsFailed.Add(1) }
 
-// Faults implements [admin.Controller].
-func (p *Proxy) Faults() (json.RawMessage, error) { return json.Marshal(p.faults.Counts()) }
-
 // Stats implements [admin.Controller].
 func (p *Proxy) Stats() admin.Stats {
 	stats := admin.Stats{
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -82,6 +82,7 @@
 	if !c.resources.work.Take(1+config.Cost(req.Outgoing.Body.Len())) || !c.resources.openRequests.Take(1) {
 		req.Outgoing.Free()
 		c.classCounters[req.Class].ended(message.Shed)
+		c.reasons.requestEnded(endFull)
 		req.Reply(message.Result{Kind: message.Shed, RetryAfter: retryAfterFull})
 		return noTicket
 	}
@@ -118,6 +119,7 @@
 	if r == nil || r.done {
 		return false
 	}
+	c.reasons.requestEnded(endClientLeft)
 	c.abandonLocked(r)
 	return true
 }
@@ -140,6 +142,7 @@
 		return
 	}
 	c.log.Warn("request timed out without a result")
+	c.reasons.requestEnded(endNoDecision)
 	r.Reply(message.Result{Kind: message.TimedOut})
 	c.abandonLocked(r)
 }
@@ -166,6 +169,7 @@
 	if result.Kind == message.Failed && !time.Now().Before(r.deadline) {
 		result.Kind = message.TimedOut
 	}
+	c.reasons.requestEnded(endOf(result.Kind))
 	if result.Response != nil && result.Response.Stream != nil {
 		c.endWithStream(r, result.Response)
 	} else {
