Judge errors of files by one list, and make each attempt at a connection in one place

Cause: atomicfile had two lists of errors that may pass, one for reading and one for replacing; admit and admitLate both made the first attempt and recorded it.

Change: passingFaults for both, so that a replacement that meets ENOMEM, ESTALE, EBUSY or ENOLCK is tried again as one that meets EIO was; tryAdmit; a test of starts uses serving in place of a loop of its own, with the same bound of 5 s.

--- a/cmd/proxy/systemfaults_test.go
+++ b/cmd/proxy/systemfaults_test.go
@@ -247,31 +247,9 @@
 			settings := configuration("127.0.0.1:0", slowEndpoint(t, false))
 			cmd, record := underFaults(t, program, laboratory, settings, "rules: ["+fault.rule+"]")
 			began := time.Now()
-			log, err := cmd.StderrPipe()
-			if err != nil {
-				t.Fatal(err)
-			}
-			if err := cmd.Start(); err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() { cmd.Process.Kill() })
-			text := make(chan string, 64)
-			go func() {
-				defer close(text)
-				for lines := bufio.NewScanner(log); lines.Scan(); {
-					text <- lines.Text()
-				}
-			}()
-			served := false
-			for line := range text {
-				t.Log(line)
-				if strings.Contains(line, "msg=serving") {
-					served = true
-					break
-				}
-			}
-			if !served || time.Since(began) > 5*time.Second {
-				t.Errorf("serves: %v, after %v", served, time.Since(began))
+			serving(t, cmd)
+			if took := time.Since(began); took > 5*time.Second {
+				t.Errorf("serves after %v", took)
 			}
 			if len(injections(t, record)) == 0 {
 				t.Error("no call has failed: the test shows nothing")
--- a/downstream/accept.go
+++ b/downstream/accept.go
@@ -85,22 +85,29 @@
 // until the deadline: the client has connected. lastDescriptor is whether the process had no other.
 func (s *Server) admit(descriptor int, lastDescriptor bool, deadline time.Time) {
 	file := os.NewFile(uintptr(descriptor), "client")
-	nc, err := s.fileConn(file)
+	err := s.tryAdmit(file, lastDescriptor)
 	if err == nil {
-		s.start(file, nc, lastDescriptor)
 		return
 	}
-	s.acceptFailed("register", err, faultlog.Retried)
 	if !s.beginAdmission() {
-		s.admitLate(file, lastDescriptor, deadline)
+		s.admitLate(file, lastDescriptor, err, deadline)
 		return
 	}
 	go func() {
 		defer s.endAdmission()
-		s.admitLate(file, lastDescriptor, deadline)
+		s.admitLate(file, lastDescriptor, err, deadline)
 	}()
 }
 
+// tryAdmit makes and starts a connection of a file, if the system can do so now.
+func (s *Server) tryAdmit(file *os.File, lastDescriptor bool) error {
+	nc, err := s.fileConn(file)
+	if err == nil {
+		s.start(file, nc, lastDescriptor)
+	}
+	return err
+}
+
 // start starts a connection, in place of the file that it was made of.
 func (s *Server) start(file *os.File, nc net.Conn, lastDescriptor bool) {
 	file.Close()
@@ -108,15 +115,11 @@
 	s.addConn(nc.(*net.TCPConn), shed)
 }
 
-// admitLate tries to make a connection of a file until the deadline, and then answers the client unread.
-func (s *Server) admitLate(file *os.File, lastDescriptor bool, deadline time.Time) {
+// admitLate tries again to make a connection of a file, which has failed with err, until the deadline. Then it answers
+// the client unread.
+func (s *Server) admitLate(file *os.File, lastDescriptor bool, err error, deadline time.Time) {
 	var backoff socket.Backoff
-	for {
-		nc, err := s.fileConn(file)
-		if err == nil {
-			s.start(file, nc, lastDescriptor)
-			return
-		}
+	for ; err != nil; err = s.tryAdmit(file, lastDescriptor) {
 		if time.Now().After(deadline) {
 			s.acceptFailed("register", err, faultlog.GivenUp)
 			s.faults.Ended(string(endUnread))
--- a/downstream/unread.go
+++ b/downstream/unread.go
@@ -1,7 +1,6 @@
 package downstream
 
 import (
-	"errors"
 	"syscall"
 	"time"
 
@@ -66,7 +65,7 @@
 	for _, entry := range idle {
 		w.polled = append(w.polled, unix.PollFd{Fd: entry.conn.descriptor, Events: unix.POLLIN})
 	}
-	if _, err := unix.Poll(w.polled, 0); err != nil && !errors.Is(err, syscall.EINTR) {
+	if _, err := unix.Poll(w.polled, 0); err != nil {
 		return nil // the next inspection tries again
 	}
 	for i := range w.polled {
--- a/internal/atomicfile/calls.go
+++ b/internal/atomicfile/calls.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io/fs"
 	"os"
+	"slices"
 	"syscall"
 )
 
@@ -40,14 +41,20 @@
 	return errors.Is(err, syscall.EINVAL) || errors.Is(err, syscall.ENOTSUP)
 }
 
+// passingFaults are errors of opening, reading and writing files that may pass by themselves: the disk or the machine
+// fails or lacks something for a moment.
+var passingFaults = []error{
+	syscall.EIO, syscall.EINTR, syscall.EAGAIN, syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM, syscall.ENOBUFS,
+	syscall.ESTALE, syscall.ETIMEDOUT, syscall.EBUSY, syscall.ENOLCK,
+}
+
+// fullDisk are errors of writing that pass once there is room again, or another process has done with the file.
+var fullDisk = []error{syscall.ENOSPC, syscall.EDQUOT, ErrBusy, ErrUnsynced}
+
 // MayPass reports whether the fault behind an error of a replacement may pass by itself: a disk that is full or fails,
 // a lack of descriptors, another process that replaces the file.
-func MayPass(err error) bool {
-	for _, fault := range []error{ErrBusy, ErrUnsynced, syscall.ENOSPC, syscall.EDQUOT, syscall.EIO, syscall.EINTR,
-		syscall.EMFILE, syscall.ENFILE} {
-		if errors.Is(err, fault) {
-			return true
-		}
-	}
-	return false
+func MayPass(err error) bool { return isOneOf(err, passingFaults) || isOneOf(err, fullDisk) }
+
+func isOneOf(err error, all []error) bool {
+	return slices.ContainsFunc(all, func(one error) bool { return errors.Is(err, one) })
 }
--- a/internal/atomicfile/read.go
+++ b/internal/atomicfile/read.go
@@ -1,9 +1,7 @@
 package atomicfile
 
 import (
-	"errors"
 	"os"
-	"syscall"
 	"time"
 )
 
@@ -18,19 +16,8 @@
 func Read(path string) ([]byte, error) {
 	for deadline := time.Now().Add(readTimeout); ; time.Sleep(readInterval) {
 		text, err := os.ReadFile(path)
-		if err == nil || !mayPassOnRead(err) || time.Now().After(deadline) {
+		if err == nil || !isOneOf(err, passingFaults) || time.Now().After(deadline) {
 			return text, err
 		}
 	}
 }
-
-// mayPassOnRead reports whether the fault behind an error of opening or reading a file may pass by itself.
-func mayPassOnRead(err error) bool {
-	for _, fault := range []error{syscall.EIO, syscall.EINTR, syscall.EAGAIN, syscall.EMFILE, syscall.ENFILE,
-		syscall.ENOMEM, syscall.ENOBUFS, syscall.ESTALE, syscall.ETIMEDOUT, syscall.EBUSY, syscall.ENOLCK} {
-		if errors.Is(err, fault) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/atomicfile/read_test.go
+++ b/internal/atomicfile/read_test.go
@@ -31,7 +31,7 @@
 		t.Fatal(err)
 	}
 	for _, fault := range []syscall.Errno{syscall.EMFILE, syscall.EIO, syscall.ESTALE} {
-		if !mayPassOnRead(&fs.PathError{Op: "open", Path: path, Err: fault}) {
+		if !isOneOf(&fs.PathError{Op: "open", Path: path, Err: fault}, passingFaults) {
 			t.Errorf("%v is not held to pass", fault)
 		}
 	}
