Show an attempt that is sent for a client whose leaving could not be read

Cause: before an attempt the client is asked after only where no read watches it; a read that fails for lack of memory, and is made again and again, watches nothing.

--- /dev/null
+++ b/cmd/proxy/clientleft_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+)
+
+// What was seen: an attempt that was sent for a client that had left 0.3 s before. How it came about: the read that
+// watches the client failed for lack of memory at the very moment at which the client left, and was made again and again;
+// meanwhile the first endpoint closed its connection, and the request was sent to the second one. Cause: before an attempt
+// the client is only asked after where no read watches it, and a read that fails watches nothing. What proved it: without
+// the rule of the fault plan the request reaches one endpoint, with it two.
+func TestNothingIsSentForAClientWhoseReadsFail(t *testing.T) {
+	const (
+		asked     = 1300 * time.Millisecond // since the program's start, as are the others
+		readsFail = 1500 * time.Millisecond
+		left      = 1700 * time.Millisecond
+		released  = 2000 * time.Millisecond // the endpoint closes its connection
+	)
+	var began time.Time
+	var mu sync.Mutex
+	var attempts []time.Duration
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		attempts = append(attempts, time.Since(began))
+		mu.Unlock()
+		time.Sleep(time.Until(began.Add(released)))
+		panic(http.ErrAbortHandler) // ends the connection without a response
+	}))
+	t.Cleanup(endpoint.Close)
+	address := endpoint.Listener.Addr().String()
+	plan := fmt.Sprintf("rules: [{call: read, descriptor: client, error: ENOMEM, from: %v, until: 4s}]", readsFail)
+	settings := outageConfiguration(t, []string{address, address}, outageDeadline)
+	cmd, record := underFaults(t, build(t), buildLaboratory(t), settings, plan)
+	began = time.Now()
+	proxy, _, _ := serving(t, cmd)
+	conn, err := net.Dial("tcp", proxy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Until(began.Add(asked)))
+	if _, err := io.WriteString(conn, ask()); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Until(began.Add(left)))
+	conn.Close()
+	time.Sleep(time.Until(began.Add(released + time.Second)))
+	mu.Lock()
+	defer mu.Unlock()
+	if len(attempts) != 1 {
+		t.Errorf("%d attempts, at %v; the client left at %v", len(attempts), attempts, left)
+	}
+	if len(injections(t, record)) == 0 {
+		t.Error("no call has failed: the test shows nothing")
+	}
+}
