Ask after a client whose reads fail before each attempt

Cause: an attempt was sent for a client that had left 0.3 s before: the read that watches it failed and was made again, so that its end was not seen, and an attempt asks only where no read watches. Where polls fail too, nothing could be asked.

Change: a read that fails marks the client as unwatched, so that each attempt asks; a poll that fails is replaced by the connection's own state (TCP_INFO). Beside it, from the closing read: what comes in during the pause before a next call of shutdown is served, and an idle connection that can't be inspected is read on for 0.5 s, not 5 s.

--- a/cmd/proxy/clientleft_test.go
+++ b/cmd/proxy/clientleft_test.go
@@ -17,6 +17,21 @@
 // the client is only asked after where no read watches it, and a read that fails watches nothing. What proved it: without
 // the rule of the fault plan the request reaches one endpoint, with it two.
 func TestNothingIsSentForAClientWhoseReadsFail(t *testing.T) {
+	program := build(t)
+	laboratory := buildLaboratory(t)
+	for name, more := range map[string]string{
+		"reads fail":           "",
+		"reads and polls fail": "{call: ppoll, error: ENOMEM}",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			leaveWhileReadsFail(t, program, laboratory, more)
+		})
+	}
+}
+
+// leaveWhileReadsFail has a client leave while its endpoint, and the reads that watch it, fail.
+func leaveWhileReadsFail(t *testing.T, program, laboratory, rules string) {
 	const (
 		asked     = 1300 * time.Millisecond // since the program's start, as are the others
 		readsFail = 1500 * time.Millisecond
@@ -26,7 +41,7 @@
 	var began time.Time
 	var mu sync.Mutex
 	var attempts []time.Duration
-	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	endpoint := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		mu.Lock()
 		attempts = append(attempts, time.Since(began))
 		mu.Unlock()
@@ -35,9 +50,9 @@
 	}))
 	t.Cleanup(endpoint.Close)
 	address := endpoint.Listener.Addr().String()
-	plan := fmt.Sprintf("rules: [{call: read, descriptor: client, error: ENOMEM, from: %v, until: 4s}]", readsFail)
+	plan := fmt.Sprintf("rules: [{call: read, descriptor: client, error: ENOMEM, from: %v, until: 4s}, %s]", readsFail, rules)
 	settings := outageConfiguration(t, []string{address, address}, outageDeadline)
-	cmd, record := underFaults(t, build(t), buildLaboratory(t), settings, plan)
+	cmd, record := underFaults(t, program, laboratory, settings, plan)
 	began = time.Now()
 	proxy, _, _ := serving(t, cmd)
 	conn, err := net.Dial("tcp", proxy)
--- a/downstream/accept.go
+++ b/downstream/accept.go
@@ -170,8 +170,9 @@
 // refuseUnread sheds a connection without reading its request, and closes it.
 func refuseUnread(nc *net.TCPConn) {
 	nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_ = socket.Write(nc, &net.Buffers{refusal()}, &socket.Retry{Call: "write"}) // a client that is gone needs none
-	_ = socket.CloseWrite(nc)                                                   // the close that follows says the same
+	// A client that is gone needs no answer, and the close says the same as the end of the sending side.
+	_ = socket.Write(nc, &net.Buffers{refusal()}, &socket.Retry{Call: "write"})
+	_ = socket.CloseWrite(nc)
 	// What lies there unread would have the answer reset.
 	socket.Discard(nc, maxHeadBytes)
 	nc.Close()
--- a/downstream/conn.go
+++ b/downstream/conn.go
@@ -35,8 +35,10 @@
 	lingerPeriod = 500 * time.Millisecond
 	// An evicted connection lingers only this long: another one waits for its slot.
 	shortLingerPeriod = 5 * time.Millisecond
-	// So long a fault may keep bytes of an idle connection from being read, or looked for, before it ends.
+	// So long a fault may keep bytes that wait on an idle connection from being read before it ends,
 	unreadFaultPeriod = 5 * time.Second
+	// and so long it may keep them from being seen: nothing says that there are any.
+	unseenFaultPeriod = 500 * time.Millisecond
 	// An idle connection whose sending side can't be shut down is closed after this.
 	closeFaultPeriod = 50 * time.Millisecond
 
@@ -44,6 +46,9 @@
 	clientPollInterval = 50 * time.Millisecond
 )
 
+// callRead is the name under which reads from the client are recorded.
+const callRead = "read"
+
 // connState is the state of a connection.
 type connState uint8
 
@@ -74,7 +79,8 @@
 	end          endReason
 	pacing       bodyPacing
 
-	unwatched atomic.Bool // no read notices at once that the client leaves: more of it has been, or is to be, received
+	// No read notices at once that the client leaves: more of it has been, or is to be, received, or reads fail.
+	unwatched atomic.Bool
 
 	// Guarded by server.mu:
 	state           connState
@@ -171,9 +177,11 @@
 // from being read, or from being seen, it may still be there: closing the connection would lose it. If nothing waits it
 // returns deadlineErr.
 func (c *conn) receiveWaiting(p []byte, deadlineErr error) (int, error) {
-	for end := time.Now().Add(unreadFaultPeriod); time.Now().Before(end) && c.readsPastDeadline(); {
+	began := time.Now()
+	for time.Since(began) < unreadFaultPeriod && c.readsPastDeadline() {
 		state := socket.Peek(c.nc)
-		if state != socket.Waiting && state != socket.Unknown {
+		mayWait := state == socket.Unknown && time.Since(began) < unseenFaultPeriod
+		if state != socket.Waiting && !mayWait {
 			break
 		}
 		c.nc.SetReadDeadline(time.Now().Add(freshPeriod))
@@ -188,11 +196,14 @@
 
 // receive reads from the client. Only the system's word is taken for its end: a fault of this machine passes.
 func (c *conn) receive(p []byte) (int, error) {
-	return socket.Read(c.nc, p, socket.Retry{Call: "read", Observer: c, Peer: c.nc})
+	return socket.Read(c.nc, p, socket.Retry{Call: callRead, Observer: c, Peer: c.nc})
 }
 
 // CallFailed implements [socket.Observer].
 func (c *conn) CallFailed(call string, err error, verdict socket.Verdict) {
+	if call == callRead {
+		c.unwatched.Store(true) // a read that fails does not see the client leave
+	}
 	c.server.faults.Failed(c.server.name, call, err, faultlog.Consequence(verdict), c.requestID)
 }
 
@@ -314,13 +325,13 @@
 			return false
 		}
 		c.CallFailed("shutdown", err, socket.Retried)
+		time.Sleep(backoff.Next())
 		if socket.Peek(c.nc) == socket.Waiting {
 			return true
 		}
 		if time.Now().After(deadline) {
 			return false // the close tells the client
 		}
-		time.Sleep(backoff.Next())
 	}
 }
 
--- a/internal/socket/peek.go
+++ b/internal/socket/peek.go
@@ -69,11 +69,36 @@
 			n, err = unix.Poll(polled, 0)
 			return err
 		})
-		closed = err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		if err != nil {
+			closed = hasClosedState(int(fd))
+			return
+		}
+		closed = n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
 	return closed || err != nil
 }
 
+// States of a connection in TCP_INFO in which the other side has closed or reset it.
+const (
+	tcpClose     = 7
+	tcpCloseWait = 8
+	tcpLastAck   = 9
+	tcpClosing   = 11
+)
+
+// hasClosedState asks the state of the connection itself, where it can't be polled.
+func hasClosedState(descriptor int) bool {
+	info, err := unix.GetsockoptTCPInfo(descriptor, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return false
+	}
+	switch info.State {
+	case tcpClose, tcpCloseWait, tcpLastAck, tcpClosing:
+		return true
+	}
+	return false
+}
+
 // Discard throws away what has been received on a connection, up to about maxBytes, without waiting for more.
 func Discard(c syscall.Conn, maxBytes int) {
 	raw, err := c.SyscallConn()
--- a/internal/socket/peek_test.go
+++ b/internal/socket/peek_test.go
@@ -105,7 +105,22 @@
 		if closed := PeerClosed(own); closed != tc.closed {
 			t.Errorf("%s: closed %v once it was inspected", name, closed)
 		}
+		if closed := hasClosedState(int(descriptorOf(t, own))); closed != tc.closed {
+			t.Errorf("%s: closed %v by its state, where it can't be polled", name, closed)
+		}
+	}
+}
+
+func descriptorOf(t *testing.T, conn *net.TCPConn) (descriptor uintptr) {
+	t.Helper()
+	raw, err := conn.SyscallConn()
+	if err == nil {
+		err = raw.Control(func(fd uintptr) { descriptor = fd })
+	}
+	if err != nil {
+		t.Fatal(err)
 	}
+	return descriptor
 }
 
 // BenchmarkPeerClosed is what it costs to ask for a client behind unread bytes.
