Show a request that is sent for a client that left while its write failed

Cause: the conditions of sending are asked before the first write of a request. Where that fails and is made again, with nothing written yet, they are not asked anew.

--- a/cmd/proxy/clientleft_test.go
+++ b/cmd/proxy/clientleft_test.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -75,3 +77,57 @@
 		t.Error("no call has failed: the test shows nothing")
 	}
 }
+
+// What was seen: a request that reached its endpoint 0.8 s after its client had left. How it came about: the write of the
+// request failed for lack of buffers and was made again until it worked. Cause: whether the client is there is asked
+// before the first write alone. What proved it: the time at which the endpoint receives the request.
+func TestNothingIsSentForAClientThatLeavesWhileWritesFail(t *testing.T) {
+	program := build(t)
+	laboratory := buildLaboratory(t)
+	for name, change := range map[string]func(settings string) string{
+		"attempts may be cancelled": func(settings string) string { return settings },
+		"they may not": func(settings string) string {
+			return strings.Replace(settings, `"MayCancel":true`, `"MayCancel":false`, 1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			leaveWhileWritesFail(t, program, laboratory, change)
+		})
+	}
+}
+
+// leaveWhileWritesFail has a client leave while its request can't be written to the endpoint.
+func leaveWhileWritesFail(t *testing.T, program, laboratory string, change func(settings string) string) {
+	const (
+		asked = 1300 * time.Millisecond // since the program's start, as are the others
+		left  = 1700 * time.Millisecond
+		works = 2500 * time.Millisecond // a write to an endpoint
+	)
+	var attempts atomic.Int64
+	endpoint := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { attempts.Add(1) }))
+	t.Cleanup(endpoint.Close)
+	rule := "{call: %s, descriptor: endpoint, error: ENOBUFS, until: %v}"
+	plan := fmt.Sprintf("rules: ["+rule+", "+rule+"]", "writev", works, "write", works)
+	settings := change(configuration("127.0.0.1:0", endpoint.Listener.Addr().String()))
+	cmd, record := underFaults(t, program, laboratory, settings, plan)
+	began := time.Now()
+	proxy, _, _ := serving(t, cmd)
+	conn, err := net.Dial("tcp", proxy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Until(began.Add(asked)))
+	if _, err := io.WriteString(conn, ask()); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Until(began.Add(left)))
+	conn.Close()
+	time.Sleep(time.Until(began.Add(works + time.Second)))
+	if n := attempts.Load(); n != 0 {
+		t.Errorf("%d requests have reached the endpoint, of a client that left long before", n)
+	}
+	if len(injections(t, record)) == 0 {
+		t.Error("no call has failed: the test shows nothing")
+	}
+}
