Ask anew whether a request is wanted before its first write is made again

Cause: client, endpoint and time were asked before the first write alone; a write that failed for lack of buffers was made again until it worked, also for a client that had left, where attempts may not be cancelled.

Change: socket.Retry asks its caller before a call that has done nothing yet is made again; an attempt that was withdrawn meanwhile, whose endpoint is gone or whose time is over is given up as not sent.

--- a/internal/socket/fault.go
+++ b/internal/socket/fault.go
@@ -49,6 +49,12 @@
 	CallFailed(call string, err error, verdict Verdict)
 }
 
+// Caller is who wants a call to be made.
+type Caller interface {
+	// StillWants reports whether the call is to be made again. What held before its first time may hold no more.
+	StillWants() bool
+}
+
 // Retry judges the errors of a call, in one place for all sides: whether it is to be made again, and whether the
 // connection has ended. It is used for one call and its repetitions.
 type Retry struct {
@@ -58,11 +64,14 @@
 	// says so too. It is nil where an orderly end has a meaning that a reset has not: the system reports a reset once,
 	// and an orderly end afterwards.
 	Peer syscall.Conn
+	// Caller is asked before a call that has done nothing yet is made again; nil wants all of them.
+	Caller Caller
 
 	began   time.Time // of the faults in a row
 	backoff Backoff
 	repeats int   // since an error that a poll did not confirm
 	lasting error // the last fault; nil after progress
+	partial bool  // the call has done part of its work
 }
 
 // Again reports whether a call that failed with err is to be made again, after the pause that it has made then. The
@@ -81,7 +90,7 @@
 	}
 	r.lasting = err
 	time.Sleep(r.backoff.Next())
-	return true
+	return r.partial || r.Caller == nil || r.Caller.StillWants()
 }
 
 func (r *Retry) judge(err error) Verdict {
@@ -105,6 +114,7 @@
 func (r *Retry) progress() {
 	r.began = time.Time{}
 	r.lasting = nil
+	r.partial = true
 	r.backoff.Reset()
 }
 
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -31,6 +31,7 @@
 	mu         sync.Mutex
 	conn       *conn // nil unless the attempt holds one
 	cancelled  bool
+	withdrawn  bool               // it must not begin to be written any more
 	writing    bool               // its first byte may be written
 	cancelDial context.CancelFunc // nil unless a connection is being opened for it
 }
@@ -57,6 +58,7 @@
 func (a *Attempt) Withdraw() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.withdrawn = true
 	if !a.writing {
 		a.cancelLocked()
 	}
@@ -77,7 +79,7 @@
 
 // beginWrite reports whether the request may be written, and from then on it counts as being written.
 func (a *Attempt) beginWrite() bool {
-	if !a.MaySend() || a.tooLate() || a.Request.ClientLeft() {
+	if !a.maySend() {
 		return false
 	}
 	a.mu.Lock()
@@ -86,6 +88,22 @@
 	return a.writing
 }
 
+// StillWants implements [socket.Caller]: it reports whether a request of which nothing could be written yet may still
+// be written.
+func (a *Attempt) StillWants() bool {
+	if !a.maySend() {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.cancelled && !a.withdrawn
+}
+
+// maySend reports whether the endpoint and the client are there, and time is left to write the request.
+func (a *Attempt) maySend() bool {
+	return a.MaySend() && !a.tooLate() && !a.Request.ClientLeft()
+}
+
 // setDeadline sets the deadline of the connection, unless the attempt is cancelled.
 func (a *Attempt) setDeadline(conn *conn, deadline time.Time) {
 	a.mu.Lock()
--- a/upstream/write.go
+++ b/upstream/write.go
@@ -32,7 +32,7 @@
 	buffers := net.Buffers{encodeHead(request, a.timeLeft())}
 	if request.Stream == nil {
 		buffers = request.Body.AppendTo(buffers)
-		if err := conn.writeAll(buffers); err != nil {
+		if err := conn.writeAll(buffers, a); err != nil {
 			return brokenBy(err)
 		}
 		return writtenWhole
@@ -58,9 +58,11 @@
 	block := p.buffers.Block()
 	defer p.buffers.PutBlock(block)
 	chunked := a.Request.Length == message.UnknownLength
+	var caller socket.Caller = a // until the first bytes are written
 	for last := false; ; {
 		a.setDeadline(conn, time.Now().Add(progressTimeout))
-		err := conn.writeAll(buffers)
+		err := conn.writeAll(buffers, caller)
+		caller = nil
 		switch {
 		case err != nil && conn.hasInput():
 			return answeredEarly
@@ -87,8 +89,9 @@
 }
 
 // writeAll writes buffers whole, from the byte on at which a fault of this machine has stopped it, until the deadline.
-func (c *conn) writeAll(buffers net.Buffers) error {
-	retry := socket.Retry{Call: "write", Observer: c.pool}
+// Before it tries again to write their first bytes it asks the caller, if there is one.
+func (c *conn) writeAll(buffers net.Buffers, caller socket.Caller) error {
+	retry := socket.Retry{Call: "write", Observer: c.pool, Caller: caller}
 	err := socket.Write(c.transport, &buffers, &retry)
 	if errors.Is(err, os.ErrDeadlineExceeded) && retry.Lasting() != nil {
 		return retry.Lasting() // no blame on the endpoint
