Keep a terminal's interrupt of a soak from its proxies

Cause: Ctrl-C reached the proxies too, which ended, and the soak reported breaks.

Change: they have a process group of their own, and a run that is cut short is no result.

--- a/lab/cli/soak.go
+++ b/lab/cli/soak.go
@@ -61,6 +61,10 @@
 		result, err := soak.Play(ctx, schedule, soak.Options{
 			Proxy: options.proxy, Laboratory: laboratory, Directory: directory,
 		})
+		if ctx.Err() != nil { // what it came to is no result
+			fmt.Fprintf(stdout, "seed %d: stopped\n", seed)
+			break
+		}
 		if err != nil {
 			failed = errors.Join(failed, fmt.Errorf("seed %d: %w", seed, err))
 			fmt.Fprintf(stdout, "seed %d: not played: %v\n", seed, err)
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -113,6 +113,7 @@
 		"--record", p.recordFile(), "--discovery", p.discovery, "--", p.program, "serve")
 	command.Env = append(os.Environ(), "ROUTER_CONFIG="+filepath.Join(p.directory, "config.yaml"),
 		"ROUTER_NAME=", "ROUTER_LISTEN=", "ROUTER_DISCOVERY=", "ROUTER_MGMT=", "TMPDIR="+p.directory)
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true} // what a terminal sends to the soak is not for the proxy
 	stderr, err := command.StderrPipe()
 	if err != nil {
 		return err
