--- a/downstream/accept.go
+++ b/downstream/accept.go
@@ -128,7 +128,7 @@
 		}
 		s.acceptFailed("register", err, faultlog.Retried)
 		if !s.outOfDescriptors(err) || !s.freeDescriptor() {
-			time.Sleep(backoff.Next())
+			time.Sleep(min(backoff.Next(), maxAdmissionPause))
 		}
 	}
 }
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -21,6 +21,8 @@
 	reservedDescriptors = 2
 	// Accepted connections that are made beside others, as the system does not register them at once.
 	maxLateAdmissions = 64
+	// Between two attempts at one of them: its client waits, and it takes several calls that all have to work.
+	maxAdmissionPause = 5 * time.Millisecond
 
 	// While all connections end, a new one may still bring a request for so long.
 	newConnectionGrace = 500 * time.Millisecond
