Excuse the lateness of a request whose replica was stopped while it was open

Its replica c05 is stopped for 4.7 s by the test; both of its clients had a request open just then, on a busy machine, and got their answers when it went on. The ledger excuses what is open at a stop, by its own words, but did so for requests without an answer alone.

Change: such an answer may be late; it still has to be whole, right and the only one.

--- a/lab/processes/replica.go
+++ b/lab/processes/replica.go
@@ -40,6 +40,7 @@
 	isStopped     bool
 	isTerminating bool
 	terminations  int
+	stops         int
 	adminIndex    int // of the newest process in AdminAddresses
 }
 
@@ -176,6 +177,7 @@
 	switch signal {
 	case syscall.SIGSTOP:
 		r.isStopped = true
+		r.stops++
 	case syscall.SIGCONT:
 		r.isStopped = false
 	case syscall.SIGKILL, syscall.SIGTERM:
@@ -227,6 +229,14 @@
 	return r.terminations
 }
 
+// stopsSoFar returns how often a replica's process was stopped, and whether it runs now. What is open when the first
+// grows, or was sent when it did not run, may be late.
+func (r *Replica) stopsSoFar() (stops int, runs bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stops, !r.isStopped
+}
+
 // Pid returns the process id of a replica's newest process. It has to be started.
 func (r *Replica) Pid() int {
 	r.mu.Lock()
