--- a/discovery/client.go
+++ b/discovery/client.go
@@ -43,7 +43,7 @@
 	previous    *source // the one before, which is watched on until the current one's watch stands; nil is none
 	watchWanted bool    // also while a watch that failed is not yet started again
 
-	turn *watchTurn // of the watches of both
+	turn watchTurn // of the watches of both
 }
 
 // NewClient returns a client of the service at address, whose calls end with ctx, or once its last listener has left.
@@ -60,7 +60,7 @@
 		ctx:       ctx,
 		end:       end,
 		current:   &source{address: address, holdsList: known.Snapshot, index: known.Index},
-		turn:      new(watchTurn),
+		turn:      newWatchTurn(),
 	}
 	c.current.hold(known)
 	context.AfterFunc(ctx, c.reserve.Close)
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -33,17 +33,13 @@
 	started := &watch{stop: stop}
 	c.current.watch = started
 	conn := c.newConnection(c.current)
-	turn := turnOf{turn: c.turn}
-	if !c.agent {
-		turn.ask() // now: a watch that passes the turn before the goroutine runs would take it back
-	}
 	go func() {
 		defer stop() // also when the watch fails: its context must not outlive it
 		defer conn.close()
 		if c.agent {
 			c.watchAgent(ctx, started, conn)
 		} else {
-			c.watch(ctx, started, conn, turn)
+			c.watch(ctx, started, conn)
 		}
 	}()
 }
@@ -52,8 +48,9 @@
 // change in between still binds the proxy. So a call that fails because the connection broke with an answer, or soon
 // after one, is made again at once, on another connection: a later call would begin a new watch, which a service may
 // reject while it is crowded.
-func (c *Client) watch(ctx context.Context, running *watch, conn *connection, turn turnOf) {
+func (c *Client) watch(ctx context.Context, running *watch, conn *connection) {
 	s := conn.source
+	turn := turnOf{turn: c.turn}
 	defer turn.pass()
 	fetching := false
 	mayRepeat := true // a whole answer has come since the last call that was made again
