--- a/cmd/proxy/clientleft_test.go
+++ b/cmd/proxy/clientleft_test.go
@@ -57,16 +57,7 @@
 	cmd, record := underFaults(t, program, laboratory, settings, plan)
 	began = time.Now()
 	proxy, _, _ := serving(t, cmd)
-	conn, err := net.Dial("tcp", proxy)
-	if err != nil {
-		t.Fatal(err)
-	}
-	time.Sleep(time.Until(began.Add(asked)))
-	if _, err := io.WriteString(conn, ask()); err != nil {
-		t.Fatal(err)
-	}
-	time.Sleep(time.Until(began.Add(left)))
-	conn.Close()
+	askAndLeave(t, proxy, began.Add(asked), began.Add(left))
 	time.Sleep(time.Until(began.Add(released + time.Second)))
 	mu.Lock()
 	defer mu.Unlock()
@@ -113,21 +104,27 @@
 	cmd, record := underFaults(t, program, laboratory, settings, plan)
 	began := time.Now()
 	proxy, _, _ := serving(t, cmd)
+	askAndLeave(t, proxy, began.Add(asked), began.Add(left))
+	time.Sleep(time.Until(began.Add(works + time.Second)))
+	if n := attempts.Load(); n != 0 {
+		t.Errorf("%d requests have reached the endpoint, of a client that left long before", n)
+	}
+	if len(injections(t, record)) == 0 {
+		t.Error("no call has failed: the test shows nothing")
+	}
+}
+
+// askAndLeave asks one request of a proxy at a time, and closes its connection at another, without waiting for a response.
+func askAndLeave(t *testing.T, proxy string, asked, left time.Time) {
+	t.Helper()
 	conn, err := net.Dial("tcp", proxy)
 	if err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(time.Until(began.Add(asked)))
+	time.Sleep(time.Until(asked))
 	if _, err := io.WriteString(conn, ask()); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(time.Until(began.Add(left)))
+	time.Sleep(time.Until(left))
 	conn.Close()
-	time.Sleep(time.Until(began.Add(works + time.Second)))
-	if n := attempts.Load(); n != 0 {
-		t.Errorf("%d requests have reached the endpoint, of a client that left long before", n)
-	}
-	if len(injections(t, record)) == 0 {
-		t.Error("no call has failed: the test shows nothing")
-	}
 }
