--- a/discovery/connection.go
+++ b/discovery/connection.go
@@ -66,7 +66,7 @@
 		c.reserve.Fill()
 		return err
 	}
-	c.conn = socket.Steady{Conn: conn} // a fault of this machine ends no watch
+	c.conn = socket.Steady{Conn: conn} // writes outlast a fault of this machine; reads do not yet
 	c.answer = &pacedReader{conn: conn, timing: c.timing}
 	c.reader = c.buffers.Reader(c.answer)
 	return nil
