Log attempts on request, and count what endpoints send unasked

Change: SIGUSR1 has the end of each attempt logged, with the request's id, the connection's number, its uses and its rest; unsolicited bytes are judged (a repeated response, another one, or neither), counted by endpoint in GET /ops/faults and logged at each doubling. lab/repeater stands in for endpoints that send more than they were asked for, at a time after their response or after the next request.

--- a/cli/serve.go
+++ b/cli/serve.go
@@ -45,7 +45,11 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	// The reader of the log may exit: unless SIGPIPE is ignored, the next line would end the process.
 	signal.Ignore(syscall.SIGPIPE)
-	log := logging.New(stderr)
+	var logLevel slog.LevelVar
+	log := logging.New(stderr, &logLevel)
+	toggles := make(chan os.Signal, 1)
+	signal.Notify(toggles, syscall.SIGUSR1)
+	go toggleAttemptLog(toggles, &logLevel, log)
 	trial := newSettingsTrial(getenv(config.EnvFile))
 	failedTarget, pending := trial.beginStart(log)
 	cfg, warnings, err := config.Load(getenv)
@@ -91,6 +95,18 @@
 	return nil
 }
 
+// toggleAttemptLog has attempts logged, or not any more, at each signal. It ends with the process.
+func toggleAttemptLog(toggles <-chan os.Signal, level *slog.LevelVar, log *slog.Logger) {
+	for range toggles {
+		if level.Level() == slog.LevelDebug {
+			level.Set(slog.LevelInfo)
+		} else {
+			level.Set(slog.LevelDebug)
+		}
+		log.Info("attempts logged", "on", level.Level() == slog.LevelDebug)
+	}
+}
+
 // awaitStart waits until the proxy serves. It reports false if the proxy is to end.
 func awaitStart(ctx context.Context, p *proxy.Proxy) bool {
 	ticker := time.NewTicker(startPollInterval)
--- a/internal/buffer/buffer.go
+++ b/internal/buffer/buffer.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"errors"
+	"hash/maphash"
 	"io"
 	"net"
 	"sync"
@@ -118,3 +119,10 @@
 	}
 	b.blocks, b.size = nil, 0
 }
+
+// Hash adds the body to a hash.
+func (b *Body) Hash(hash *maphash.Hash) {
+	for at := 0; at < b.Len(); at += Size {
+		hash.Write(b.blocks[at/Size][:min(Size, b.size-at)])
+	}
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -18,18 +18,18 @@
 	refillBytesPerSecond = 64
 )
 
-// New returns a logger to w that lives as long as the process. Lines that w is too slow for are dropped, and so is what
-// exceeds the log's allowance; the next line that passes says how many.
-func New(w io.Writer) *slog.Logger { return newLogger(w, time.Now) }
+// New returns a logger to w that lives as long as the process, of lines of a level and above it. Lines that w is too slow
+// for are dropped, and so is what exceeds the log's allowance; the next line that passes says how many.
+func New(w io.Writer, level slog.Leveler) *slog.Logger { return newLogger(w, level, time.Now) }
 
-func newLogger(w io.Writer, now func() time.Time) *slog.Logger {
+func newLogger(w io.Writer, level slog.Leveler, now func() time.Time) *slog.Logger {
 	q := &queue{lines: make(chan []byte, maxQueuedLines), now: now, allowance: burstBytes, refilledAt: now()}
 	go func() {
 		for line := range q.lines {
 			_, _ = w.Write(line) // the reader may have gone: that is no reason to end
 		}
 	}()
-	return slog.New(slog.NewTextHandler(q, nil))
+	return slog.New(slog.NewTextHandler(q, &slog.HandlerOptions{Level: level}))
 }
 
 // queue passes lines on to the goroutine that writes them.
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"log/slog"
 	"strings"
 	"testing"
 	"time"
@@ -23,7 +24,7 @@
 func TestTheLogComesBack(t *testing.T) {
 	now := time.Unix(1000, 0)
 	out := make(lines, 8192)
-	log := newLogger(out, func() time.Time { return now })
+	log := newLogger(out, slog.LevelInfo, func() time.Time { return now })
 	long := strings.Repeat("x", 64<<10)
 	for range 2 * burstBytes / len(long) {
 		log.Info(long)
@@ -48,7 +49,7 @@
 // A reader that stalls holds up nobody, and one that is gone ends nothing.
 func TestNobodyWaitsForTheReader(t *testing.T) {
 	r, w := io.Pipe()
-	log := New(w)
+	log := New(w, slog.LevelInfo)
 	for range 4 * maxQueuedLines { // nobody reads
 		log.Info("a line")
 	}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -1,10 +1,13 @@
 package proxy
 
 import (
+	"context"
+	"log/slog"
 	"time"
 
 	"ryerill/balancer"
 	"ryerill/config"
+	"ryerill/internal/http1"
 	"ryerill/message"
 	"ryerill/upstream"
 )
@@ -48,6 +51,7 @@
 	a.Attempt = upstream.Attempt{
 		Request:       r.Outgoing,
 		Endpoint:      uint64(endpoint.id),
+		EndpointName:  endpoint.name,
 		Address:       endpoint.address,
 		Deadline:      deadline,
 		StreamTimeout: min(a.timeout, resultTime(r.Remaining)),
@@ -98,6 +102,21 @@
 	return time.Now().Add(min(a.timeout, resultTime(r.Remaining)))
 }
 
+// logAttemptLocked logs the end of an attempt, where the log's level wants it.
+func (c *core) logAttemptLocked(a *attempt) {
+	if !c.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	before := "" // why it was made: the end of the attempt before
+	if a.index > 0 {
+		before = a.request.attempts[a.index-1].outcome.String()
+	}
+	use := a.Connection()
+	c.log.Debug("attempt ended", "request", a.request.Outgoing.Header.Get(http1.HeaderID), "attempt", a.index,
+		"endpoint", a.EndpointName, "connection", use.Number, "uses", use.Uses, "rest", use.Rest.Round(time.Microsecond),
+		"outcome", a.outcome.String(), "after", (c.clock.now() - a.startedAt).Round(time.Microsecond), "retried_for", before)
+}
+
 // endAttemptLocked records how an attempt ended. The first response that served goes to
 // the client at once and ends the request.
 func (c *core) endAttemptLocked(a *attempt, outcome balancer.Outcome, response *message.Response) {
@@ -105,6 +124,7 @@
 	r.inFlight--
 	a.outcome = outcome
 	c.reasons.attemptEnded(outcome)
+	c.logAttemptLocked(a)
 	if response != nil { // what a response costs is known only now
 		c.resources.work.used.Add(int64(config.Cost(response.Body.Len())))
 	}
--- a/proxy/core.go
+++ b/proxy/core.go
@@ -32,6 +32,7 @@
 	classCounters []*classCounters // by class
 	discovery     discoveryWatch
 	graceCheck    graceCheck
+	unsolicited   *unsolicitedLog
 
 	mu sync.Mutex
 	// The fields below are guarded by mu.
@@ -73,6 +74,7 @@
 	c := &core{
 		log:         log,
 		graceCheck:  graceCheck{log: log},
+		unsolicited: newUnsolicitedLog(log),
 		name:        cfg.Name,
 		clock:       parts.clock,
 		cfg:         cfg,
@@ -92,6 +94,7 @@
 		discovery: newDiscoveryWatch(),
 	}
 	c.connections.RecordFaults(cfg.Name, parts.faults)
+	c.connections.ObserveUnsolicited(c.unsolicited)
 	c.connections.SetBodyBudget(&parts.resources.bodies)
 	trim := c.connections.TrimIdle
 	parts.resources.trimIdle.Store(&trim)
--- a/proxy/reasons.go
+++ b/proxy/reasons.go
@@ -87,6 +87,8 @@
 
 	SendsAfterGrace int64 `json:"sends_after_grace"` // to withdrawn endpoints: 0 unless this proxy is at fault
 
+	Unsolicited unsolicitedCounts `json:"unsolicited_bytes"`
+
 	List listReport `json:"endpoint_list"`
 }
 
@@ -121,6 +123,7 @@
 	for _, c := range p.activePools() {
 		counts := c.reasons.counts()
 		counts.SendsAfterGrace = c.graceCheck.violations.Load()
+		counts.Unsolicited = c.unsolicited.report()
 		counts.List = c.listReport()
 		report.Pools[c.name] = counts
 	}
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -13,8 +13,10 @@
 type Attempt struct {
 	Request  *message.OutgoingRequest
 	Endpoint uint64 // identity of the endpoint: its address may pass to another
-	Address  string
-	Deadline time.Time // the proxy stops waiting
+	// EndpointName names the endpoint for operators.
+	EndpointName string
+	Address      string
+	Deadline     time.Time // the proxy stops waiting
 	// WriteDeadline is when the last byte of the request has to be written; zero is no bound. A request part of whose
 	// body is still to be received may take longer.
 	WriteDeadline time.Time
@@ -30,6 +32,8 @@
 	// may be nil.
 	OnWritten func() time.Time
 
+	use ConnectionUse // set by Do
+
 	// mu guards what follows.
 	mu         sync.Mutex
 	conn       *conn // nil unless the attempt holds one
@@ -68,6 +72,10 @@
 	}
 }
 
+// Connection returns the use of a connection that the attempt has made, once Do has returned. Its number is 0 if there
+// was none.
+func (a *Attempt) Connection() ConnectionUse { return a.use }
+
 // lastWrite is the time by which the last byte of the request must be written.
 func (a *Attempt) lastWrite() time.Time {
 	if !a.WriteDeadline.IsZero() && a.WriteDeadline.Before(a.Deadline) {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -45,10 +45,15 @@
 	transport
 	pool        *Pool
 	destination destination
-	limit       io.LimitedReader // bounds what one response may bring
-	reader      *bufio.Reader    // of limit
-	idleSince   time.Time
-	endErr      error // what ended the receiving side; nil while it goes on
+	// endpointName names the endpoint for operators.
+	endpointName string
+	limit        io.LimitedReader // bounds what one response may bring
+	reader       *bufio.Reader    // of limit
+	idleSince    time.Time
+	use          ConnectionUse // its latest
+	lastRequest  string        // id of the request that it carried last
+	history      responseHistory
+	endErr       error // what ended the receiving side; nil while it goes on
 }
 
 // Read reads from the endpoint. The system reports a reset once, to the first read or peek, and an orderly end
@@ -77,5 +82,19 @@
 // isUsable reports whether a connection that was idle may carry a request: nothing has been received on it, neither
 // unsolicited bytes nor its end.
 func (c *conn) isUsable(maxIdle time.Duration) bool {
-	return time.Since(c.idleSince) < maxIdle && c.peek() == socket.Quiet
+	state := c.peek()
+	if state == socket.Waiting {
+		c.pool.reportUnsolicited(c)
+	}
+	return state == socket.Quiet && time.Since(c.idleSince) < maxIdle
+}
+
+// beginUse records that a request of an id is about to be written.
+func (c *conn) beginUse(id string) {
+	c.use.Uses++
+	c.use.Rest = 0
+	if c.use.Uses > 1 {
+		c.use.Rest = time.Since(c.idleSince)
+	}
+	c.lastRequest = id
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -43,6 +43,8 @@
 		}
 		return balancer.NotSent, nil // nothing of it was written
 	}
+	conn.beginUse(a.Request.Header.Get(http1.HeaderID))
+	a.use = conn.use
 	outcome, response, reusable := p.exchange(conn, a)
 	if a.release() {
 		reusable = false
@@ -121,9 +123,9 @@
 		}
 		persistent := requestWhole && !parsed.Close && parsed.ProtoAtLeast(1, 1)
 		if parsed.StatusCode == http.StatusOK {
-			return p.readBody(conn, a, parsed.Header, body, persistent && body.HasLength)
+			return p.readBody(conn, a, &responseHead{head, parsed.Header}, body, persistent && body.HasLength)
 		}
-		return errorOutcome(parsed), nil, p.skipErrorBody(conn, parsed.StatusCode, body, persistent)
+		return errorOutcome(parsed), nil, p.skipErrorBody(conn, head, parsed.StatusCode, body, persistent)
 	}
 	return balancer.Reset, nil, false
 }
@@ -147,16 +149,28 @@
 
 // skipErrorBody reads over the body of an error, which does not matter, so that the connection can be used again. It
 // reports whether it can be.
-func (p *Pool) skipErrorBody(conn *conn, status int, body framing.Body, persistent bool) bool {
+func (p *Pool) skipErrorBody(conn *conn, head []byte, status int, body framing.Body, persistent bool) bool {
 	hasNoBody := status == http.StatusNoContent || status == http.StatusNotModified
 	reusable := persistent && (body.HasLength || hasNoBody)
 	if reusable && !hasNoBody {
 		conn.limit.N = maxErrorBodyBytes
 		skipped, err := p.buffers.ReadBody(body.Reader(conn.reader), message.MaxBufferedBody)
 		reusable = err == nil
+		if reusable {
+			conn.history.add(digestOfBody(head, skipped))
+		}
 		skipped.Free()
 	}
-	return reusable && conn.reader.Buffered() == 0
+	return reusable && p.endsHere(conn)
+}
+
+// endsHere reports whether nothing has been received behind a response.
+func (p *Pool) endsHere(conn *conn) bool {
+	if conn.reader.Buffered() == 0 {
+		return true
+	}
+	p.reportUnsolicited(conn)
+	return false
 }
 
 // isOwnFault reports whether a connection could not be opened, or written to, for a fault of this machine, which is no
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -41,6 +41,7 @@
 	dial        dialFunc
 	name        string             // of the pool
 	faults      *faultlog.Recorder // nil records nothing
+	observer    Observer           // nil is told nothing
 
 	// mu guards what follows.
 	mu             sync.Mutex
@@ -48,6 +49,7 @@
 	connectTimeout time.Duration
 	idle           map[destination][]*conn // the most recently used last
 	closed         bool
+	opened         uint64      // connections so far
 	sweeper        *time.Timer // nil while no connection is idle
 }
 
@@ -120,12 +122,19 @@
 		p.connections.Give(1)
 		return nil, err
 	}
-	c := &conn{transport: opened, destination: to, pool: p}
+	c := &conn{transport: opened, destination: to, endpointName: a.EndpointName, pool: p, use: ConnectionUse{Number: p.nextNumber()}}
 	c.limit.R = c
 	c.reader = p.buffers.Reader(&c.limit)
 	return c, nil
 }
 
+func (p *Pool) nextNumber() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opened++
+	return p.opened
+}
+
 // open opens a connection for an attempt. Where this machine lacks something for it, it tries again a few times:
 // nothing was sent yet, and the endpoint is not to blame.
 func (p *Pool) open(a *Attempt, timeout time.Duration) (transport, error) {
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -17,10 +17,16 @@
 // maxHoldBack is how long the beginning of a body of unknown length may be held, in the hope of its end.
 const maxHoldBack = 300 * time.Millisecond
 
+// responseHead is the head of a response.
+type responseHead struct {
+	text   []byte
+	parsed http.Header
+}
+
 // readBody reads the body of a success: whole if it is short, else its beginning, and the connection goes with the
 // stream of what follows. persistent is whether the connection can be used again after the body.
 func (p *Pool) readBody(
-	conn *conn, a *Attempt, header http.Header, framed framing.Body, persistent bool,
+	conn *conn, a *Attempt, head *responseHead, framed framing.Body, persistent bool,
 ) (outcome balancer.Outcome, response *message.Response, reusable bool) {
 	length := framed.Length
 	if !framed.HasLength || framed.Chunked {
@@ -29,7 +35,7 @@
 	conn.limit.N = math.MaxInt64
 	body := framed.Reader(conn.reader)
 	rest := &download{pool: p, conn: conn, body: body, persistent: persistent, remaining: message.MaxBody}
-	response = &message.Response{Header: header, Stream: rest, Length: length}
+	response = &message.Response{Header: head.parsed, Stream: rest, Length: length}
 	if !p.reserveBody(response) {
 		return balancer.OK, response, false // it is streamed from its first byte on
 	}
@@ -47,7 +53,8 @@
 		return outcomeOf(err), nil, false
 	case whole:
 		response.Stream = nil
-		return balancer.OK, response, persistent && conn.reader.Buffered() == 0
+		conn.history.add(digestOfBody(head.text, part))
+		return balancer.OK, response, persistent && p.endsHere(conn)
 	}
 	return balancer.OK, response, false
 }
