Let connections to endpoints rest before they carry another request

Cause: a connection was inspected once, right before a request was written, and the one used last was taken: a second response some milliseconds late was taken for the response to the next request, and that one's own for the next after it. Change: reuse.Policy, a pure module, wants 50 ms of rest after a response, 0.5 s for half a minute once an endpoint was late; of the connections that have rested the one used last is taken; where this machine can't open another, the next that has rested is waited for. Connections are closed behind responses that were passed on unread. The soak's endpoints send late, second and partial responses now. Tests of the pool that used a connection again at once wait for its rest, and the test of passing faults pauses between requests so that idle connections are still inspected.

--- a/architecture_test.go
+++ b/architecture_test.go
@@ -21,7 +21,7 @@
 }{
 	{"helpers", []string{"internal/atomicfile", "internal/buffer", "internal/exhaustion", "internal/faultlog", "internal/framing", "internal/golden", "internal/http1", "internal/logging", "internal/seedrand",
 		"internal/socket", "internal/yamlfile"}, false},
-	{"decisions", []string{"balancer", "route", "fairshare", "drain", "fleet/membership", "fleet/quota", "fleet/counter",
+	{"decisions", []string{"balancer", "route", "fairshare", "drain", "reuse", "fleet/membership", "fleet/quota", "fleet/counter",
 		"fleet/outlier", "fleet/rollout"}, false},
 	{"decisions on those", []string{"override", "fleet/codec", "fleet/placement", "fleet/statesync"}, false},
 	{"messages, lists, files", []string{"message", "discovery", "fleet", "internal/overridestore", "internal/handover"}, false},
@@ -48,7 +48,7 @@
 }
 
 // pure are the packages that decide: no clock, socket, file, goroutine or global. Time and events are arguments.
-var pure = []string{"balancer", "fairshare", "route", "override", "drain", "internal/seedrand",
+var pure = []string{"balancer", "fairshare", "route", "override", "drain", "reuse", "internal/seedrand",
 	"fleet/membership", "fleet/placement", "fleet/codec", "fleet/quota", "fleet/counter", "fleet/outlier",
 	"fleet/statesync", "fleet/rollout",
 	"lab/servermodel", "lab/load", "lab/invariant", "lab/metrics", "lab/baseline", "lab/faultnet",
@@ -173,7 +173,7 @@
 
 // serving are the packages of the process that serves. The platform refuses it other programs and copies that the kernel
 // makes between sockets; a copy to io.Discard is none.
-var serving = []string{"balancer", "fairshare", "config", "downstream", "discovery", "drain", "internal/atomicfile", "internal/buffer", "cli",
+var serving = []string{"balancer", "fairshare", "config", "downstream", "discovery", "drain", "reuse", "internal/atomicfile", "internal/buffer", "cli",
 	"internal/framing", "internal/http1", "internal/logging", "internal/socket", "internal/overridestore",
 	"internal/handover", "message", "admin", "upstream", "proxy", "route", "override", "fleet", "internal/seedrand",
 	"fleet/membership", "fleet/placement", "fleet/codec", "fleet/quota", "fleet/counter", "fleet/outlier",
--- a/cmd/proxy/systemfaults_test.go
+++ b/cmd/proxy/systemfaults_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"ryerill/lab/syscallfault"
+	"ryerill/reuse"
 )
 
 // Seen while an incident was looked for, in which a request got no response while calls of the system failed: with single
@@ -173,6 +174,9 @@
 	var conn net.Conn
 	var reader *bufio.Reader
 	for i := range requests {
+		if i%3 == 2 { // connections to endpoints have rested, and are inspected and used again
+			time.Sleep(2 * reuse.MinRest)
+		}
 		if conn == nil || i%4 == 0 { // some come on a new connection
 			if conn != nil {
 				conn.Close()
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -18,8 +18,8 @@
 	refillBytesPerSecond = 64
 )
 
-// New returns a logger to w that lives as long as the process, of lines of a level and above it. Lines that w is too slow
-// for are dropped, and so is what exceeds the log's allowance; the next line that passes says how many.
+// New returns a logger to w that lives as long as the process, of lines of a level and above it. Lines that w is too
+// slow for are dropped, and so is what exceeds the log's allowance; the next line that passes says how many.
 func New(w io.Writer, level slog.Leveler) *slog.Logger { return newLogger(w, level, time.Now) }
 
 func newLogger(w io.Writer, level slog.Leveler, now func() time.Time) *slog.Logger {
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"ryerill/lab/repeater"
 	"ryerill/lab/syscallfault"
 )
 
@@ -68,8 +69,17 @@
 	Silent   bool          // it answers nothing then, rather than 503
 	Hanging  int           // the endpoint that hangs now and then
 	Resetter int           // the endpoint that resets connections now and then
+
+	Late     repeater.Fault // what endpoints send unasked
+	LateFrom int            // the endpoint that does, or allEndpoints
 }
 
+// allEndpoints stands for the index of every endpoint.
+const allEndpoints = -1
+
+// maxLateness is how late endpoints send what nobody has asked for.
+const maxLateness = 300 * time.Millisecond
+
 // disturbance is a kind of failing call.
 type disturbance struct {
 	call   string
@@ -123,9 +133,28 @@
 		schedule.Signals = append(schedule.Signals, drawSignal(random, length, proxy))
 	}
 	slices.SortFunc(schedule.Signals, func(a, b Signal) int { return int(a.At - b.At) })
+	schedule.drawLate(random)
 	return schedule
 }
 
+// lateForms are what endpoints send unasked in different runs.
+var lateForms = [][]repeater.Form{{repeater.Whole}, {repeater.Whole, repeater.Pieces}, repeater.AllForms}
+
+// drawLate draws what endpoints send unasked.
+func (s *Schedule) drawLate(random *rand.Rand) {
+	s.Late = repeater.Fault{
+		Share:         []float64{0.01, 0.05, 0.3}[random.IntN(3)],
+		Forms:         lateForms[random.IntN(len(lateForms))],
+		AtNextRequest: random.IntN(3) == 0,
+	}
+	s.Late.MaxDelay = between(random, time.Millisecond, maxLateness)
+	if s.Late.AtNextRequest {
+		s.Late.MaxDelay = between(random, 0, serviceTime)
+		s.Late.Forms = nil
+	}
+	s.LateFrom = random.IntN(endpoints+1) + allEndpoints
+}
+
 // drawPlan draws calls that fail now and then, for the whole life of each process, and some that are cut short or late.
 // What fails is drawn by chance and not at intervals: one call in three is every attempt at what takes three such
 // calls, and a fault that never passes leaves nothing to be served.
@@ -182,6 +211,12 @@
 			lines = append(lines, describeRule(proxy, &rule))
 		}
 	}
+	from := "all endpoints"
+	if s.LateFrom != allEndpoints {
+		from = fmt.Sprint("endpoint ", s.LateFrom)
+	}
+	lines = append(lines, fmt.Sprintf("%s: %.0f%% of responses followed within %v by %v, from the next request on: %v",
+		from, 100*s.Late.Share, s.Late.MaxDelay.Round(time.Millisecond), s.Late.Forms, s.Late.AtNextRequest))
 	if s.Crowd {
 		lines = append(lines, "a crowd of idle clients at proxy 0")
 	}
--- a/lab/soak/standins.go
+++ b/lab/soak/standins.go
@@ -55,7 +55,11 @@
 		listener: listener,
 	}
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: longestDeadline}
-	go func() { _ = e.server.Serve(listener) }() // ends when the server is closed
+	serving := listener
+	if schedule.LateFrom == allEndpoints || schedule.LateFrom == index {
+		serving = schedule.Late.Listen(listener)
+	}
+	go func() { _ = e.server.Serve(serving) }() // ends when the server is closed
 	return e, nil
 }
 
@@ -85,6 +89,7 @@
 			body = append(body, id...)
 		}
 	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body) // a proxy that has given up does not want it
 }
 
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -112,9 +112,11 @@
 		before = a.request.attempts[a.index-1].outcome.String()
 	}
 	use := a.Connection()
+	took := c.clock.now() - a.startedAt
 	c.log.Debug("attempt ended", "request", a.request.Outgoing.Header.Get(http1.HeaderID), "attempt", a.index,
-		"endpoint", a.EndpointName, "connection", use.Number, "uses", use.Uses, "rest", use.Rest.Round(time.Microsecond),
-		"outcome", a.outcome.String(), "after", (c.clock.now() - a.startedAt).Round(time.Microsecond), "retried_for", before)
+		"endpoint", a.EndpointName, "connection", use.Number, "uses", use.Uses,
+		"rest", use.Rest.Round(time.Microsecond), "outcome", a.outcome.String(),
+		"after", took.Round(time.Microsecond), "retried_for", before)
 }
 
 // endAttemptLocked records how an attempt ended. The first response that served goes to
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"ryerill/internal/socket"
+	"ryerill/reuse"
 )
 
 // destination is where a connection leads: an endpoint at its address. When the address passes to another endpoint,
@@ -52,7 +53,7 @@
 	idleSince    time.Time
 	use          ConnectionUse // its latest
 	lastRequest  string        // id of the request that it carried last
-	history      responseHistory
+	history      reuse.History
 	endErr       error // what ended the receiving side; nil while it goes on
 }
 
@@ -79,14 +80,19 @@
 	return state
 }
 
+// mayCarry reports whether a connection has rested for long enough. One that has brought no response needs no rest.
+func (c *conn) mayCarry(policy *reuse.Policy) bool {
+	now := time.Now()
+	if c.use.Uses == 0 {
+		return policy.MayKeep(c.destination.endpoint, now)
+	}
+	return policy.MayCarry(c.destination.endpoint, now.Sub(c.idleSince), now)
+}
+
 // isUsable reports whether a connection that was idle may carry a request: nothing has been received on it, neither
 // unsolicited bytes nor its end.
 func (c *conn) isUsable(maxIdle time.Duration) bool {
-	state := c.peek()
-	if state == socket.Waiting {
-		c.pool.reportUnsolicited(c)
-	}
-	return state == socket.Quiet && time.Since(c.idleSince) < maxIdle
+	return time.Since(c.idleSince) < maxIdle && c.peek() == socket.Quiet
 }
 
 // beginUse records that a request of an id is about to be written.
--- a/upstream/crossings_test.go
+++ b/upstream/crossings_test.go
@@ -39,9 +39,11 @@
 			address, conns, requests := serve(t, okay, nil)
 			descriptors := newDescriptors(1)
 			p := NewPool(descriptors, time.Hour, 5*time.Second, new(buffer.Pool))
+			knowResponses(p)
 			if idle { // the connection is there already
 				p.Do(newCall(address))
 				<-requests
+				letRest()
 			}
 			c := newCall(address)
 			c.MaySend = func() bool { return tc.between(c) }
@@ -50,6 +52,7 @@
 			if outcome != tc.want || descriptors.used() != tc.kept {
 				t.Errorf("%s, on an idle connection %v: %v, %d connections kept", tc.name, idle, outcome, descriptors.used())
 			}
+			letRest()
 			// The next call finds all in order, and the endpoint has had no more than what was wanted.
 			if outcome, _ := p.Do(newCall(address)); outcome != balancer.OK {
 				t.Errorf("%s, on an idle connection %v, then: %v", tc.name, idle, outcome)
@@ -246,8 +249,10 @@
 		address, conns, requests := serve(t, okay, nil)
 		descriptors := newDescriptors(8)
 		p := NewPool(descriptors, time.Hour, 5*time.Second, new(buffer.Pool))
+		knowResponses(p)
 		for i := range 2 {
 			if i == 1 {
+				letRest()
 				p.SetTimeouts(tc.keep, 5*time.Second)
 			}
 			outcome, response := p.Do(newCall(address))
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -157,7 +157,7 @@
 		skipped, err := p.buffers.ReadBody(body.Reader(conn.reader), message.MaxBufferedBody)
 		reusable = err == nil
 		if reusable {
-			conn.history.add(digestOfBody(head, skipped))
+			p.recordResponse(conn, digestOfBody(head, skipped))
 		}
 		skipped.Free()
 	}
@@ -169,7 +169,9 @@
 	if conn.reader.Buffered() == 0 {
 		return true
 	}
-	p.reportUnsolicited(conn)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unsolicitedLocked(conn)
 	return false
 }
 
--- a/upstream/forgotten_test.go
+++ b/upstream/forgotten_test.go
@@ -48,6 +48,7 @@
 			descriptors := newDescriptors(1)
 			p := NewPool(descriptors, time.Hour, 5*time.Second, new(buffer.Pool))
 			defer p.Close()
+			knowResponses(p)
 			forgotten := new(atomic.Bool) // of the connection that was opened last
 			p.dial = func(ctx context.Context, timeout time.Duration, address string) (transport, error) {
 				opened, err := dialTCP(ctx, timeout, address)
@@ -60,6 +61,7 @@
 			if outcome, _ := p.Do(newCall(address)); outcome != balancer.OK {
 				t.Fatalf("the first: %v", outcome)
 			}
+			letRest()
 			forgotten.Store(true)
 			lost := newCall(address)
 			lost.Deadline = time.Now().Add(100 * time.Millisecond)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -3,12 +3,14 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"ryerill/internal/buffer"
 	"ryerill/internal/faultlog"
 	"ryerill/internal/socket"
+	"ryerill/reuse"
 )
 
 const (
@@ -17,7 +19,7 @@
 	idleMargin = 500 * time.Millisecond
 
 	// maxDials is how often a connection is dialled for an attempt while this machine lacks something for it.
-	maxDials = 5
+	maxDials = 8
 
 	// minSweepInterval is the least time between two searches for connections that are idle too long.
 	minSweepInterval = 100 * time.Millisecond
@@ -47,6 +49,7 @@
 	mu             sync.Mutex
 	maxIdle        time.Duration
 	connectTimeout time.Duration
+	policy         *reuse.Policy
 	idle           map[destination][]*conn // the most recently used last
 	closed         bool
 	opened         uint64      // connections so far
@@ -60,6 +63,7 @@
 		connections: connections,
 		buffers:     buffers,
 		dial:        dialTCP,
+		policy:      reuse.NewPolicy(),
 		idle:        make(map[destination][]*conn),
 	}
 	p.SetTimeouts(idleClose, connectTimeout)
@@ -99,8 +103,8 @@
 	}
 }
 
-// get returns a connection for an attempt: the one to its destination that was used last, if any is usable, or a new
-// one.
+// get returns a connection for an attempt: the one to its destination that was used last of those that have rested for
+// long enough, if any is usable, or a new one.
 func (p *Pool) get(a *Attempt) (*conn, error) {
 	to := destination{a.Endpoint, a.Address}
 	p.mu.Lock()
@@ -108,6 +112,40 @@
 		p.mu.Unlock()
 		return c, nil
 	}
+	p.mu.Unlock()
+	c, err := p.openNew(a, to)
+	if err != nil && isOwnFault(err) {
+		if rested := p.awaitRested(to); rested != nil {
+			return rested, nil
+		}
+	}
+	return c, err
+}
+
+// awaitRested waits until the idle connection to a destination that rests for longest has rested, and takes it. It
+// returns nil if there is none, or if that takes longer than an ordinary rest.
+func (p *Pool) awaitRested(to destination) *conn {
+	p.mu.Lock()
+	list := p.idle[to]
+	if len(list) == 0 {
+		p.mu.Unlock()
+		return nil
+	}
+	now := time.Now()
+	wait := p.policy.NeededRest(to.endpoint, now) - now.Sub(list[0].idleSince)
+	p.mu.Unlock()
+	if wait > reuse.MinRest {
+		return nil
+	}
+	time.Sleep(wait)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.takeIdleLocked(to)
+}
+
+// openNew opens a connection for an attempt, in place of the one idle for longest if there is no descriptor left.
+func (p *Pool) openNew(a *Attempt, to destination) (*conn, error) {
+	p.mu.Lock()
 	for !p.connections.Take(1) {
 		if !p.evictLocked() {
 			p.mu.Unlock()
@@ -115,6 +153,8 @@
 		}
 	}
 	timeout := p.connectTimeout
+	p.opened++
+	number := p.opened
 	p.mu.Unlock()
 
 	opened, err := p.open(a, timeout)
@@ -122,19 +162,18 @@
 		p.connections.Give(1)
 		return nil, err
 	}
-	c := &conn{transport: opened, destination: to, endpointName: a.EndpointName, pool: p, use: ConnectionUse{Number: p.nextNumber()}}
+	c := &conn{
+		transport:    opened,
+		destination:  to,
+		endpointName: a.EndpointName,
+		pool:         p,
+		use:          ConnectionUse{Number: number},
+	}
 	c.limit.R = c
 	c.reader = p.buffers.Reader(&c.limit)
 	return c, nil
 }
 
-func (p *Pool) nextNumber() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.opened++
-	return p.opened
-}
-
 // open opens a connection for an attempt. Where this machine lacks something for it, it tries again a few times:
 // nothing was sent yet, and the endpoint is not to blame.
 func (p *Pool) open(a *Attempt, timeout time.Duration) (transport, error) {
@@ -147,19 +186,27 @@
 	}
 }
 
-// takeIdleLocked takes the usable connection to a destination that was used last, or nil. Those that are not usable are
-// closed on the way.
+// takeIdleLocked takes the usable connection to a destination that was used last of those that have rested for long
+// enough, or nil. Those that are not usable are closed on the way.
 func (p *Pool) takeIdleLocked(to destination) *conn {
-	for list := p.idle[to]; len(list) > 0; list = p.idle[to] {
-		last := len(list) - 1
-		c := list[last]
-		p.idle[to] = list[:last]
+	for i := len(p.idle[to]) - 1; i >= 0; i-- {
+		list := p.idle[to] // it is shorter, or gone, once a connection was found unusable
+		if i >= len(list) {
+			continue
+		}
+		c := list[i]
+		if !c.mayCarry(p.policy) {
+			continue
+		}
+		p.idle[to] = slices.Delete(list, i, i+1)
 		if c.isUsable(p.maxIdle) {
 			return c
 		}
-		p.dropLocked(c)
+		p.retireLocked(c)
+	}
+	if len(p.idle[to]) == 0 {
+		delete(p.idle, to)
 	}
-	delete(p.idle, to)
 	return nil
 }
 
@@ -167,11 +214,12 @@
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	now := time.Now()
+	if p.closed || !p.policy.MayKeep(c.destination.endpoint, now) {
 		p.dropLocked(c)
 		return
 	}
-	c.idleSince = time.Now()
+	c.idleSince = now
 	p.idle[c.destination] = append(p.idle[c.destination], c)
 	if p.sweeper == nil {
 		p.sweeper = time.AfterFunc(p.maxIdle, p.sweep)
@@ -191,6 +239,14 @@
 	p.connections.Give(1)
 }
 
+// retireLocked closes a connection that was idle, and learns from what has come in on it.
+func (p *Pool) retireLocked(c *conn) {
+	if c.peek() == socket.Waiting {
+		p.unsolicitedLocked(c)
+	}
+	p.dropLocked(c)
+}
+
 // evictLocked closes the connection idle for longest. It reports false if none is idle.
 func (p *Pool) evictLocked() bool {
 	var oldest *conn
@@ -215,8 +271,11 @@
 	next := time.Duration(-1) // until the next connection is idle for too long; negative is none
 	for to, list := range p.idle {
 		for len(list) > 0 && time.Since(list[0].idleSince) >= p.maxIdle {
-			p.dropLocked(list[0])
+			oldest := list[0]
 			list = list[1:]
+			p.idle[to] = list
+			p.retireLocked(oldest)
+			list = p.idle[to] // it is gone if the endpoint is distrusted now
 		}
 		if len(list) == 0 {
 			delete(p.idle, to)
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -34,7 +34,7 @@
 	}
 	conn.limit.N = math.MaxInt64
 	body := framed.Reader(conn.reader)
-	rest := &download{pool: p, conn: conn, body: body, persistent: persistent, remaining: message.MaxBody}
+	rest := &download{pool: p, conn: conn, body: body, remaining: message.MaxBody}
 	response = &message.Response{Header: head.parsed, Stream: rest, Length: length}
 	if !p.reserveBody(response) {
 		return balancer.OK, response, false // it is streamed from its first byte on
@@ -53,7 +53,7 @@
 		return outcomeOf(err), nil, false
 	case whole:
 		response.Stream = nil
-		conn.history.add(digestOfBody(head.text, part))
+		p.recordResponse(conn, digestOfBody(head.text, part))
 		return balancer.OK, response, persistent && p.endsHere(conn)
 	}
 	return balancer.OK, response, false
@@ -98,12 +98,10 @@
 
 // download is the remainder of a response's body. It holds the connection until Close.
 type download struct {
-	pool       *Pool
-	conn       *conn
-	body       io.Reader
-	persistent bool  // the connection may be used again after the body
-	whole      bool  // the body's end has been read
-	remaining  int64 // bytes that it may still bring
+	pool      *Pool
+	conn      *conn
+	body      io.Reader
+	remaining int64 // bytes that it may still bring
 }
 
 // Read waits for progress, but no longer than the proxy waits for any.
@@ -114,16 +112,11 @@
 	d.conn.SetReadDeadline(time.Now().Add(progressTimeout))
 	n, err := d.body.Read(b[:min(int64(len(b)), d.remaining)])
 	d.remaining -= int64(n)
-	d.whole = errors.Is(err, io.EOF)
 	return n, err
 }
 
-// Close gives the connection back, or closes it if it can't be used again. It never fails.
+// Close closes the connection: a copy of a response that was passed on unread could not be told. It never fails.
 func (d *download) Close() error {
-	if d.whole && d.persistent && d.conn.reader.Buffered() == 0 {
-		d.pool.put(d.conn)
-	} else {
-		d.pool.drop(d.conn)
-	}
+	d.pool.drop(d.conn)
 	return nil
 }
--- a/upstream/unsolicited.go
+++ b/upstream/unsolicited.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"hash/maphash"
+	"regexp"
 	"time"
 
 	"ryerill/internal/buffer"
 	"ryerill/internal/framing"
 	"ryerill/internal/socket"
+	"ryerill/reuse"
 )
 
 // ConnectionUse is one use of a connection to an endpoint by an attempt.
@@ -26,8 +28,10 @@
 	RepeatedResponse UnsolicitedKind = "a repeated response"
 	// OtherResponse is the whole of another response. The one before it may have been another request's.
 	OtherResponse UnsolicitedKind = "another response"
-	// UnknownBytes are part of a response, or no response.
-	UnknownBytes UnsolicitedKind = "part of a response, or none"
+	// PartialResponse is the beginning of a response.
+	PartialResponse UnsolicitedKind = "the beginning of a response"
+	// UnknownBytes can't be taken for the final response to a request.
+	UnknownBytes UnsolicitedKind = "no response"
 )
 
 // Unsolicited is what has been found on a connection on which no request was out, or behind a response.
@@ -50,28 +54,52 @@
 // attempt.
 func (p *Pool) ObserveUnsolicited(observer Observer) { p.observer = observer }
 
+// unknownLateness is the lateness of bytes of which it is not known when they came.
+const unknownLateness = time.Duration(-1)
+
 // maxInspected are the bytes of unsolicited input that are looked at.
 const maxInspected = 4 << 10
 
-// reportUnsolicited tells the observer what has been received on a connection that is not to be used any more.
-func (p *Pool) reportUnsolicited(c *conn) {
+// unsolicitedLocked judges what has been received on a connection that is not to be used any more. The
+// connections of who sends what could be taken for a response rest longer.
+func (p *Pool) unsolicitedLocked(c *conn) {
+	input, late := c.takeInput()
+	kind := c.judge(input)
+	p.tellObserver(c, kind, late)
+	if kind != UnknownBytes && late != 0 {
+		p.policy.CameLate(c.destination.endpoint, time.Now())
+	}
+}
+
+func (p *Pool) tellObserver(c *conn, kind UnsolicitedKind, late time.Duration) {
 	if p.observer == nil {
 		return
 	}
-	input, late := c.takeInput()
 	p.observer.UnsolicitedBytes(Unsolicited{
 		Endpoint:    c.endpointName,
 		Connection:  c.use,
 		LastRequest: c.lastRequest,
-		Kind:        c.judge(input),
+		Kind:        kind,
 		Late:        late,
 	})
 }
 
+// recordResponse records a response that a connection has brought.
+func (p *Pool) recordResponse(c *conn, digest reuse.Digest) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.recordLocked(c, digest)
+}
+
+func (p *Pool) recordLocked(c *conn, digest reuse.Digest) {
+	c.history.Add(digest)
+	p.policy.Responses.Record(digest, c.use.Number)
+}
+
 // takeInput takes the beginning of what has been received, and returns how long after the last response it came;
 // negative is unknown.
 func (c *conn) takeInput() (input []byte, late time.Duration) {
-	late = -1
+	late = unknownLateness
 	if c.reader.Buffered() > 0 {
 		input, _ = c.reader.Peek(min(c.reader.Buffered(), maxInspected)) // it is there: no error
 		return input, 0
@@ -85,65 +113,44 @@
 	return block[:socket.Receive(c, block)], late
 }
 
+// interimHead matches the head of a response of status 1xx.
+var interimHead = regexp.MustCompile(`^HTTP/1\.[01] 1`)
+
 // judge says what was received although nobody has asked for it.
 func (c *conn) judge(input []byte) UnsolicitedKind {
-	end := bytes.Index(input, []byte("\r\n\r\n"))
-	if end < 0 || !bytes.HasPrefix(input, []byte("HTTP/")) {
+	if !bytes.HasPrefix(input, []byte("HTTP/")) || interimHead.Match(input) {
 		return UnknownBytes
 	}
+	end := bytes.Index(input, []byte("\r\n\r\n"))
+	if end < 0 {
+		return PartialResponse
+	}
 	head := input[:end+len("\r\n\r\n")]
 	body := input[len(head):]
 	framed, err := framing.ParseLength(head)
 	if err != nil || !framed.HasLength || framed.Chunked || int64(len(body)) < framed.Length {
-		return UnknownBytes
+		return PartialResponse
 	}
-	if c.history.holds(digestOf(head, body[:framed.Length])) {
+	if c.history.Holds(digestOf(head, body[:framed.Length])) {
 		return RepeatedResponse
 	}
 	return OtherResponse
 }
 
-// responseDigest stands for the bytes of a response: its head, and its body without framing.
-type responseDigest uint64
-
 var digestSeed = maphash.MakeSeed()
 
-func digestOf(head, body []byte) responseDigest {
+func digestOf(head, body []byte) reuse.Digest {
 	var hash maphash.Hash
 	hash.SetSeed(digestSeed)
 	hash.Write(head)
 	hash.Write(body)
-	return responseDigest(hash.Sum64())
+	return reuse.Digest(hash.Sum64())
 }
 
-func digestOfBody(head []byte, body *buffer.Body) responseDigest {
+func digestOfBody(head []byte, body *buffer.Body) reuse.Digest {
 	var hash maphash.Hash
 	hash.SetSeed(digestSeed)
 	hash.Write(head)
 	body.Hash(&hash)
-	return responseDigest(hash.Sum64())
-}
-
-// maxRemembered is how many responses of a connection are remembered.
-const maxRemembered = 4
-
-// responseHistory is the last responses that a connection has brought.
-type responseHistory struct {
-	digests [maxRemembered]responseDigest
-	count   int // of all responses so far
-}
-
-func (h *responseHistory) add(digest responseDigest) {
-	h.digests[h.count%maxRemembered] = digest
-	h.count++
-}
-
-// holds reports whether a response is among those remembered.
-func (h *responseHistory) holds(digest responseDigest) bool {
-	for _, known := range h.digests[:min(h.count, maxRemembered)] {
-		if known == digest {
-			return true
-		}
-	}
-	return false
+	return reuse.Digest(hash.Sum64())
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -99,7 +99,9 @@
 	} {
 		address, conns, requests := serve(t, tc.text, tc.after)
 		p := NewPool(newDescriptors(8), tc.idleClose, 5*time.Second, new(buffer.Pool))
+		knowResponses(p)
 		for range 2 {
+			letRest()
 			outcome, response := p.Do(newCall(address))
 			if outcome != balancer.OK || response.Body.Len() != 2 {
 				t.Fatalf("%s: %v, %+v", tc.name, outcome, response)
@@ -220,12 +222,14 @@
 	address, conns, _ := serve(t, okay, nil)
 	p := NewPool(newDescriptors(8), time.Hour, 5*time.Second, new(buffer.Pool))
 	defer p.Close()
+	knowResponses(p)
 	for i, tc := range []struct {
 		endpoint uint64
 		conns    int
 	}{{1, 1}, {1, 1}, {2, 2}, {1, 2}} {
 		c := newCall(address)
 		c.Endpoint = tc.endpoint
+		letRest()
 		if outcome, _ := p.Do(c); outcome != balancer.OK || len(conns) != tc.conns {
 			t.Errorf("call %d: %v, %d connections", i, outcome, len(conns))
 		}
