Tell copies of responses from responses, however late they come

Cause: against a second response that is timed by the next request no rest helps. Change: a success that a connection brings twice, and no other connection has brought, is taken for a copy: the attempt counts as reset, and its endpoint's connections are used once for 10 s. More bytes behind a response on a used connection than belong to it are the same. No connection is used twice before four responses are known, so that what all requests get is known as such.

--- a/reuse/policy.go
+++ b/reuse/policy.go
@@ -49,7 +49,7 @@
 
 // MayCarry reports whether a connection to an endpoint may carry another request after it has rested for a while.
 func (p *Policy) MayCarry(id uint64, rest time.Duration, now time.Time) bool {
-	return rest >= p.NeededRest(id, now) && p.MayKeep(id, now)
+	return rest >= p.NeededRest(id, now) && p.Responses.Suffice() && p.MayKeep(id, now)
 }
 
 // NeededRest returns how long a connection to an endpoint has to rest.
@@ -70,6 +70,11 @@
 	p.note(id, now, func(e *endpoint) { e.longRestUntil = now.Add(longRestPeriod) })
 }
 
+// Distrust records that an endpoint has sent a copy in place of a response.
+func (p *Policy) Distrust(id uint64, now time.Time) {
+	p.note(id, now, func(e *endpoint) { e.distrustedUntil = now.Add(distrustPeriod) })
+}
+
 // note changes what is noted of an endpoint.
 func (p *Policy) note(id uint64, now time.Time, change func(*endpoint)) {
 	e, known := p.endpoints[id]
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -247,6 +247,13 @@
 	p.dropLocked(c)
 }
 
+// distrustLocked records that an endpoint has sent a copy in place of a response: none of its connections is used
+// again.
+func (p *Pool) distrustLocked(from destination) {
+	p.policy.Distrust(from.endpoint, time.Now())
+	p.dropAllLocked(from, p.idle[from])
+}
+
 // evictLocked closes the connection idle for longest. It reports false if none is idle.
 func (p *Pool) evictLocked() bool {
 	var oldest *conn
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -53,8 +53,13 @@
 		return outcomeOf(err), nil, false
 	case whole:
 		response.Stream = nil
-		p.recordResponse(conn, digestOfBody(head.text, part))
-		return balancer.OK, response, persistent && p.endsHere(conn)
+		own := p.isOwn(conn, digestOfBody(head.text, part))
+		endsHere := p.endsHere(conn)
+		if !own || !endsHere && conn.use.Uses > 1 { // more than a response may be the rest of another one
+			response.Free()
+			return balancer.Reset, nil, false
+		}
+		return balancer.OK, response, persistent && endsHere
 	}
 	return balancer.OK, response, false
 }
--- a/upstream/reuse_test.go
+++ b/upstream/reuse_test.go
@@ -1,9 +1,16 @@
 package upstream
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"ryerill/balancer"
 	"ryerill/internal/buffer"
 	"ryerill/reuse"
 )
@@ -38,3 +45,82 @@
 		t.Errorf("%d connections, then %+v: not the one used last", len(conns), use)
 	}
 }
+
+// Guards against a copy of the response before, sent once the next request has come, that is served for it.
+func TestCopiesAreNotServed(t *testing.T) {
+	address, _, _ := serveInTurn(t, okay, okay, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew")
+	p := NewPool(newDescriptors(8), time.Hour, 5*time.Second, new(buffer.Pool))
+	defer p.Close()
+	for i := range reuse.Digest(20) {
+		p.policy.Responses.Record(i, 100) // none of them is common
+	}
+	p.Do(newCall(address))
+	letRest()
+	if outcome, response := p.Do(newCall(address)); outcome != balancer.Reset || response != nil {
+		t.Errorf("a copy: %v, %+v", outcome, response)
+	}
+	for range 2 { // its endpoint's connections are not used again for a while
+		letRest()
+		fresh := newCall(address)
+		outcome, response := p.Do(fresh)
+		if use := fresh.Connection(); outcome != balancer.OK || use.Uses != 1 {
+			t.Errorf("then: %v on %+v", outcome, use)
+		}
+		response.Free()
+	}
+}
+
+// Guards against half of a late response, with the beginning of the next one behind it, that is served as a whole one.
+func TestMoreThanAResponseIsNotServedOnAUsedConnection(t *testing.T) {
+	for _, uses := range []int{1, 2} {
+		t.Run(fmt.Sprint(uses, " uses"), func(t *testing.T) {
+			responses := []string{okay, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnewand more"}
+			address, _, _ := serveInTurn(t, responses[2-uses:]...)
+			p := NewPool(newDescriptors(8), time.Hour, 5*time.Second, new(buffer.Pool))
+			defer p.Close()
+			knowResponses(p)
+			want := balancer.OK
+			if uses > 1 {
+				p.Do(newCall(address))
+				letRest()
+				want = balancer.Reset
+			}
+			if outcome, _ := p.Do(newCall(address)); outcome != want {
+				t.Errorf("%v, want %v", outcome, want)
+			}
+		})
+	}
+}
+
+// serveInTurn answers all requests, of whatever connection, with one text after another, the last one for all that
+// follow.
+func serveInTurn(t *testing.T, texts ...string) (address string, conns chan struct{}, answered *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	conns = make(chan struct{}, 64)
+	answered = new(atomic.Int64)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			conns <- struct{}{}
+			go func() {
+				defer conn.Close()
+				for reader := bufio.NewReader(conn); ; {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					turn := min(int(answered.Add(1)), len(texts))
+					io.WriteString(conn, texts[turn-1])
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), conns, answered
+}
--- a/upstream/unsolicited.go
+++ b/upstream/unsolicited.go
@@ -84,6 +84,20 @@
 	})
 }
 
+// isOwn reports whether a success is the response to the request that is out on a connection, not a copy of one that
+// the connection has brought before.
+func (p *Pool) isOwn(c *conn, digest reuse.Digest) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.history.Holds(digest) && p.policy.Responses.ToldApart(digest) {
+		p.tellObserver(c, RepeatedResponse, unknownLateness)
+		p.distrustLocked(c.destination)
+		return false
+	}
+	p.recordLocked(c, digest)
+	return true
+}
+
 // recordResponse records a response that a connection has brought.
 func (p *Pool) recordResponse(c *conn, digest reuse.Digest) {
 	p.mu.Lock()
