Take a decline for proof only on a connection that has brought nothing before

Cause: whatever error came in was taken for that of the request that was out, and a decline proves that its request never ran. Change: on a connection that has brought another response a decline is the outcome RejectedInDoubt, which may have run, and the connection is closed, as after any other error, since the request's own response may be yet to come. For a second after a decline requests that need proof get new connections.

--- a/balancer/event.go
+++ b/balancer/event.go
@@ -47,17 +47,19 @@
 
 // The outcomes of an attempt.
 const (
-	OK            Outcome = iota // served
-	Error                        // error answer; it may have been executed
-	Rejected                     // rejected before it was executed
-	Timeout                      // no answer in time; it may have been executed or still be running
-	ConnectFailed                // no connection; it was not executed
-	Reset                        // the connection broke; it may have been executed
-	Cancelled                    // cancelled; it may have been executed
-	NotSent                      // not sent; it was not executed
+	OK              Outcome = iota // served
+	Error                          // error answer; it may have been executed
+	Rejected                       // rejected before it was executed
+	Timeout                        // no answer in time; it may have been executed or still be running
+	ConnectFailed                  // no connection; it was not executed
+	Reset                          // the connection broke; it may have been executed
+	Cancelled                      // cancelled; it may have been executed
+	NotSent                        // not sent; it was not executed
+	RejectedInDoubt                // rejected, but perhaps for another request; it may have been executed
+	OutcomeCount                   // their number
 )
 
-var outcomeNames = [...]string{
+var outcomeNames = [OutcomeCount]string{
 	OK:            "ok",
 	Error:         "error",
 	Rejected:      "full",
@@ -66,6 +68,8 @@
 	Reset:         "connection broken",
 	Cancelled:     "cancelled",
 	NotSent:       "not sent",
+
+	RejectedInDoubt: "full, in doubt",
 }
 
 // String names the outcome as log lines do.
@@ -79,6 +83,11 @@
 // NeverRan reports whether the outcome proves that the attempt was not executed.
 func (o Outcome) NeverRan() bool { return o == Rejected || o == ConnectFailed || o == NotSent }
 
+// mayBeRunning reports whether the endpoint may still be executing the attempt.
+func (o Outcome) mayBeRunning() bool {
+	return o == Timeout || o == Reset || o == Cancelled || o == RejectedInDoubt
+}
+
 // EventKind determines which fields of an Event are set.
 type EventKind uint8
 
--- a/balancer/health.go
+++ b/balancer/health.go
@@ -26,7 +26,7 @@
 	case Timeout, ConnectFailed, Reset:
 		e.lastResult = resultFailed
 		fallthrough
-	case Error, Rejected:
+	case Error, Rejected, RejectedInDoubt:
 		penalty = min(penalty+blame*(penalty+1), maxPenalty)
 		if penalty == maxPenalty && e.health.penalty < maxPenalty/2 {
 			b.logf("endpoint %x keeps failing (%v): it gets few attempts", uint64(e.ID), outcome)
@@ -44,6 +44,6 @@
 	} else {
 		b.endpoints.updateRank(e, b.now)
 	}
-	failed := outcome == Error || outcome == Reset || outcome == Timeout || outcome.NeverRan()
+	failed := outcome != OK && outcome != Cancelled
 	b.stats.addResult(class, failed, averageGain)
 }
--- a/balancer/keyorder.go
+++ b/balancer/keyorder.go
@@ -45,7 +45,7 @@
 // quarantineKey holds the queue of r's key back after an attempt that may still be running.
 func (b *Balancer) quarantineKey(r *request, outcome Outcome) {
 	queue := b.queues[r.key]
-	if queue == nil || outcome != Timeout && outcome != Reset && outcome != Cancelled {
+	if queue == nil || !outcome.mayBeRunning() {
 		return
 	}
 	queue.quarantinedUntil = b.now + b.cfg.Contract.KeyQuarantine
--- a/fleet/statesync/evidence.go
+++ b/fleet/statesync/evidence.go
@@ -13,7 +13,7 @@
 		return outlier.Succeeded, true
 	case balancer.Timeout, balancer.ConnectFailed, balancer.Reset:
 		return outlier.TimedOut, true
-	case balancer.Error, balancer.Rejected:
+	case balancer.Error, balancer.Rejected, balancer.RejectedInDoubt:
 		return outlier.Failed, true
 	default:
 		return outlier.Succeeded, false
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -56,6 +56,7 @@
 		Deadline:      deadline,
 		StreamTimeout: min(a.timeout, resultTime(r.Remaining)),
 		WriteDeadline: time.Now().Add(action.WriteTimeout),
+		NeedsProof:    c.classes.Effects[r.Class] != balancer.Safe,
 		MaySend:       endpoint.guard.MaySend,
 		OnSent:        c.checkGraceLocked(a, endpoint),
 		OnWritten:     func() time.Time { return c.attemptWritten(a) },
--- a/proxy/reasons.go
+++ b/proxy/reasons.go
@@ -49,7 +49,7 @@
 }
 
 const (
-	outcomes = int(balancer.NotSent) + 1
+	outcomes = int(balancer.OutcomeCount)
 	// besideAnother is the reason of a further attempt that begins while an earlier one is in flight.
 	besideAnother     = outcomes
 	besideAnotherName = "beside an attempt in flight"
--- a/reuse/policy.go
+++ b/reuse/policy.go
@@ -20,6 +20,10 @@
 	// response.
 	distrustPeriod = 10 * time.Second
 
+	// declinePeriod is how long after a decline requests that may not simply be repeated get new connections: only
+	// there a decline proves that it is for them.
+	declinePeriod = time.Second
+
 	// maxNotedEndpoints bounds the endpoints of which something is noted. Where there are more, all are distrusted.
 	maxNotedEndpoints = 4096
 )
@@ -30,6 +34,7 @@
 	endpoints map[uint64]endpoint // those that have sent what nobody asked for
 	// allDistrustedUntil is until when all endpoints are distrusted.
 	allDistrustedUntil time.Time
+	declinedAt         time.Time // when any endpoint declined a request last
 }
 
 // NewPolicy returns a policy that trusts all endpoints.
@@ -65,6 +70,14 @@
 	return !now.Before(p.allDistrustedUntil) && !now.Before(p.endpoints[id].distrustedUntil)
 }
 
+// Declined records that an endpoint has declined a request.
+func (p *Policy) Declined(now time.Time) { p.declinedAt = now }
+
+// Declining reports whether endpoints have declined requests lately.
+func (p *Policy) Declining(now time.Time) bool {
+	return !p.declinedAt.IsZero() && now.Sub(p.declinedAt) < declinePeriod
+}
+
 // CameLate records that something has come in on a connection to an endpoint while it rested.
 func (p *Policy) CameLate(id uint64, now time.Time) {
 	p.note(id, now, func(e *endpoint) { e.longRestUntil = now.Add(longRestPeriod) })
--- a/reuse/policy_test.go
+++ b/reuse/policy_test.go
@@ -50,6 +50,17 @@
 	}
 }
 
+// Requests that may not simply be repeated need proof while endpoints decline.
+func TestDeclinesAreRememberedForAWhile(t *testing.T) {
+	p := NewPolicy()
+	now := time.Unix(1000, 0)
+	before := p.Declining(now)
+	p.Declined(now)
+	if before || !p.Declining(now.Add(declinePeriod-1)) || p.Declining(now.Add(declinePeriod)) {
+		t.Error("endpoints decline before they have, or for ever, or not at all")
+	}
+}
+
 func TestEndpointsAreDistrustedForAWhile(t *testing.T) {
 	p := trusting()
 	now := time.Unix(1000, 0)
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -23,7 +23,9 @@
 	// StreamTimeout is how long the client waits from the last byte on of a request that streams. Its deadline includes
 	// the time of the upload, which the endpoint must not be told.
 	StreamTimeout time.Duration
-	MaySend       func() bool // called right before the first byte is written; false prevents that
+	// NeedsProof is whether the request may go elsewhere only if it is proven that it was not executed.
+	NeedsProof bool
+	MaySend    func() bool // called right before the first byte is written; false prevents that
 
 	// OnSent is called once the first bytes are written, with the time at which they were. It may be nil.
 	OnSent func(time.Time)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -125,7 +125,14 @@
 		if parsed.StatusCode == http.StatusOK {
 			return p.readBody(conn, a, &responseHead{head, parsed.Header}, body, persistent && body.HasLength)
 		}
-		return errorOutcome(parsed), nil, p.skipErrorBody(conn, head, parsed.StatusCode, body, persistent)
+		outcome := errorOutcome(parsed)
+		if outcome == balancer.Rejected {
+			p.recordDecline()
+		}
+		if conn.use.Uses > 1 {
+			return inDoubt(outcome), nil, false // its own response may be yet to come
+		}
+		return outcome, nil, p.skipErrorBody(conn, head, parsed.StatusCode, body, persistent)
 	}
 	return balancer.Reset, nil, false
 }
@@ -137,6 +144,22 @@
 	return http.ReadResponse(reader, &http.Request{Method: method})
 }
 
+// recordDecline records that an endpoint has declined a request.
+func (p *Pool) recordDecline() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.policy.Declined(time.Now())
+}
+
+// inDoubt is the outcome of an error on a connection that has brought another response before: it may be one that comes
+// late, and so proves nothing of this request.
+func inDoubt(outcome balancer.Outcome) balancer.Outcome {
+	if outcome == balancer.Rejected {
+		return balancer.RejectedInDoubt
+	}
+	return outcome
+}
+
 // errorOutcome is the outcome of a response that is no success.
 func errorOutcome(response *http.Response) balancer.Outcome {
 	unavailable := response.StatusCode == http.StatusServiceUnavailable ||
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -108,9 +108,11 @@
 func (p *Pool) get(a *Attempt) (*conn, error) {
 	to := destination{a.Endpoint, a.Address}
 	p.mu.Lock()
-	if c := p.takeIdleLocked(to); c != nil {
-		p.mu.Unlock()
-		return c, nil
+	if !a.NeedsProof || !p.policy.Declining(time.Now()) {
+		if c := p.takeIdleLocked(to); c != nil {
+			p.mu.Unlock()
+			return c, nil
+		}
 	}
 	p.mu.Unlock()
 	c, err := p.openNew(a, to)
--- a/upstream/reuse_test.go
+++ b/upstream/reuse_test.go
@@ -46,6 +46,26 @@
 	}
 }
 
+// Guards against a decline or an error that comes late and is taken for that of the next request.
+func TestDeclinesProveNothingOnAUsedConnection(t *testing.T) {
+	const decline = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+	address, conns, _ := serveInTurn(t, okay, decline, decline)
+	p := NewPool(newDescriptors(8), time.Hour, 5*time.Second, new(buffer.Pool))
+	defer p.Close()
+	knowResponses(p)
+	p.Do(newCall(address))
+	letRest()
+	if outcome, _ := p.Do(newCall(address)); outcome != balancer.RejectedInDoubt || outcome.NeverRan() {
+		t.Errorf("on a used connection: %v", outcome)
+	}
+	letRest()
+	needsProof := newCall(address)
+	needsProof.NeedsProof = true
+	if outcome, _ := p.Do(needsProof); outcome != balancer.Rejected || len(conns) != 2 {
+		t.Errorf("after a decline: %v, %d connections", outcome, len(conns))
+	}
+}
+
 // Guards against a copy of the response before, sent once the next request has come, that is served for it.
 func TestCopiesAreNotServed(t *testing.T) {
 	address, _, _ := serveInTurn(t, okay, okay, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew")
