Have late responses come without declines, and up to 0.3 s late

Cause: where a tenth of all requests is declined, those that need proof always get new connections, so the other loads say little of used ones. Change: five more loads of TestLateResponsesServeNoOtherRequest.

--- a/cmd/proxy/lateresponses_test.go
+++ b/cmd/proxy/lateresponses_test.go
@@ -35,6 +35,13 @@
 
 var lateResponses = []lateResponse{
 	{"nothing unasked", declining(2*ms, repeater.Fault{}), heavy},
+	{"nothing unasked, no declines", repeater.Behavior{Work: 2 * ms}, heavy},
+	{"copies of 5%, 1 to 50 ms, no declines", repeater.Behavior{Work: 2 * ms, Fault: late(0.05, ms, 50*ms)}, heavy},
+	{"copies of 1%, 100 to 300 ms, no declines", repeater.Behavior{Work: 2 * ms, Fault: late(0.01, 100*ms, 300*ms)}, heavy},
+	{"all forms, 5%, up to 50 ms, no declines", repeater.Behavior{Work: 3 * ms,
+		Fault: late(0.05, 0, 50*ms, repeater.AllForms...)}, heavy},
+	{"copies of 1%, 1 ms after the next request, no declines", repeater.Behavior{Work: 10 * ms,
+		Fault: atNextRequest(0.01, ms)}, heavy},
 	{"nothing unasked, 450 requests a second", declining(2*ms, repeater.Fault{}), 50 * ms},
 	{"copies of 5%, 1 to 10 ms", declining(2*ms, late(0.05, ms, 10*ms)), heavy},
 	{"copies of 1%, 1 to 2 ms", declining(2*ms, late(0.01, ms, 2*ms)), heavy},
