Close spare connections to endpoints when no descriptor is left for a client

Change: where an accepted connection finds no descriptor, the idle connections beside the last one to each endpoint are closed.

--- a/downstream/downstream.go
+++ b/downstream/downstream.go
@@ -47,4 +47,7 @@
 	// CountRejected records that a request which states a class, perhaps one that does not exist, was shed or failed
 	// before it was accepted.
 	CountRejected(class string, shed bool)
+	// CloseSpareConnections closes idle connections to endpoints beside the last one to each: this machine has no
+	// descriptor left for a client.
+	CloseSpareConnections()
 }
--- a/downstream/eviction.go
+++ b/downstream/eviction.go
@@ -30,6 +30,7 @@
 		candidate.evictLocked()
 	}
 	s.mu.Unlock()
+	s.router.CloseSpareConnections()
 	return s.descriptors.Lend()
 }
 
--- a/downstream/server_test.go
+++ b/downstream/server_test.go
@@ -143,6 +143,7 @@
 func (p prompt) MaxDeadline() time.Duration                   { return slices.Max(p.names.Deadlines) }
 func (p prompt) ShutdownPlan(killed time.Duration) drain.Plan { return drain.Shutdown(killed) }
 func (p prompt) CountRejected(string, bool)                   {}
+func (p prompt) CloseSpareConnections()                       {}
 func (p prompt) Find(req *http.Request, _ string) (Route, error) {
 	return Route{Service: p, Target: req.RequestURI}, nil
 }
@@ -213,6 +214,7 @@
 }
 
 func (s torn) CountRejected(class string, _ bool) { s.turned <- class }
+func (s torn) CloseSpareConnections()             {}
 func (s torn) Find(req *http.Request, _ string) (Route, error) {
 	return Route{Service: s, Target: req.RequestURI}, nil
 }
--- a/proxy/counters.go
+++ b/proxy/counters.go
@@ -83,6 +83,18 @@
 	}
 }
 
+// CloseSpareConnections implements [downstream.Router]. Clients must not wait for a reload: while one goes on nothing is
+// closed.
+func (p *Proxy) CloseSpareConnections() {
+	if !p.mu.TryLock() {
+		return
+	}
+	defer p.mu.Unlock()
+	for _, c := range p.pools.active {
+		c.connections.CloseSpare()
+	}
+}
+
 // CountRejected implements [downstream.Router]. A class that no configuration names is not counted:
 // clients may state any.
 func (p *Proxy) CountRejected(class string, shed bool) {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -103,6 +103,19 @@
 	}
 }
 
+// CloseSpare closes the idle connections to each destination but the one used last.
+func (p *Pool) CloseSpare() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for to, list := range p.idle {
+		spare := list[:max(len(list)-1, 0)]
+		p.idle[to] = list[len(spare):]
+		for _, c := range spare {
+			p.dropLocked(c)
+		}
+	}
+}
+
 // get returns a connection for an attempt: the one to its destination that was used last of those that have rested for
 // long enough, if any is usable, or a new one.
 func (p *Pool) get(a *Attempt) (*conn, error) {
