--- a/proxy/counters.go
+++ b/proxy/counters.go
@@ -83,8 +83,8 @@
 	}
 }
 
-// CloseSpareConnections implements [downstream.Router]. Clients must not wait for a reload: while one goes on nothing is
-// closed.
+// CloseSpareConnections implements [downstream.Router]. Clients must not wait for a reload: while one goes on nothing
+// is closed.
 func (p *Proxy) CloseSpareConnections() {
 	if !p.mu.TryLock() {
 		return
