--- a/proxy/reload.go
+++ b/proxy/reload.go
@@ -227,6 +227,7 @@
 	for name, c := range p.pools.active {
 		if r.pools[name] != c {
 			removed = append(removed, c)
+			c.connections.Close() // its idle connections are of the allowance of the pool that replaces it
 		}
 	}
 	p.router.Store(r.router)
