Let the watch of a new discovery service call before the old one calls again

Callers saw: after a move to another discovery service the new watch could begin 2.1 s late, and what changed there was learnt late. Cause: the watch of the replaced service passes the turn and waits for it again at once; where the new watch's goroutine did not yet wait for it, the replaced one took it back for a call of 2 s, and was ended as overdue. Change: the replaced watch waits until the new one has had the turn, or has ended. Result: the new test failed before ("the replaced watch has the turn while the new one waits for it").

--- a/discovery/continuation_test.go
+++ b/discovery/continuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net/http"
 	"runtime"
@@ -46,3 +47,36 @@
 		t.Errorf("the next call came %v after the last byte of the answer, want %v", late, continueWithin)
 	}
 }
+
+// Guards against a watch that begins 2.1 s late after a move: the watch of the service before took the turn back for
+// another call before the new watch stood in line for it.
+func TestReplacedWatchLetsTheNewOneCallFirst(t *testing.T) {
+	const startOfNewWatch = 50 * time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	replaced := &source{}
+	newWatch := &watch{begins: make(chan struct{})}
+	client := &Client{
+		timing:  serviceTiming,
+		current: &source{watch: newWatch},
+		turn:    newWatchTurn(),
+	}
+	turnOfReplaced := turnOf{turn: client.turn}
+	if !turnOfReplaced.await(ctx, nil) {
+		t.Fatal("the turn is not free")
+	}
+	began := make(chan bool, 1)
+	go func() {
+		time.Sleep(startOfNewWatch)
+		turnOfNew := turnOf{turn: client.turn}
+		began <- turnOfNew.await(ctx, time.After(startOfNewWatch))
+		close(newWatch.begins)
+		turnOfNew.pass()
+	}()
+	if !client.awaitTurn(ctx, replaced, &turnOfReplaced) {
+		t.Error("the replaced watch gets no turn again")
+	}
+	if !<-began {
+		t.Error("the replaced watch has the turn while the new one waits for it")
+	}
+}
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -56,7 +56,8 @@
 
 // watch is a sequence of calls to one source, which ends when it is stopped or when a call fails.
 type watch struct {
-	stop context.CancelFunc
+	stop   context.CancelFunc
+	begins chan struct{} // closed once it has the turn to call, or has ended without
 }
 
 // receivedList is a list with the entries that it withdraws: those that it states not to be ready, and names that were
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 )
 
@@ -30,7 +31,7 @@
 // held.
 func (c *Client) startWatchLocked() {
 	ctx, stop := context.WithCancel(c.ctx)
-	started := &watch{stop: stop}
+	started := &watch{stop: stop, begins: make(chan struct{})}
 	c.current.watch = started
 	conn := c.newConnection(c.current)
 	c.calls.watchBegan()
@@ -53,9 +54,12 @@
 	s := conn.source
 	turn := turnOf{turn: c.turn}
 	defer turn.pass()
+	begins := sync.OnceFunc(func() { close(running.begins) })
+	defer begins()
 	fetching := false
 	mayRepeat := true // a whole answer has come since the last call that was made again
 	for c.awaitTurn(ctx, s, &turn) {
+		begins()
 		call := c.nextCall(s)
 		began := time.Now()
 		list, err := c.request(ctx, conn, call, s.recordWatched)
@@ -121,6 +125,7 @@
 func (c *Client) awaitTurn(ctx context.Context, s *source, turn *turnOf) bool {
 	if s != c.currentSource() {
 		turn.pass()
+		c.awaitNewWatch(ctx)
 		return turn.await(ctx, nil)
 	}
 	if turn.has {
@@ -136,6 +141,21 @@
 	return turn.await(ctx, nil)
 }
 
+// awaitNewWatch waits until the watch of the current source, if there is one, has had the turn: it may not be in line
+// for it yet.
+func (c *Client) awaitNewWatch(ctx context.Context) {
+	c.mu.Lock()
+	newWatch := c.current.watch
+	c.mu.Unlock()
+	if newWatch == nil {
+		return
+	}
+	select {
+	case <-newWatch.begins:
+	case <-ctx.Done():
+	}
+}
+
 // pauseAfter waits after an answer without changes that came early. It reports false if ctx has ended before.
 func pauseAfter(ctx context.Context, call listCall, list EndpointList, began time.Time) bool {
 	if len(list.Endpoints) > 0 || time.Since(began) >= call.wait/2 {
