Make the next call of a watch before a long list is decoded

Callers saw: requests sent to withdrawn endpoints on a busy machine. Cause: a watch was called again once its answer was decoded, and a service forgets a watch 200 ms after its last answer; what changes until then counts as told. Change: a list is read on in the background while it is decoded, and where its text begins with its version and is over 64 KiB the next call is written as its last byte is read. An answer that comes meanwhile is kept; a wrong list closes the connection with the call; a move waits for the call as for any other. Packages' tests passed, with the race detector too.

--- a/discovery/connection.go
+++ b/discovery/connection.go
@@ -38,12 +38,20 @@
 	buffers *buffer.Pool
 	reserve *socket.Reserve // the client's
 	faults  socket.Observer
+	next    *calledAhead // the next call, if it is out already; nil is none
 
 	// Also of a connection that is closed since:
 	answeredAt time.Time // when the last byte of an answer came
 	broken     bool      // the other side has ended or reset it
 }
 
+// calledAhead is a call that was written as soon as the answer before it had been read, before that was decoded.
+type calledAhead struct {
+	call    listCall
+	version uint64    // that the answer before it began with
+	began   time.Time // when it was written
+}
+
 // newConnection returns a connection to a service, not yet opened.
 func (c *Client) newConnection(s *source) *connection {
 	return &connection{
@@ -96,9 +104,10 @@
 	c.conn = nil
 	c.answer = nil
 	c.reader = nil
+	c.next = nil
 }
 
-// get makes one call and returns the list that answers it.
+// get makes one call, unless it is out already, and returns the list that answers it.
 func (c *Client) get(ctx context.Context, conn *connection, call listCall) (EndpointList, error) {
 	began := time.Now()
 	conn.broken = false
@@ -106,11 +115,13 @@
 		c.recordFailure(ctx, StageConnect)
 		return EndpointList{}, err
 	}
+	callCtx, stop := context.WithCancel(ctx)
+	defer stop()
 	opened := conn.conn
-	defer context.AfterFunc(ctx, func() { opened.SetDeadline(socket.PastDeadline) })()
+	defer context.AfterFunc(callCtx, func() { opened.SetDeadline(socket.PastDeadline) })()
 	answer := conn.answer
-	answer.begin(ctx, began.Add(call.wait+c.firstByteTimeout(conn.source)))
-	list, reusable, err := conn.exchange(call.target, func(w Withdrawals) { c.withdraw(ctx, conn.source, w) })
+	answer.begin(callCtx, conn.firstByteBy(began, call.wait+c.firstByteTimeout(conn.source)))
+	list, reusable, err := conn.exchange(call, stop, func(w Withdrawals) { c.withdraw(ctx, conn.source, w) })
 	c.calls.read(answer)
 	if err != nil {
 		c.recordFailure(ctx, answer.failedStage(err))
@@ -163,13 +174,29 @@
 	}
 }
 
-// exchange writes one request and reads its answer. passOn gets the entries that withdraw endpoints as they are read.
-// It reports whether the connection may be used again.
+// firstByteBy is when the answer to a call of now has to begin that may take a time to. Where the call is out already,
+// the answer may have come meanwhile.
+func (c *connection) firstByteBy(now time.Time, timeout time.Duration) time.Time {
+	if c.next == nil {
+		return now.Add(timeout)
+	}
+	deadline := c.next.began.Add(timeout)
+	if soonest := now.Add(maxFirstReadWait); soonest.After(deadline) {
+		return soonest
+	}
+	return deadline
+}
+
+// exchange writes one request, unless it is out already, and reads its answer; abandon ends the reading. passOn gets
+// the entries that withdraw endpoints as they are read. It reports whether the connection may be used again.
 func (c *connection) exchange(
-	target string, passOn func(Withdrawals),
+	call listCall, abandon func(), passOn func(Withdrawals),
 ) (list EndpointList, reusable bool, err error) {
-	request := "GET " + target + " HTTP/1.1\r\nHost: " + c.source.address + "\r\n\r\n"
-	if _, err := io.WriteString(c.conn, request); err != nil {
+	if c.next == nil {
+		err = c.write(call)
+	}
+	c.next = nil
+	if err != nil {
 		return list, false, err
 	}
 	response, err := http.ReadResponse(c.reader, nil)
@@ -180,8 +207,57 @@
 	if response.StatusCode != http.StatusOK {
 		return list, false, &rejectedError{status: response.Status}
 	}
-	list, err = decodeList(&boundedReader{reader: response.Body, left: maxListBytes}, passOn)
-	return list, !response.Close && c.reader.Buffered() == 0, err
+	reusable = !response.Close
+	body := newReadAhead(c.answer.ctx, &boundedReader{reader: response.Body, left: maxListBytes}, func(start []byte) {
+		if call.watches && reusable && c.reader.Buffered() == 0 {
+			reusable = c.callAhead(start)
+		}
+	})
+	list, err = decodeList(body, passOn)
+	if err != nil {
+		c.abandon(body, abandon)
+		return list, false, err
+	}
+	if c.next != nil && c.next.version != list.Index {
+		return list, false, nil // the text names two versions: that which counts has not been asked for
+	}
+	return list, reusable && c.reader.Buffered() == 0, nil
+}
+
+// write writes the request of a call.
+func (c *connection) write(call listCall) error {
+	_, err := io.WriteString(c.conn, "GET "+call.target+" HTTP/1.1\r\nHost: "+c.source.address+"\r\n\r\n")
+	return err
+}
+
+// callAhead makes the next call of a watch when an answer that begins with start has been read and is not yet decoded:
+// a service forgets a watch that does not go on soon. It reports whether the connection may be used on.
+func (c *connection) callAhead(start []byte) bool {
+	version, ok := leadingVersion(start)
+	if !ok {
+		return true
+	}
+	next := &calledAhead{call: watchCall(version, c.timing.watchWait), version: version, began: time.Now()}
+	c.conn.SetWriteDeadline(next.began.Add(c.timing.answer))
+	if c.answer.ctx.Err() != nil { // perhaps since: what ends the call has set a deadline too
+		return false
+	}
+	if c.write(next.call) != nil {
+		return false
+	}
+	c.next = next
+	return true
+}
+
+// abandon ends the reading of a body that is wrong. Where more of it was still being read, that has not failed.
+func (c *connection) abandon(body *readAhead, end func()) {
+	if !body.isRunning() {
+		return
+	}
+	end()
+	body.wait()
+	c.answer.failed = false
+	c.answer.broken = false
 }
 
 // boundedReader fails where more comes than it allows.
--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -14,6 +14,7 @@
 	target    string
 	wait      time.Duration // how long the service may wait for something newer before it answers
 	wholeList bool          // the answer may have to tell of all endpoints
+	watches   bool          // a call for what is newer than the answer follows
 }
 
 // wholeListCall asks for the whole list at once.
@@ -22,8 +23,9 @@
 // watchCall asks for what is newer than a version.
 func watchCall(index uint64, wait time.Duration) listCall {
 	return listCall{
-		target: fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, index, wait.Milliseconds()),
-		wait:   wait,
+		target:  fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, index, wait.Milliseconds()),
+		wait:    wait,
+		watches: true,
 	}
 }
 
@@ -58,10 +60,9 @@
 	defer begins()
 	fetching := false
 	mayRepeat := true // a whole answer has come since the last call that was made again
-	for c.awaitTurn(ctx, s, &turn) {
+	for conn.next != nil || c.awaitTurn(ctx, s, &turn) {
 		begins()
-		call := c.nextCall(s)
-		began := time.Now()
+		call, began := c.callOn(conn)
 		list, err := c.request(ctx, conn, call, s.recordWatched)
 		if errors.Is(err, errObsolete) {
 			return
@@ -93,8 +94,7 @@
 	s := conn.source
 	pause := agentMinPause
 	for {
-		call := c.nextCall(s)
-		began := time.Now()
+		call, began := c.callOn(conn)
 		list, err := c.request(ctx, conn, call, s.recordWatched)
 		if errors.Is(err, errObsolete) {
 			return
@@ -164,12 +164,20 @@
 	return sleep(ctx, emptyPause)
 }
 
+// callOn returns the next call of a watch and when it began: it may be out already.
+func (c *Client) callOn(conn *connection) (call listCall, began time.Time) {
+	if conn.next != nil {
+		return conn.next.call, conn.next.began
+	}
+	return c.nextCall(conn.source), time.Now()
+}
+
 // nextCall returns the next call of a watch.
 func (c *Client) nextCall(s *source) listCall {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !s.holdsList && !s.watchedFirst {
-		return wholeListCall
+		return listCall{target: path, wholeList: true, watches: true}
 	}
 	call := watchCall(s.index, c.timing.watchWait)
 	call.wholeList = !s.hasAnswered()
