State in the soak's timelines when a response began

Cause: a break in the middle of a long response looked like one of no response at all. Change: a line of the timeline.

--- a/lab/soak/account.go
+++ b/lab/soak/account.go
@@ -191,6 +191,9 @@
 	for _, arrival := range r.arrivals {
 		lines = append(lines, fmt.Sprintf("%s arrives at endpoint %d", at(arrival.at), arrival.endpoint))
 	}
+	if !r.beganAt.IsZero() {
+		lines = append(lines, at(r.beganAt)+" response begins")
+	}
 	if !r.leftAt.IsZero() {
 		lines = append(lines, at(r.leftAt)+" client leaves")
 	}
