--- a/discovery/connection.go
+++ b/discovery/connection.go
@@ -208,7 +208,7 @@
 		return list, false, &rejectedError{status: response.Status}
 	}
 	reusable = !response.Close
-	body := newReadAhead(c.answer.ctx, &boundedReader{reader: response.Body, left: maxListBytes}, func(start []byte) {
+	body := newReadAhead(&boundedReader{reader: response.Body, left: maxListBytes}, func(start []byte) {
 		if call.watches && reusable && c.reader.Buffered() == 0 {
 			reusable = c.callAhead(start)
 		}
@@ -251,7 +251,7 @@
 
 // abandon ends the reading of a body that is wrong. Where more of it was still being read, that has not failed.
 func (c *connection) abandon(body *readAhead, end func()) {
-	if !body.isRunning() {
+	if !body.running {
 		return
 	}
 	end()
--- a/discovery/readahead.go
+++ b/discovery/readahead.go
@@ -2,62 +2,80 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"slices"
 	"strings"
+	"sync"
 )
 
-// maxBlocksAhead bounds what is read of an answer and not yet decoded: all of it, where its blocks are full.
-const maxBlocksAhead = maxListBytes / readSize
-
 // readAhead reads the body of an answer. What follows its first bytes is read in the background, so that the end of a
 // long list is noticed before the list is decoded. One goroutine uses it.
 type readAhead struct {
 	body  io.Reader
-	ctx   context.Context // ends the reading in the background
 	ended func(start []byte)
 
-	start   []byte      // of the body, at least readSize bytes if it is that long
-	length  int         // bytes read
-	blocks  chan []byte // nil until the reading in the background begins; closed at its end
-	block   []byte      // what is left of the block that is being decoded
-	failure error       // that ended the reading in the background; written before blocks is closed
-	told    bool        // the failure has been returned
+	start  []byte // of the body, at least readSize bytes if it is that long
+	length int    // bytes read
+
+	block   []byte // what is left of the block that is being decoded
+	begun   bool   // the reading in the background has: start and length belong to it
+	running bool   // it has begun, and Read has not returned its end
+
+	mu      sync.Mutex
+	changed sync.Cond // of mu: a block has been read, or the end
+	blocks  [][]byte  // read and not yet decoded; guarded by mu, bounded by the body's length
+	failure error     // that ended the reading in the background; guarded by mu
 }
 
 // newReadAhead reads body. Where that is longer than readSize, ended is called in the background with its start as soon
 // as all of it has been read.
-func newReadAhead(ctx context.Context, body io.Reader, ended func(start []byte)) *readAhead {
-	return &readAhead{body: body, ctx: ctx, ended: ended}
+func newReadAhead(body io.Reader, ended func(start []byte)) *readAhead {
+	r := &readAhead{body: body, ended: ended}
+	r.changed.L = &r.mu
+	return r
 }
 
 // Read implements [io.Reader].
 func (r *readAhead) Read(p []byte) (int, error) {
-	if r.blocks == nil {
+	if !r.begun {
 		n, err := r.body.Read(p)
 		r.record(p[:n])
-		if err == nil {
-			r.blocks = make(chan []byte, maxBlocksAhead)
+		if n > 0 && err == nil {
+			r.begun = true
+			r.running = true
 			go r.readBlocks()
 		}
 		return n, err
 	}
-	for len(r.block) == 0 {
-		block, ok := <-r.blocks
-		if !ok {
-			r.told = true
-			return 0, r.failure
+	if len(r.block) == 0 {
+		var err error
+		if r.block, err = r.nextBlock(); err != nil {
+			r.running = false
+			return 0, err
 		}
-		r.block = block
 	}
 	n := copy(p, r.block)
 	r.block = r.block[n:]
 	return n, nil
 }
 
+// nextBlock waits for the next block that has been read, or for the end.
+func (r *readAhead) nextBlock() ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.blocks) == 0 && r.failure == nil {
+		r.changed.Wait()
+	}
+	if len(r.blocks) == 0 {
+		return nil, r.failure
+	}
+	block := r.blocks[0]
+	r.blocks = r.blocks[1:]
+	return block, nil
+}
+
 // record notes bytes that were read.
 func (r *readAhead) record(text []byte) {
 	r.length += len(text)
@@ -66,9 +84,8 @@
 	}
 }
 
-// readBlocks reads the rest of the body.
+// readBlocks reads the rest of the body, until its end or that of its call.
 func (r *readAhead) readBlocks() {
-	defer close(r.blocks)
 	buffer := make([]byte, readSize)
 	for {
 		n, err := r.body.Read(buffer)
@@ -76,34 +93,30 @@
 		if errors.Is(err, io.EOF) && r.length > readSize {
 			r.ended(r.start)
 		}
-		if n > 0 && !r.queue(slices.Clone(buffer[:n])) {
-			return
-		}
+		r.queue(slices.Clone(buffer[:n]), err)
 		if err != nil {
-			r.failure = err
 			return
 		}
 	}
 }
 
-// queue adds a block to those that are to be decoded. It reports false if the reading has ended before.
-func (r *readAhead) queue(block []byte) bool {
-	select {
-	case r.blocks <- block:
-		return true
-	case <-r.ctx.Done():
-		r.failure = r.ctx.Err()
-		return false
+// queue adds a block to those that are to be decoded, and the error that came with it, if any.
+func (r *readAhead) queue(block []byte, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(block) > 0 {
+		r.blocks = append(r.blocks, block)
 	}
+	r.failure = err
+	r.changed.Signal()
 }
 
-// isRunning reports whether more of the body may still be read: Read has not returned its end.
-func (r *readAhead) isRunning() bool { return r.blocks != nil && !r.told }
-
 // wait waits for the end of the reading in the background.
 func (r *readAhead) wait() {
-	for range r.blocks {
-		continue
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.failure == nil {
+		r.changed.Wait()
 	}
 }
 
