--- a/discovery/continuation_test.go
+++ b/discovery/continuation_test.go
@@ -49,13 +49,14 @@
 func TestWatchGoesOnBeforeALongListIsDecoded(t *testing.T) {
 	const continueWithin = 200 * time.Millisecond // from the last byte of an answer to the next call
 	listener := holdingListener{make(recorder, 8), make(chan struct{}, 8), make(chan struct{})}
+	text := says(string(longListOf(t, maxListed))) // before the call: its answer has to begin in time
 	address, calls := listenForCalls(t)
 	client := NewClient(t.Context(), address, knownBefore, new(buffer.Pool), listener)
 	client.Subscribe(true)
 	conn := <-calls
 	requests := bufio.NewReader(conn)
 	conn.SetWriteDeadline(time.Now().Add(10 * time.Second)) // it stands still where the list is read no faster than decoded
-	if _, err := io.WriteString(conn, says(string(longListOf(t, maxListed)))); err != nil {
+	if _, err := io.WriteString(conn, text); err != nil {
 		t.Fatal(err)
 	}
 	conn.SetReadDeadline(time.Now().Add(continueWithin))
