Remove dead guards of idle connections and logic that stood twice

The digest of a response was written twice, and so was "log the first and each doubling"; a method and a parameter of discovery's exchange had the same name. Change: the guards are gone; one digest, one isFirstOrDoubled for the two logs of proxy; the parameter is called stop. Behaviour is as before.

--- a/discovery/connection.go
+++ b/discovery/connection.go
@@ -187,10 +187,10 @@
 	return deadline
 }
 
-// exchange writes one request, unless it is out already, and reads its answer; abandon ends the reading. passOn gets
-// the entries that withdraw endpoints as they are read. It reports whether the connection may be used again.
+// exchange writes one request, unless it is out already, and reads its answer; stop ends the reading. passOn gets the
+// entries that withdraw endpoints as they are read. It reports whether the connection may be used again.
 func (c *connection) exchange(
-	call listCall, abandon func(), passOn func(Withdrawals),
+	call listCall, stop func(), passOn func(Withdrawals),
 ) (list EndpointList, reusable bool, err error) {
 	if c.next == nil {
 		err = c.write(call)
@@ -215,7 +215,7 @@
 	})
 	list, err = decodeList(body, passOn)
 	if err != nil {
-		c.abandon(body, abandon)
+		c.abandon(body, stop)
 		return list, false, err
 	}
 	if c.next != nil && c.next.version != list.Index {
@@ -250,11 +250,11 @@
 }
 
 // abandon ends the reading of a body that is wrong. Where more of it was still being read, that has not failed.
-func (c *connection) abandon(body *readAhead, end func()) {
+func (c *connection) abandon(body *readAhead, stop func()) {
 	if !body.running {
 		return
 	}
-	end()
+	stop()
 	body.wait()
 	c.answer.failed = false
 	c.answer.broken = false
--- a/proxy/sendguard.go
+++ b/proxy/sendguard.go
@@ -53,10 +53,13 @@
 		return
 	}
 	count := c.violations.Add(1)
-	if count&(count-1) != 0 {
+	if !isFirstOrDoubled(count) {
 		return
 	}
 	c.log.Error("request sent to a withdrawn endpoint after the grace", "endpoint", attempt.endpoint,
 		"version", withdrawn.version, "withdrawn_for", at.Sub(withdrawn.at).Round(time.Millisecond),
 		"attempt", attempt.index, "streamed", attempt.streamed, "count", count)
 }
+
+// isFirstOrDoubled reports whether a count is to be logged of what may occur often: the first, and each doubling.
+func isFirstOrDoubled(count int64) bool { return count&(count-1) == 0 }
--- a/proxy/unsolicited.go
+++ b/proxy/unsolicited.go
@@ -55,7 +55,7 @@
 		counted = otherEndpoints
 	}
 	l.counts.ByEndpoint[counted]++
-	if l.counts.Total&(l.counts.Total-1) != 0 {
+	if !isFirstOrDoubled(l.counts.Total) {
 		return
 	}
 	l.log.Warn("unsolicited bytes from an endpoint", "endpoint", found.Endpoint, "kind", string(found.Kind),
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -205,15 +205,11 @@
 // enough, or nil. Those that are not usable are closed on the way.
 func (p *Pool) takeIdleLocked(to destination) *conn {
 	for i := len(p.idle[to]) - 1; i >= 0; i-- {
-		list := p.idle[to] // it is shorter, or gone, once a connection was found unusable
-		if i >= len(list) {
-			continue
-		}
-		c := list[i]
+		c := p.idle[to][i]
 		if !c.mayCarry(p.policy) {
 			continue
 		}
-		p.idle[to] = slices.Delete(list, i, i+1)
+		p.idle[to] = slices.Delete(p.idle[to], i, i+1)
 		if c.isUsable(p.maxIdle) {
 			return c
 		}
@@ -293,11 +289,8 @@
 	next := time.Duration(-1) // until the next connection is idle for too long; negative is none
 	for to, list := range p.idle {
 		for len(list) > 0 && time.Since(list[0].idleSince) >= p.maxIdle {
-			oldest := list[0]
+			p.retireLocked(list[0])
 			list = list[1:]
-			p.idle[to] = list
-			p.retireLocked(oldest)
-			list = p.idle[to] // it is gone if the endpoint is distrusted now
 		}
 		if len(list) == 0 {
 			delete(p.idle, to)
--- a/upstream/unsolicited.go
+++ b/upstream/unsolicited.go
@@ -153,18 +153,18 @@
 
 var digestSeed = maphash.MakeSeed()
 
+// digestOf returns the digest of a response of a head and a body in one piece.
 func digestOf(head, body []byte) reuse.Digest {
-	var hash maphash.Hash
-	hash.SetSeed(digestSeed)
-	hash.Write(head)
-	hash.Write(body)
-	return reuse.Digest(hash.Sum64())
+	return digest(head, func(hash *maphash.Hash) { hash.Write(body) })
 }
 
-func digestOfBody(head []byte, body *buffer.Body) reuse.Digest {
+// digestOfBody returns the digest of a response of a head and a body in blocks: that which digestOf has of its bytes.
+func digestOfBody(head []byte, body *buffer.Body) reuse.Digest { return digest(head, body.Hash) }
+
+func digest(head []byte, addBody func(*maphash.Hash)) reuse.Digest {
 	var hash maphash.Hash
 	hash.SetSeed(digestSeed)
 	hash.Write(head)
-	body.Hash(&hash)
+	addBody(&hash)
 	return reuse.Digest(hash.Sum64())
 }
