Merge the twins among the stand-ins and tests of late responses

Cause: sendLater stood twice in lab/repeater, the stand-in that serves requests twice in upstream's tests, the configuration of one pool twice in cmd/proxy's. Change: one unsolicited.sendLater, one serveRequests under serve and serveInTurn (whose third result nobody used), one poolConfiguration. No assertion is touched.

--- a/cmd/proxy/lateresponses_test.go
+++ b/cmd/proxy/lateresponses_test.go
@@ -5,8 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/goccy/go-yaml"
-
 	"ryerill/config"
 	"ryerill/lab/repeater"
 )
@@ -142,24 +140,9 @@
 	for i, endpoint := range endpoints {
 		listed = append(listed, config.EndpointFile{Name: fmt.Sprint("s", i), Address: endpoint.Address(), Zone: "a", Group: i + 1})
 	}
-	text, err := yaml.Marshal(&config.File{
-		Name:      "n1",
-		Machine:   config.MachineFile{Sockets: 2048, MemoryMB: 256},
-		Listeners: []config.ListenerFile{{Name: "main", Address: "127.0.0.1:0"}},
-		Routes:    []config.RouteFile{{Name: "all", Pool: "main"}},
-		Pools: []config.PoolFile{{
-			Name: "main", Zone: "a",
-			Endpoints: listed,
-			Limits:    config.LimitsFile{ConnectTimeout: time.Second},
-			Classes: []config.ClassFile{
-				{Name: string(repeater.Safe), Effect: "safe", Deadline: 6 * time.Second},
-				{Name: string(repeater.Keyed), Effect: "keyed", Deadline: 6 * time.Second, Group: "cell", IdempotencyWindow: 2 * time.Second},
-				{Name: string(repeater.Unsafe), Effect: "unsafe", Deadline: 6 * time.Second},
-			},
-		}},
+	return poolConfiguration(t, config.MachineFile{Sockets: 2048, MemoryMB: 256}, listed, []config.ClassFile{
+		{Name: string(repeater.Safe), Effect: "safe", Deadline: 6 * time.Second},
+		{Name: string(repeater.Keyed), Effect: "keyed", Deadline: 6 * time.Second, Group: "cell", IdempotencyWindow: 2 * time.Second},
+		{Name: string(repeater.Unsafe), Effect: "unsafe", Deadline: 6 * time.Second},
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return string(text)
 }
--- a/cmd/proxy/outages_test.go
+++ b/cmd/proxy/outages_test.go
@@ -165,19 +165,27 @@
 	for i, address := range addresses {
 		endpoints = append(endpoints, config.EndpointFile{Name: fmt.Sprint("s", i), Address: address, Zone: "a"})
 	}
+	return poolConfiguration(t, config.MachineFile{Sockets: 256, MemoryMB: 128}, endpoints, []config.ClassFile{
+		{Name: "read", Effect: "safe", Deadline: deadline},
+		{Name: "burn", Effect: "unsafe", Deadline: deadline},
+	})
+}
+
+// poolConfiguration is that of a proxy with one pool of listed endpoints.
+func poolConfiguration(
+	t *testing.T, machine config.MachineFile, endpoints []config.EndpointFile, classes []config.ClassFile,
+) string {
+	t.Helper()
 	text, err := yaml.Marshal(&config.File{
 		Name:      "n1",
-		Machine:   config.MachineFile{Sockets: 256, MemoryMB: 128},
+		Machine:   machine,
 		Listeners: []config.ListenerFile{{Name: "main", Address: "127.0.0.1:0"}},
 		Routes:    []config.RouteFile{{Name: "all", Pool: "main"}},
 		Pools: []config.PoolFile{{
 			Name: "main", Zone: "a",
 			Endpoints: endpoints,
 			Limits:    config.LimitsFile{ConnectTimeout: time.Second},
-			Classes: []config.ClassFile{
-				{Name: "read", Effect: "safe", Deadline: deadline},
-				{Name: "burn", Effect: "unsafe", Deadline: deadline},
-			},
+			Classes:   classes,
 		}},
 	})
 	if err != nil {
--- a/lab/repeater/endpoint.go
+++ b/lab/repeater/endpoint.go
@@ -184,16 +184,11 @@
 	e.sendLater(conn, what)
 }
 
-// sendLater sends what nobody has asked for; nil is nothing.
+// sendLater sends what nobody has asked for, and records that; nil is nothing.
 func (e *Endpoint) sendLater(conn *connection, what *unsolicited) {
-	if what == nil {
-		return
-	}
-	for i, piece := range what.pieces {
-		time.AfterFunc(what.delay+time.Duration(i)*pieceDelay, func() {
-			if conn.send(piece) == nil && i == 0 {
-				e.ledger.sentUnsolicited()
-			}
-		})
-	}
+	what.sendLater(func(index int, piece []byte) {
+		if conn.send(piece) == nil && index == 0 {
+			e.ledger.sentUnsolicited()
+		}
+	})
 }
--- a/lab/repeater/fault.go
+++ b/lab/repeater/fault.go
@@ -65,6 +65,16 @@
 	return &unsolicited{delay: delay, pieces: form.pieces(response)}
 }
 
+// sendLater sends the pieces when they are due, each by a call of send with its index. Nil is nothing to send.
+func (u *unsolicited) sendLater(send func(index int, piece []byte)) {
+	if u == nil {
+		return
+	}
+	for i, piece := range u.pieces {
+		time.AfterFunc(u.delay+time.Duration(i)*pieceDelay, func() { send(i, piece) })
+	}
+}
+
 // pieces returns what is sent after a response.
 func (f Form) pieces(response []byte) [][]byte {
 	half := len(response) / 2
--- a/lab/repeater/listener.go
+++ b/lab/repeater/listener.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"net"
 	"sync"
-	"time"
 
 	"ryerill/internal/framing"
 )
@@ -87,18 +86,13 @@
 	return int64(len(head)) + body.Length - int64(len(response))
 }
 
-// sendLater sends what nobody has asked for, unless a response is being written then.
+// sendLater sends what nobody has asked for, unless a response is being written then; nil is nothing.
 func (c *repeatingConn) sendLater(what *unsolicited) {
-	if what == nil {
-		return
-	}
-	for i, piece := range what.pieces {
-		time.AfterFunc(what.delay+time.Duration(i)*pieceDelay, func() {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			if c.remaining <= 0 {
-				_, _ = c.Conn.Write(piece) // a proxy that has closed the connection gets nothing
-			}
-		})
-	}
+	what.sendLater(func(_ int, piece []byte) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.remaining <= 0 {
+			_, _ = c.Conn.Write(piece) // a proxy that has closed the connection gets nothing
+		}
+	})
 }
--- a/upstream/reuse_test.go
+++ b/upstream/reuse_test.go
@@ -1,11 +1,9 @@
 package upstream
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -49,7 +47,7 @@
 // Guards against a decline or an error that comes late and is taken for that of the next request.
 func TestDeclinesProveNothingOnAUsedConnection(t *testing.T) {
 	const decline = "HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
-	address, conns, _ := serveInTurn(t, okay, decline, decline)
+	address, conns := serveInTurn(t, okay, decline, decline)
 	p := NewPool(newDescriptors(8), time.Hour, 5*time.Second, new(buffer.Pool))
 	defer p.Close()
 	knowResponses(p)
@@ -68,7 +66,7 @@
 
 // Guards against a copy of the response before, sent once the next request has come, that is served for it.
 func TestCopiesAreNotServed(t *testing.T) {
-	address, _, _ := serveInTurn(t, okay, okay, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew")
+	address, _ := serveInTurn(t, okay, okay, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew")
 	p := NewPool(newDescriptors(8), time.Hour, 5*time.Second, new(buffer.Pool))
 	defer p.Close()
 	for i := range reuse.Digest(20) {
@@ -95,7 +93,7 @@
 	for _, uses := range []int{1, 2} {
 		t.Run(fmt.Sprint(uses, " uses"), func(t *testing.T) {
 			responses := []string{okay, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnewand more"}
-			address, _, _ := serveInTurn(t, responses[2-uses:]...)
+			address, _ := serveInTurn(t, responses[2-uses:]...)
 			p := NewPool(newDescriptors(8), time.Hour, 5*time.Second, new(buffer.Pool))
 			defer p.Close()
 			knowResponses(p)
@@ -113,34 +111,12 @@
 }
 
 // serveInTurn answers all requests, of whatever connection, with one text after another, the last one for all that
-// follow.
-func serveInTurn(t *testing.T, texts ...string) (address string, conns chan struct{}, answered *atomic.Int64) {
+// follow. It counts connections.
+func serveInTurn(t *testing.T, texts ...string) (address string, conns chan struct{}) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	conns = make(chan struct{}, 64)
-	answered = new(atomic.Int64)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			conns <- struct{}{}
-			go func() {
-				defer conn.Close()
-				for reader := bufio.NewReader(conn); ; {
-					if _, err := http.ReadRequest(reader); err != nil {
-						return
-					}
-					turn := min(int(answered.Add(1)), len(texts))
-					io.WriteString(conn, texts[turn-1])
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String(), conns, answered
+	var answered atomic.Int64
+	return serveRequests(t, func(c net.Conn) {
+		turn := min(int(answered.Add(1)), len(texts))
+		io.WriteString(c, texts[turn-1])
+	})
 }
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -21,13 +21,27 @@
 // serve answers each request with text and then does what after says. It
 // counts connections and requests.
 func serve(t *testing.T, text string, after func(net.Conn)) (address string, conns, requests chan struct{}) {
+	t.Helper()
+	requests = make(chan struct{}, 64)
+	address, conns = serveRequests(t, func(c net.Conn) {
+		io.WriteString(c, text)
+		if after != nil {
+			after(c)
+		}
+		requests <- struct{}{}
+	})
+	return address, conns, requests
+}
+
+// serveRequests has each request answered that a connection brings. It counts connections.
+func serveRequests(t *testing.T, answer func(net.Conn)) (address string, conns chan struct{}) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	conns, requests = make(chan struct{}, 64), make(chan struct{}, 64)
+	conns = make(chan struct{}, 64)
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -41,16 +55,12 @@
 					if _, err := http.ReadRequest(r); err != nil {
 						return
 					}
-					io.WriteString(c, text)
-					if after != nil {
-						after(c)
-					}
-					requests <- struct{}{}
+					answer(c)
 				}
 			}()
 		}
 	}()
-	return l.Addr().String(), conns, requests
+	return l.Addr().String(), conns
 }
 
 // descriptors is a number of connections that may be open.
