Hold a soak's request against the process that its connection leads to

The account looked for the process at the time of the request and took the next one, which cannot answer on that connection. Change: the account asks after the process at the time at which the connection was begun. A request on a connection to a process that lives is owed its response as before. Result: two new cases of TestAccountsAreSettled, of which the one on the killed process's connection failed before; the other, on a connection to the next process, is a break as before.

--- a/lab/soak/account.go
+++ b/lab/soak/account.go
@@ -28,20 +28,22 @@
 
 // request is a request in the accounts of clients and endpoints.
 type request struct {
-	id       string
-	class    string
-	proxy    *proxy
-	sentAt   time.Time // its last byte; zero if it was not sent whole
-	timeout  time.Duration
-	leftAt   time.Time // its client closed the connection, not having got a response
-	beganAt  time.Time // the head of its response came; a long one may take longer than its client's time
-	endedAt  time.Time
-	status   int    // 0 without a whole response
-	problem  string // what the client got in place of a whole response
-	excuse   string // why it needs none
-	crowded  bool   // it was the first of a connection in a crowd
-	wasIdle  bool   // its connection was used before, and ended in an orderly way in place of a response
-	arrivals []execution
+	id    string
+	class string
+	proxy *proxy
+	// connectedAt is when its connection was made: only the process of then can answer.
+	connectedAt time.Time
+	sentAt      time.Time // its last byte; zero if it was not sent whole
+	timeout     time.Duration
+	leftAt      time.Time // its client closed the connection, not having got a response
+	beganAt     time.Time // the head of its response came; a long one may take longer than its client's time
+	endedAt     time.Time
+	status      int    // 0 without a whole response
+	problem     string // what the client got in place of a whole response
+	excuse      string // why it needs none
+	crowded     bool   // it was the first of a connection in a crowd
+	wasIdle     bool   // its connection was used before, and ended in an orderly way in place of a response
+	arrivals    []execution
 }
 
 // account holds all requests. It is safe for concurrent use.
@@ -126,7 +128,7 @@
 	if r.excuse != "" || r.status != 0 || r.endedAt.IsZero() {
 		return
 	}
-	l := r.proxy.lifeAt(r.sentAt)
+	l := r.proxy.lifeAt(r.connectedAt)
 	reached := len(r.arrivals) > 0
 	switch {
 	case !l.killed.IsZero() && !l.owes(r):
--- a/lab/soak/client.go
+++ b/lab/soak/client.go
@@ -40,9 +40,10 @@
 	crowded bool // connections may be shut unread
 	seed    uint64
 
-	conn   net.Conn
-	reader *bufio.Reader
-	isNew  bool // no request has gone over the connection
+	conn        net.Conn
+	connectedAt time.Time
+	reader      *bufio.Reader
+	isNew       bool // no request has gone over the connection
 }
 
 // run asks until ctx ends.
@@ -79,11 +80,13 @@
 		return true
 	}
 	c.disconnect()
+	connectedAt := time.Now()
 	conn, err := net.DialTimeout("tcp", c.proxy.address, time.Second)
 	if err != nil {
 		return false
 	}
 	c.conn = conn
+	c.connectedAt = connectedAt
 	c.reader = bufio.NewReader(conn)
 	c.isNew = true
 	return true
@@ -110,6 +113,8 @@
 		class:   []string{readClass, readClass, keyedClass, unsafeClass}[rand.IntN(4)],
 		proxy:   c.proxy,
 		timeout: []time.Duration{longestDeadline, longestDeadline, shortWait}[rand.IntN(3)],
+
+		connectedAt: c.connectedAt,
 	}
 	headers := fmt.Sprintf("Host: x\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Deadline-Ms: %d\r\n",
 		r.id, r.class, r.timeout.Milliseconds())
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -67,7 +67,14 @@
 		"unsafe, executed twice":          {request{proxy: running, class: unsafeClass, status: 200, arrivals: []execution{{}, {}}}, true},
 		"lost long before the kill":       {request{proxy: killed, problem: "EOF", endedAt: at(2801), arrivals: arrived}, true},
 		"out when its process was killed": {request{proxy: killed, sentAt: at(2700), endedAt: at(2801), arrivals: arrived}, false},
+		"sent behind the kill, to the process that was killed": {
+			request{proxy: killed, connectedAt: at(50), sentAt: at(2803), problem: "reset", endedAt: at(2805)}, false},
+		"sent behind the kill, to the next process": {
+			request{proxy: killed, connectedAt: at(2802), sentAt: at(2803), problem: "reset", endedAt: at(2805)}, true},
 	} {
+		if c.request.connectedAt.IsZero() {
+			c.request.connectedAt = began
+		}
 		if c.request.sentAt.IsZero() {
 			c.request.sentAt = began
 		}
