Start a client's time when its last byte is received, not when it has been passed on

Cause: the client's time of a streamed request began once the proxy had written the last byte to the endpoint (core.attemptWritten). While the endpoint takes nothing the proxy reads nothing, so the rest of the body, with its last byte, waits in the receive buffer of the client's connection, and neither the write (10 s without progress) nor the timer of last resort knows of the client's time. Neither log nor counters told a stall from a client's time that is over: uploads_given_up does.

From the last byte on, the request and the write have the client's time. An endpoint that took bytes since then is not blamed. Why not a shorter bound on a pause of the write: a client that waits for room to send has not begun to count, and its sound upload would fail.

--- a/downstream/conn.go
+++ b/downstream/conn.go
@@ -11,6 +11,7 @@
 
 	"ryerill/internal/buffer"
 	"ryerill/internal/faultlog"
+	"ryerill/internal/framing"
 	"ryerill/internal/socket"
 	"ryerill/message"
 )
@@ -82,6 +83,9 @@
 	end          endReason
 	pacing       bodyPacing
 
+	// Used by the reading goroutine and, while no read is in progress, by the one that runs serve:
+	body bodyProgress
+
 	// Set when no pending read detects at once that the client disconnects: further bytes have been received or are
 	// expected, or reads fail. The connection is polled instead.
 	needsPoll atomic.Bool
@@ -171,6 +175,7 @@
 	c.readLimit -= int64(n)
 	if !c.pacing.began.IsZero() {
 		c.pacing.bytes += int64(n)
+		c.body.read(p[:n])
 	}
 	c.broken = err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !socket.MayPass(err)
 	return n, err
@@ -218,9 +223,10 @@
 	return c.state == stateIdle || c.evicted && time.Now().Before(c.stateDeadline)
 }
 
-// beginBody starts the pacing of a body, which has a deadline of its own.
-func (c *conn) beginBody() {
+// beginBody starts the pacing of a body, which has a deadline of its own, and follows its framing.
+func (c *conn) beginBody(framed framing.Body) {
 	c.pacing = bodyPacing{began: time.Now()}
+	c.body = newBodyProgress(framed, c.reader)
 	c.extendBodyDeadline()
 }
 
--- a/downstream/request.go
+++ b/downstream/request.go
@@ -90,7 +90,7 @@
 	if framed.Chunked {
 		c.readLimit = maxChunkedBytes
 	}
-	c.beginBody()
+	c.beginBody(framed)
 	source := framed.Reader(c.reader)
 	body, whole, err := c.server.buffers.ReadPart(source, message.MaxBufferedBody+1, nil)
 	if err != nil {
--- a/downstream/serve.go
+++ b/downstream/serve.go
@@ -126,15 +126,20 @@
 	c.nc.SetReadDeadline(start.Add(remaining + watchMargin))
 }
 
-// awaitUpload waits until the remainder of a request's body has been received. Until then only the upload reads from
-// the connection, so the client is polled while no such read is pending. awaitUpload reports false if the connection
-// ends.
+// awaitUpload waits until the remainder of a request's body has been read, and tells the service when it was received,
+// which may be earlier. Until then only the upload reads from the connection, so the client is polled while no such
+// read is pending. awaitUpload reports false if the connection ends.
 func (c *conn) awaitUpload(stream *upload, open openRequest, id string, written <-chan bool) bool {
+	received := false
 	for ended := false; !ended; {
 		select {
 		case <-stream.ended:
 			ended = true
 		case <-time.After(clientPollInterval):
+			if !received && stream.isReceived() {
+				received = true
+				open.service.BodyReceived(open.ticket, time.Now())
+			}
 			if !stream.isUnread() || !socket.PeerClosed(c.nc) {
 				continue
 			}
@@ -148,6 +153,7 @@
 	}
 	err := stream.err
 	if errors.Is(err, io.EOF) {
+		open.service.BodyReceived(open.ticket, time.Now()) // no effect if it was told before
 		return true
 	}
 	if !errors.Is(err, errAbandoned) && open.service.ClientLeft(open.ticket) {
--- a/downstream/server_test.go
+++ b/downstream/server_test.go
@@ -151,8 +151,9 @@
 	request.Reply(message.Result{Kind: message.Served})
 	return 0
 }
-func (immediateService) ClientLeft(uint64) bool { return false }
-func (immediateService) Expire(uint64)          {}
+func (immediateService) ClientLeft(uint64) bool         { return false }
+func (immediateService) BodyReceived(uint64, time.Time) {}
+func (immediateService) Expire(uint64)                  {}
 
 // After the shutdown has begun, idle connections are still served, because no other proxy may be available yet. Later
 // they are closed.
--- a/downstream/upload.go
+++ b/downstream/upload.go
@@ -103,6 +103,14 @@
 	return !u.reading && u.err == nil
 }
 
+// isReceived reports whether the last byte of the body has been received, although it may not have been read. While a
+// Read is in progress it reports false: what has been received is being read.
+func (u *upload) isReceived() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return !u.reading && u.err == nil && u.conn.body.received(u.conn.nc)
+}
+
 // endLocked ends the upload with err. Callers must hold u.mu.
 func (u *upload) endLocked(err error) {
 	u.err = err
--- a/message/message.go
+++ b/message/message.go
@@ -103,9 +103,11 @@
 	Key         uint64 // hash of the key that the request concerns; 0 if unknown
 	ClientRetry bool   // the client marked it as a retry
 	Write       bool
-	ReceivedAt  time.Time     // when its last byte was received, or when it was accepted if it is streamed
-	Remaining   time.Duration // time from ReceivedAt until the client gives up
-	Outgoing    *OutgoingRequest
+	ReceivedAt  time.Time // when its last byte was received, or when it was accepted if it is streamed
+	// Remaining is the time until the client gives up: from ReceivedAt or, if the request is streamed, from its last
+	// byte.
+	Remaining time.Duration
+	Outgoing  *OutgoingRequest
 
 	// Reply sends the final result to the client. It is called once and must not block.
 	Reply func(Result)
@@ -136,6 +138,9 @@
 	Accept(*Request) (ticket uint64)
 	// ClientLeft ends a request whose client has disconnected. It reports whether the result was still outstanding.
 	ClientLeft(ticket uint64) (owed bool)
+	// BodyReceived records that the last byte of a request's Stream reached this machine at the given time, whether or
+	// not it has been read yet. From then on the client's time counts. Further calls for a request have no effect.
+	BodyReceived(ticket uint64, at time.Time)
 	// Expire ends a request now with a result, unless it already has one.
 	Expire(ticket uint64)
 }
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -61,6 +61,9 @@
 		OnSent:        c.checkGraceLocked(a, endpoint),
 		OnWritten:     func() time.Time { return c.attemptWritten(a) },
 	}
+	if r.Outgoing.Stream != nil && r.received {
+		a.LimitDeadline(r.deadline)
+	}
 	go c.runAttempt(a)
 }
 
@@ -84,8 +87,8 @@
 	c.endAttemptLocked(a, outcome, response)
 }
 
-// attemptWritten records that an attempt has been written completely. The timeouts of a streamed request and of its
-// attempt start at this point: it returns the attempt's new deadline, or zero if the request is not streamed.
+// attemptWritten records that an attempt has been written completely. The timeout of an attempt of a streamed request
+// starts at this point: it returns the attempt's new deadline, or zero if the request is not streamed.
 func (c *core) attemptWritten(a *attempt) (deadline time.Time) {
 	c.counters.attempts.Add(1)
 	r := a.request
@@ -94,13 +97,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
 	if !r.done {
-		c.receivedLocked(r)
-		r.deadline = time.Now().Add(resultTime(r.Remaining))
-		r.expiry.Reset(resultTime(r.Remaining) + c.settings.Balancer.Contract.AnswerSlack)
+		c.bodyReceivedLocked(r, now)
 	}
 	a.startedAt = c.clock.now()
-	return time.Now().Add(min(a.timeout, resultTime(r.Remaining)))
+	return now.Add(min(a.timeout, resultTime(r.Remaining))) // the attempt's limit ends it with the client's time
 }
 
 // logAttemptLocked logs the end of an attempt at debug level.
@@ -127,6 +129,7 @@
 	r.inFlight--
 	a.outcome = outcome
 	c.ends.attemptEnded(outcome)
+	c.ends.uploadEnded(a.Upload())
 	c.logAttemptLocked(a)
 	if response != nil { // the cost of a response depends on its size
 		c.resources.work.used.Add(int64(config.WorkUnits(response.Body.Len())))
--- a/proxy/reasons.go
+++ b/proxy/reasons.go
@@ -7,6 +7,7 @@
 	"ryerill/balancer"
 	"ryerill/internal/faultlog"
 	"ryerill/message"
+	"ryerill/upstream"
 )
 
 // endReason is the reason why a request ended.
@@ -55,11 +56,24 @@
 	concurrentAttemptName = "beside an attempt in flight"
 )
 
+var uploadEndNames = [upstream.UploadEndCount]string{
+	upstream.UploadStalled: "endpoint takes no bytes",
+	upstream.UploadTooSlow: "endpoint takes bytes too slowly",
+}
+
 // endCounters counts the ends of requests and attempts and the further attempts of a pool, by reason.
 type endCounters struct {
 	requests [endReasonCount]atomic.Int64
 	attempts [outcomeCount]atomic.Int64
 	retries  [outcomeCount + 1]atomic.Int64 // by the outcome of the previous attempt, or concurrentAttempt
+	uploads  [upstream.UploadEndCount]atomic.Int64
+}
+
+// uploadEnded counts an upload that was given up.
+func (r *endCounters) uploadEnded(reason upstream.UploadEnd) {
+	if reason != upstream.UploadNotGivenUp {
+		r.uploads[reason].Add(1)
+	}
 }
 
 // requestEnded counts the end of a request.
@@ -84,6 +98,7 @@
 	Requests map[string]int64 `json:"request_ends"`
 	Attempts map[string]int64 `json:"attempt_ends"`
 	Retries  map[string]int64 `json:"retries"` // by the outcome of the previous attempt
+	Uploads  map[string]int64 `json:"uploads_given_up"`
 
 	SendsAfterGrace int64 `json:"sends_after_grace"` // to withdrawn endpoints; other than 0 only by a bug
 
@@ -93,7 +108,12 @@
 }
 
 func (r *endCounters) counts() reasonCounts {
-	counts := reasonCounts{Requests: map[string]int64{}, Attempts: map[string]int64{}, Retries: map[string]int64{}}
+	counts := reasonCounts{
+		Requests: map[string]int64{},
+		Attempts: map[string]int64{},
+		Retries:  map[string]int64{},
+		Uploads:  map[string]int64{},
+	}
 	for reason := range r.requests {
 		addCount(counts.Requests, endReasonNames[reason], &r.requests[reason])
 	}
@@ -101,6 +121,9 @@
 		addCount(counts.Attempts, balancer.Outcome(outcome).String(), &r.attempts[outcome])
 		addCount(counts.Retries, balancer.Outcome(outcome).String(), &r.retries[outcome])
 	}
+	for reason := range r.uploads {
+		addCount(counts.Uploads, uploadEndNames[reason], &r.uploads[reason])
+	}
 	addCount(counts.Retries, concurrentAttemptName, &r.retries[concurrentAttempt])
 	return counts
 }
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -93,7 +93,7 @@
 	if req.Outgoing.Stream == nil {
 		c.receivedLocked(r)
 	} else {
-		r.deadline = r.deadline.Add(maxUpload)
+		r.deadline = r.deadline.Add(maxUpload) // until bodyReceivedLocked
 	}
 	slack := c.settings.Balancer.Contract.AnswerSlack
 	r.expiry = time.AfterFunc(time.Until(r.deadline)+slack, func() { c.expire(r) })
@@ -124,6 +124,30 @@
 	return true
 }
 
+// BodyReceived implements [message.Handler].
+func (c *core) BodyReceived(ticket uint64, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.requests.open[balancer.RequestID(ticket)]
+	if r != nil && !r.done {
+		c.bodyReceivedLocked(r, at)
+	}
+}
+
+// bodyReceivedLocked starts the client's time of a streamed request, once, at the time at which its last byte was
+// received.
+func (c *core) bodyReceivedLocked(r *openRequest, at time.Time) {
+	if r.received {
+		return
+	}
+	c.receivedLocked(r)
+	r.deadline = at.Add(resultTime(r.Remaining))
+	r.expiry.Reset(time.Until(r.deadline) + c.settings.Balancer.Contract.AnswerSlack)
+	for _, a := range r.attempts {
+		a.LimitDeadline(r.deadline)
+	}
+}
+
 // Expire implements [message.Handler].
 func (c *core) Expire(ticket uint64) {
 	c.mu.Lock()
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -34,7 +34,8 @@
 	// may be nil.
 	OnWritten func() time.Time
 
-	use ConnectionUse // set by Do
+	use    ConnectionUse // set by Do
+	upload UploadEnd     // set by Do
 
 	// mu guards the fields below.
 	mu          sync.Mutex
@@ -43,6 +44,9 @@
 	withdrawn   bool               // writing must not start any more
 	writing     bool               // the first byte may have been written
 	permittedAt time.Time          // when the first byte was last permitted
+	limit       time.Time          // no deadline of conn is later; zero means no limit
+	taken       bool               // the endpoint has taken bytes of the body since the limit was set
+	deadline    time.Time          // of conn
 	cancelDial  context.CancelFunc // nil unless a dial is in progress
 }
 
@@ -79,6 +83,9 @@
 // attempt used no connection.
 func (a *Attempt) Connection() ConnectionUse { return a.use }
 
+// Upload returns why the upload of the attempt was given up. It is valid after Do has returned.
+func (a *Attempt) Upload() UploadEnd { return a.upload }
+
 // lastWrite returns the time by which the last byte of the request must be written.
 func (a *Attempt) lastWrite() time.Time {
 	if !a.WriteDeadline.IsZero() && a.WriteDeadline.Before(a.Deadline) {
@@ -136,15 +143,36 @@
 	return a.MaySend() && !a.tooLate() && !a.Request.ClientLeft()
 }
 
+// LimitDeadline ends the attempt at the given time if it has no response by then. Unlike Deadline it may be set while
+// the attempt is in progress, and it bounds the write of a request whose body the proxy is still receiving.
+func (a *Attempt) LimitDeadline(limit time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.limit = limit
+	a.taken = false
+	if a.conn != nil && !a.cancelled && limit.Before(a.deadline) {
+		_ = a.setDeadlineLocked(a.conn, limit) // fails only on a closed connection
+	}
+}
+
 // setDeadline sets the deadline of conn, unless the attempt is cancelled.
 func (a *Attempt) setDeadline(conn *conn, deadline time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.cancelled {
-		conn.SetDeadline(deadline)
+		_ = a.setDeadlineLocked(conn, deadline) // fails only on a closed connection
 	}
 }
 
+// setDeadlineLocked sets the deadline of conn, but none behind the limit. Callers must hold a.mu.
+func (a *Attempt) setDeadlineLocked(conn *conn, deadline time.Time) error {
+	if !a.limit.IsZero() && a.limit.Before(deadline) {
+		deadline = a.limit
+	}
+	a.deadline = deadline
+	return conn.SetDeadline(deadline)
+}
+
 // dial opens a connection, unless the attempt is cancelled or its write deadline has passed.
 func (a *Attempt) dial(dial dialFunc, timeout time.Duration) (transport, error) {
 	ctx, cancel := context.WithDeadline(context.Background(), a.lastWrite())
@@ -168,7 +196,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.conn = conn
-	return !a.cancelled && conn.SetDeadline(a.lastWrite()) == nil
+	return !a.cancelled && a.setDeadlineLocked(conn, a.lastWrite()) == nil
 }
 
 // detach unbinds the attempt from its connection, so that Cancel does not interrupt the next attempt that uses the
@@ -188,3 +216,31 @@
 	}
 	return left
 }
+
+// UploadEnd is why the upload of an attempt was given up.
+type UploadEnd uint8
+
+// The reasons to give up an upload.
+const (
+	UploadNotGivenUp UploadEnd = iota
+	UploadStalled              // the endpoint took no bytes for progressTimeout, or for the rest of the client's time
+	UploadTooSlow              // the endpoint took bytes, but not all of them in the client's time
+	UploadEndCount             // number of reasons
+)
+
+// bodyTaken records that the endpoint has taken more bytes of the body.
+func (a *Attempt) bodyTaken() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.taken = true
+}
+
+// uploadTimedOut returns why a write of the body ended at its deadline.
+func (a *Attempt) uploadTimedOut() UploadEnd {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.limit.IsZero() && a.taken && !time.Now().Before(a.limit) {
+		return UploadTooSlow
+	}
+	return UploadStalled
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -83,7 +83,7 @@
 	switch written {
 	case connectionFailed:
 		return balancer.ConnectFailed, nil, false // the last byte was not written, so the request never ran
-	case localFault, uploadFailed:
+	case localFault, uploadFailed, uploadTooSlow:
 		return balancer.NotSent, nil, false
 	case respondedEarly:
 		// The deadline applied to the response to a complete request, and this request stays incomplete.
--- a/upstream/write.go
+++ b/upstream/write.go
@@ -27,6 +27,7 @@
 	connectionFailed                    // the connection failed
 	localFault                          // this machine lacked a resource; no evidence against the endpoint
 	uploadFailed                        // the rest of the body was not received; no evidence against the endpoint
+	uploadTooSlow                       // the client's time ended while the endpoint took bytes; no evidence against it
 )
 
 // writeRequest writes the whole request, including the part of its body that the proxy has not received yet.
@@ -70,12 +71,13 @@
 		case err != nil && conn.hasInput():
 			return respondedEarly
 		case err != nil:
-			return writeResultOf(err)
+			return a.failedUpload(err)
 		case last:
 			return writtenWhole
 		case conn.hasInput():
 			return respondedEarly
 		}
+		a.bodyTaken()
 		n, err := a.Request.Stream.Read(block[:])
 		last = errors.Is(err, io.EOF)
 		if err != nil && !last {
@@ -91,6 +93,17 @@
 	}
 }
 
+// failedUpload returns the result of a write of the body that failed with err.
+func (a *Attempt) failedUpload(err error) writeResult {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		a.upload = a.uploadTimedOut()
+	}
+	if a.upload == UploadTooSlow {
+		return uploadTooSlow
+	}
+	return writeResultOf(err)
+}
+
 // writeFirst writes the first bytes of an attempt and reports them as sent.
 func (c *conn) writeFirst(buffers net.Buffers, a *Attempt) error {
 	length := 0
