Close idle connections before requests come that the kill may not cut off

Cause: idle connections stayed open for 1.2 s with a successor and 1.85 s without one, where what comes after 0.7 s must not be found unanswered by the kill; and the limit on the time of late requests bounds the first byte of a long answer, not its last.

Change: in a process that will be killed idle connections close after 0.55 s, which leaves 0.15 s to a process that is held up; without a successor answers close theirs from 0.4 s on. A request that is received later than 0.5 s all the same, whose client writes slowly, gets an answer that the proxy has whole, or 502. Connections that wait in the listener's queue while accepting fails are waited for until 0.4 s before the kill: clients whose connections were closed are among them. A listener that a reload removes closes as before. "response still being passed on shortly before the kill" is logged.

--- a/downstream/accept.go
+++ b/downstream/accept.go
@@ -53,7 +53,7 @@
 // acceptBacklog accepts the connections left in the listener's queue. Closing the listener would reset them.
 func (s *Server) acceptBacklog() {
 	var backoff socket.Backoff
-	for end := time.Now().Add(newConnectionGrace); time.Now().Before(end); {
+	for end := s.backlogEnd(); time.Now().Before(end); {
 		descriptor, err := s.listener.Next()
 		if errors.Is(err, unix.EAGAIN) || socket.IsClosed(err) {
 			return
--- a/downstream/conn.go
+++ b/downstream/conn.go
@@ -98,7 +98,9 @@
 	uploadAbandoned bool      // the body being received is no longer needed
 	evicted         bool      // ends as soon as possible, unless a request has already been received
 	open            openRequest
-	truncated       bool // the last response could not be written completely
+	receivedAt      time.Time // when the last byte of the open request was received; zero before
+	truncated       bool      // the last response could not be written completely
+	withheld        bool      // the last response was too long to begin before the process may be killed
 }
 
 func newConn(s *Server, nc *net.TCPConn) *conn {
@@ -262,9 +264,17 @@
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	c.hasRequested = true
+	c.receivedAt = time.Now()
 	c.enterStateLocked(stateBusy, time.Time{})
 }
 
+// setReceivedAt records when the last byte of the open request was received; zero is not yet.
+func (c *conn) setReceivedAt(at time.Time) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.receivedAt = at
+}
+
 // setOpen records the accepted request.
 func (c *conn) setOpen(open openRequest) {
 	c.server.mu.Lock()
--- a/downstream/end.go
+++ b/downstream/end.go
@@ -12,6 +12,7 @@
 const (
 	endAfterResponse  endReason = "closed after a response"
 	endTruncated      endReason = "response not written whole"
+	endWithheld       endReason = "response too long before the kill"
 	endClientLeft     endReason = "client left before its response"
 	endClosedByClient endReason = "closed by the client"
 	endRejected       endReason = "request rejected"
@@ -35,8 +36,11 @@
 
 // finalReasonLocked returns the reason why the connection ended. Callers must hold server.mu.
 func (c *conn) finalReasonLocked() endReason {
-	if c.truncated {
+	switch {
+	case c.truncated:
 		return endTruncated
+	case c.withheld:
+		return endWithheld
 	}
 	return c.end
 }
--- a/downstream/lifecycle_test.go
+++ b/downstream/lifecycle_test.go
@@ -380,9 +380,10 @@
 		t.Run(fmt.Sprint("stays ", stays), func(t *testing.T) {
 			h := newHeldService(300 * time.Millisecond)
 			h.plan = func(killDelay time.Duration) drain.Plan {
-				p := drain.Shutdown(killDelay)
-				p.KeepsProcess = stays
-				return p
+				if stays {
+					return drain.ListenerRemoved(killDelay)
+				}
+				return drain.Shutdown(killDelay)
 			}
 			s, stop := startServer(t, h, 64)
 			c, r := connect(t, s.Address())
--- a/downstream/response.go
+++ b/downstream/response.go
@@ -78,10 +78,14 @@
 	c.server.releaseID(id, c)
 	early := stream != nil && !stream.abandon() // the request has not been received completely
 	closes = closes || early || c.server.phase().ClosesAfterResponse
-	head := responseHead{status: statusOf(result.Kind), retryAfter: result.RetryAfter, closes: closes, http10: c.http10}
+	kind, response := result.Kind, result.Response
+	if response != nil && response.Stream != nil && !c.mayStream() {
+		kind, response = message.Failed, nil
+	}
+	head := responseHead{status: statusOf(kind), retryAfter: result.RetryAfter, closes: closes, http10: c.http10}
 	var body *buffer.Body
 	var rest io.Reader
-	if response := result.Response; response != nil {
+	if response != nil {
 		head.header = response.Header
 		body = response.Body
 		if response.Stream != nil {
--- a/downstream/serve.go
+++ b/downstream/serve.go
@@ -62,6 +62,8 @@
 	request.Reply = func(result message.Result) { go c.writeResult(result, id, closes, stream, written) }
 	if stream == nil {
 		c.setWatchDeadline(request.ReceivedAt, remaining)
+	} else {
+		c.setReceivedAt(time.Time{})
 	}
 	open := openRequest{service: route.Service, ticket: route.Service.Accept(request)}
 	c.setOpen(open)
@@ -138,7 +140,7 @@
 		case <-time.After(clientPollInterval):
 			if !received && stream.isReceived() {
 				received = true
-				open.service.BodyReceived(open.ticket, time.Now())
+				c.bodyReceived(open)
 			}
 			if !stream.isUnread() || !socket.PeerClosed(c.nc) {
 				continue
@@ -153,7 +155,9 @@
 	}
 	err := stream.err
 	if errors.Is(err, io.EOF) {
-		open.service.BodyReceived(open.ticket, time.Now()) // no effect if it was told before
+		if !received {
+			c.bodyReceived(open)
+		}
 		return true
 	}
 	if !errors.Is(err, errAbandoned) && open.service.ClientLeft(open.ticket) {
@@ -166,6 +170,13 @@
 	return false
 }
 
+// bodyReceived records that the last byte of the open request has been received.
+func (c *conn) bodyReceived(open openRequest) {
+	now := time.Now()
+	c.setReceivedAt(now)
+	open.service.BodyReceived(open.ticket, now)
+}
+
 // awaitResult waits until the result is written or the client disconnects. goesOn reports whether the connection stays
 // open. A disconnect is also detected after bytes of the next request have been received.
 func (c *conn) awaitResult(written <-chan bool) (goesOn, clientLeft bool) {
--- a/downstream/server.go
+++ b/downstream/server.go
@@ -55,6 +55,7 @@
 	stoppedAt   time.Time     // when the shutdown began; zero before
 	shutdown    drain.Plan    // valid once stoppedAt is set
 	killDelay   time.Duration // the process may be killed this long after stoppedAt, at the earliest; 0 is never
+	idleTimer   *time.Timer   // closes idle connections at the shutdown's CloseIdle; nil before the shutdown
 	expireTimer *time.Timer   // expires open requests before the kill; nil before the shutdown
 	drainSince  time.Time     // when the drain ordered by an operator began; zero if there is none
 	drainTimer  *time.Timer   // closes idle connections at that drain's CloseIdle
@@ -118,9 +119,9 @@
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Serve passes requests to router until ctx ends. Then it shuts down by the router's plan: it accepts connections for a
-// while, because clients take time to learn of the shutdown, and serves existing connections for half the remaining
-// time, because no other proxy may be available yet. It returns when all accepted requests have been answered.
+// Serve passes requests to router until ctx ends. Then it shuts down by the router's plan: it accepts connections and
+// serves existing ones for a while, because clients take time to learn of the shutdown. It returns when all accepted
+// requests have been answered.
 func (s *Server) Serve(ctx context.Context, router Router) error {
 	s.router = router
 	defer s.Close()
@@ -141,7 +142,9 @@
 func (s *Server) awaitConnections() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	defer time.AfterFunc(time.Until(s.stoppedAt.Add(s.shutdown.CloseIdle)), s.closeIdle).Stop()
+	if s.idleTimer != nil {
+		defer s.idleTimer.Stop()
+	}
 	if s.expireTimer != nil {
 		defer s.expireTimer.Stop()
 	}
--- a/downstream/server_test.go
+++ b/downstream/server_test.go
@@ -155,8 +155,8 @@
 func (immediateService) BodyReceived(uint64, time.Time) {}
 func (immediateService) Expire(uint64)                  {}
 
-// After the shutdown has begun, idle connections are still served, because no other proxy may be available yet. Later
-// they are closed.
+// After the shutdown has begun, idle connections are still served, because clients take time to learn of it. Later they
+// are closed.
 func TestIdleConnectionsServedAfterShutdownBegins(t *testing.T) {
 	s, err := Listen("127.0.0.1:0", 64, false, new(buffer.Pool))
 	if err != nil {
@@ -184,11 +184,9 @@
 	}
 	began := time.Now()
 	stop()
-	for s.limitRemaining(time.Hour) == time.Hour && time.Since(began) < killGrace { // until the shutdown has begun and limits requests
-		runtime.Gosched()
-	}
+	awaitShutdown(s, 0)
 	resp := ask("2")
-	switch late := time.Since(began) >= s.killDelay/2; { // on a busy machine, idle connections may be closed already
+	switch late := time.Since(began) >= s.shutdown.CloseAfterResponse; { // on a busy machine, it may be closed already
 	case resp == nil && !late:
 		t.Error("after the shutdown began: got no response, want status 200")
 	case resp != nil && (resp.StatusCode != 200 || resp.Close && !late):
@@ -200,7 +198,7 @@
 	if err := <-served; err != nil {
 		t.Error(err)
 	}
-	for _, tc := range []struct{ since, want time.Duration }{{0, time.Hour}, {time.Second, s.killDelay - killMargin - time.Second}} {
+	for _, tc := range []struct{ since, want time.Duration }{{0, time.Hour}, {lateAfter, s.killDelay - killMargin - lateAfter}, {time.Second, s.killDelay - killMargin - time.Second}} {
 		s.stoppedAt = time.Now().Add(-tc.since)
 		if got := s.limitRemaining(time.Hour); got > tc.want || got < tc.want-10*time.Second {
 			t.Errorf("%v after the shutdown began: got remaining time %v, want up to 10s less than %v", tc.since, got, tc.want)
--- a/downstream/shutdown.go
+++ b/downstream/shutdown.go
@@ -12,6 +12,9 @@
 	maxKillDelay = 3 * time.Second
 	// Added to the delay above. Requests received during it may remain unanswered.
 	killGrace = 700 * time.Millisecond
+	// A request received this long after the stop signal must be answered before the kill. It is less than the grace by
+	// what passes between the arrival of a request and the moment at which a process that is held up notices it.
+	lateAfter = killGrace - killMargin/2
 	// Open requests expire this long before the kill, so that their results are still written.
 	killMargin = 400 * time.Millisecond
 	// Lingering connections are closed this long before the kill.
@@ -32,6 +35,7 @@
 	s.shutdown = plan
 	// SetDeadline fails only on a closed listener, which accepts no connections anyway.
 	_ = s.listener.SetDeadline(s.stoppedAt.Add(plan.StopAccepting))
+	s.idleTimer = time.AfterFunc(plan.CloseIdle, s.closeIdle)
 	if killDelay > 0 && !plan.KeepsProcess {
 		s.expireTimer = time.AfterFunc(killDelay-killMargin, s.expireRequests)
 	}
@@ -64,18 +68,55 @@
 // beforeKillLocked returns t or closeMargin before the process may be killed, whichever is earlier. Callers must hold
 // s.mu.
 func (s *Server) beforeKillLocked(t time.Time) time.Time {
-	if s.stoppedAt.IsZero() || s.killDelay == 0 || s.shutdown.KeepsProcess {
+	if !s.awaitsKillLocked() {
 		return t
 	}
 	return earlier(t, s.stoppedAt.Add(s.killDelay-closeMargin))
 }
 
+// awaitsKillLocked reports whether the process may be killed soon. Callers must hold s.mu.
+func (s *Server) awaitsKillLocked() bool {
+	return !s.stoppedAt.IsZero() && s.killDelay > 0 && !s.shutdown.KeepsProcess
+}
+
+// backlogEnd returns when the connections left in the listener's queue are given up, if accepting them fails until
+// then. Clients whose connections a shutdown closes may be among them.
+func (s *Server) backlogEnd() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	end := time.Now().Add(newConnectionGrace)
+	lastAnswer := s.stoppedAt.Add(s.killDelay - killMargin)
+	if s.awaitsKillLocked() && lastAnswer.After(end) {
+		return lastAnswer
+	}
+	return end
+}
+
+// isLateLocked reports whether a request received at the given time must be answered before the process may be killed.
+// Callers must hold s.mu.
+func (s *Server) isLateLocked(receivedAt time.Time) bool {
+	return s.awaitsKillLocked() && receivedAt.Sub(s.stoppedAt) >= lateAfter
+}
+
+// mayStream reports whether a response may be passed on while its endpoint still sends it. A late request gets only a
+// response that the proxy has whole: the kill might cut off another.
+func (c *conn) mayStream() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	receivedAt := c.receivedAt
+	if receivedAt.IsZero() { // the client may still send its last byte, and then the request counts as received
+		receivedAt = time.Now()
+	}
+	c.withheld = c.server.isLateLocked(receivedAt)
+	return !c.withheld
+}
+
 // limitRemaining returns how long a request accepted now may take whose client waits for remaining: less than that if
 // the process may be killed before.
 func (s *Server) limitRemaining(remaining time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stoppedAt.IsZero() || s.shutdown.KeepsProcess || time.Since(s.stoppedAt) < killGrace-killMargin/2 {
+	if !s.isLateLocked(time.Now()) {
 		return remaining
 	}
 	return min(remaining, max(time.Until(s.stoppedAt.Add(s.killDelay-killMargin)), 0))
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -11,13 +11,18 @@
 // after a manual drain and for up to 0.4 s after a shutdown began. 4 s after a drain began, no
 // request that arrived in the last 2 s may be open.
 const (
-	manualCloseAfter   = 500 * time.Millisecond
-	manualRejectAfter  = 1500 * time.Millisecond
-	shutdownStopAfter  = 550 * time.Millisecond
-	handoverStopAfter  = 50 * time.Millisecond // only a client that was already connecting still arrives
-	handoverCloseAfter = 1200 * time.Millisecond
+	manualCloseAfter  = 500 * time.Millisecond
+	manualRejectAfter = 1500 * time.Millisecond
+	shutdownLeadAfter = 400 * time.Millisecond // until then a client's next connection may still come here
+	shutdownStopAfter = 550 * time.Millisecond
+	handoverStopAfter = 50 * time.Millisecond // only a client that was already connecting still arrives
 )
 
+// killedCloseAfter is when a process that will be killed closes its idle connections. A request that it gets more than
+// 0.7 s after the stop signal must not be found unanswered by the kill, however long its response. The process may be
+// held up for 0.15 s.
+const killedCloseAfter = 550 * time.Millisecond
+
 // Plan states when each phase begins, relative to the start of the drain or shutdown.
 type Plan struct {
 	KeepsProcess       bool          // only a listener closes; the process is not killed
@@ -40,10 +45,21 @@
 }
 
 // Shutdown returns the plan of a process that ends and is killed no earlier than
-// killedAfter. It serves its open connections for half of that time, as there may be
-// no other process to serve them.
+// killedAfter.
 func Shutdown(killedAfter time.Duration) Plan {
 	return Plan{
+		CloseAfterResponse: min(shutdownLeadAfter, killedAfter/2),
+		CloseIdle:          min(killedCloseAfter, killedAfter/2),
+		Reject:             Never,
+		StopAccepting:      shutdownStopAfter,
+	}
+}
+
+// ListenerRemoved returns the plan of a listener whose process goes on. It serves its
+// open connections for half of the time within which a process would be killed.
+func ListenerRemoved(killedAfter time.Duration) Plan {
+	return Plan{
+		KeepsProcess:       true,
 		CloseAfterResponse: killedAfter / 2,
 		CloseIdle:          killedAfter / 2,
 		Reject:             Never,
@@ -57,7 +73,7 @@
 	return Plan{
 		Ready:              true,
 		CloseAfterResponse: 0,
-		CloseIdle:          handoverCloseAfter,
+		CloseIdle:          killedCloseAfter,
 		Reject:             Never,
 		StopAccepting:      handoverStopAfter,
 	}
--- a/proxy/processes.go
+++ b/proxy/processes.go
@@ -198,9 +198,10 @@
 		p.log.Info("handing over to the next process")
 		return drain.Handover()
 	}
-	plan := drain.Shutdown(killedAfter)
-	plan.KeepsProcess = !p.isShuttingDown()
-	return plan
+	if !p.isShuttingDown() {
+		return drain.ListenerRemoved(killedAfter)
+	}
+	return drain.Shutdown(killedAfter)
 }
 
 // isShuttingDown reports whether the whole process is shutting down, not only a listener.
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -153,9 +153,11 @@
 	c.mu.Lock()
 	r := c.requests.open[balancer.RequestID(ticket)]
 	c.mu.Unlock()
-	if r != nil {
-		c.expire(r)
+	if r == nil {
+		c.log.Warn("response still being passed on shortly before the kill")
+		return
 	}
+	c.expire(r)
 }
 
 // expire answers a request that has reached its deadline.
