Return the end of a body of a known length with its last bytes

Cause: the reader returned the last bytes of such a body first and io.EOF with the next call. writeStream passes on the last bytes, looks whether the endpoint has sent something, and only then reads on: an endpoint that answers between the two was taken for one that answers before the request is whole.

Change: the reader returns io.EOF with the last bytes, so that writeStream knows the request as whole when it has written them. Bodies in chunks are not concerned: their last chunk is written at their end.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -114,7 +114,8 @@
 	return &sized{r: r, left: b.Length}
 }
 
-// sized reads a body of a known length. An end before it is an error.
+// sized reads a body of a known length and returns io.EOF with its last bytes, so that who passes them on knows at once
+// that the body is whole. An end before it is an error.
 type sized struct {
 	r    io.Reader
 	left int64
@@ -127,8 +128,11 @@
 	}
 	n, err := s.r.Read(p[:min(int64(len(p)), s.left)])
 	s.left -= int64(n)
-	if errors.Is(err, io.EOF) && s.left > 0 {
-		err = io.ErrUnexpectedEOF
+	switch {
+	case s.left == 0:
+		return n, io.EOF
+	case errors.Is(err, io.EOF):
+		return n, io.ErrUnexpectedEOF
 	}
 	return n, err
 }
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -48,3 +48,19 @@
 		}
 	})
 }
+
+// The last bytes of a body of a known length come with io.EOF. When it came after them, an endpoint that answered between
+// the two was taken for one that answers before the body is whole, and the client's connection was closed.
+func TestKnownLengthEndsWithLastBytes(t *testing.T) {
+	body := Body{HasLength: true, Length: 3}.Reader(bufio.NewReader(bytes.NewReader([]byte("abcnext"))))
+	block := make([]byte, 2)
+	if n, err := body.Read(block); n != 2 || err != nil {
+		t.Errorf("first bytes: got %d, error %v, want 2 and none", n, err)
+	}
+	if n, err := body.Read(block); n != 1 || err != io.EOF {
+		t.Errorf("last byte: got %d, error %v, want 1 and EOF", n, err)
+	}
+	if n, err := body.Read(block); n != 0 || err != io.EOF {
+		t.Errorf("after the last byte: got %d, error %v, want 0 and EOF", n, err)
+	}
+}
