Derive the count of an upload's bytes, and peek only where bytes are to be inspected

Seen on re-reading the fix of stalled uploads: bodyProgress counted the bytes that bodyPacing counts; the look ahead took its block of 256 KiB every 50 ms of an upload, also where nothing new waits or the body has a length and is never peeked; beginShutdown repeated the test of awaitsKillLocked. In the tests, connPair stood again as pair, and two tests of stalled uploads had the same set-up. One piece serves both now. Behaviour, bounds and assertions are as before.

--- a/downstream/bodyprogress.go
+++ b/downstream/bodyprogress.go
@@ -20,14 +20,13 @@
 // none, and the rest of the body, up to its last byte, may wait on the connection unread. The client's time counts from
 // that byte.
 type bodyProgress struct {
-	bytes   int64           // read from the connection since the body began
-	tracker framing.Tracker // of these bytes
+	tracker framing.Tracker // of the bytes that were read
 	ahead   lookahead
 }
 
 // lookahead is what an inspection of the unread bytes has found. The next one goes on behind it.
 type lookahead struct {
-	bytes   int64 // as in bodyProgress, with the unread bytes that were inspected
+	bytes   int64 // of the body: those read from the connection, and the unread ones that were inspected
 	tracker framing.Tracker
 }
 
@@ -39,15 +38,9 @@
 	return p
 }
 
-// read records bytes that were read from the connection.
-func (p *bodyProgress) read(bytes []byte) {
-	p.bytes += int64(len(bytes))
-	p.tracker.Track(bytes)
-}
-
-// received reports whether the last byte of the body has been received, read or unread. It must not be called while a
-// read from the connection is in progress.
-func (p *bodyProgress) received(connection syscall.Conn) bool {
+// received reports whether the last byte of the body has been received, read or unread. read is the number of bytes
+// read from the connection since the body began. It must not be called while a read from the connection is in progress.
+func (p *bodyProgress) received(connection syscall.Conn, read int64) bool {
 	if p.tracker.Ended() {
 		return true
 	}
@@ -55,28 +48,30 @@
 	if !known {
 		return false
 	}
-	if p.ahead.bytes < p.bytes {
-		p.ahead = lookahead{p.bytes, p.tracker}
+	if p.ahead.bytes < read {
+		p.ahead = lookahead{read, p.tracker}
 	}
-	return p.ahead.advance(connection, p.bytes, p.bytes+int64(unread))
+	return p.ahead.advance(connection, read, read+int64(unread))
 }
 
 // advance inspects the unread bytes up to end, and later ones that it comes across, and reports whether the body ends
 // there. The first unread byte stands at read.
 func (l *lookahead) advance(connection syscall.Conn, read, end int64) (ended bool) {
-	block := lookaheadBlocks.Get().(*[lookaheadWindow]byte)
-	defer lookaheadBlocks.Put(block)
 	for !l.tracker.Ended() && l.bytes < end {
 		l.bytes += l.tracker.Skip(end - l.bytes)
-		if l.bytes == end {
-			break
-		}
-		n := socket.PeekAt(connection, int(l.bytes-read), block[:])
-		if n == 0 {
+		if l.bytes == end || !l.inspect(connection, read) {
 			break
 		}
-		l.tracker.Track(block[:n])
-		l.bytes += int64(n)
 	}
 	return l.tracker.Ended()
 }
+
+// inspect inspects the next unread bytes and reports whether there are any. The first unread byte stands at read.
+func (l *lookahead) inspect(connection syscall.Conn, read int64) bool {
+	block := lookaheadBlocks.Get().(*[lookaheadWindow]byte)
+	defer lookaheadBlocks.Put(block)
+	n := socket.PeekAt(connection, int(l.bytes-read), block[:])
+	l.tracker.Track(block[:n])
+	l.bytes += int64(n)
+	return n > 0
+}
--- a/downstream/conn.go
+++ b/downstream/conn.go
@@ -81,10 +81,10 @@
 	requestClass string // class that the current request states; empty if unknown
 	requestID    string // of the current request, once it is accepted; empty before
 	end          endReason
-	pacing       bodyPacing
 
 	// Used by the reading goroutine and, while no read is in progress, by the one that runs serve:
-	body bodyProgress
+	pacing bodyPacing
+	body   bodyProgress
 
 	// Set when no pending read detects at once that the client disconnects: further bytes have been received or are
 	// expected, or reads fail. The connection is polled instead.
@@ -177,7 +177,7 @@
 	c.readLimit -= int64(n)
 	if !c.pacing.began.IsZero() {
 		c.pacing.bytes += int64(n)
-		c.body.read(p[:n])
+		c.body.tracker.Track(p[:n])
 	}
 	c.broken = err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !socket.MayPass(err)
 	return n, err
--- a/downstream/shutdown.go
+++ b/downstream/shutdown.go
@@ -36,7 +36,7 @@
 	// SetDeadline fails only on a closed listener, which accepts no connections anyway.
 	_ = s.listener.SetDeadline(s.stoppedAt.Add(plan.StopAccepting))
 	s.idleTimer = time.AfterFunc(plan.CloseIdle, s.closeIdle)
-	if killDelay > 0 && !plan.KeepsProcess {
+	if s.awaitsKillLocked() {
 		s.expireTimer = time.AfterFunc(killDelay-killMargin, s.expireRequests)
 	}
 }
--- a/downstream/upload.go
+++ b/downstream/upload.go
@@ -108,7 +108,7 @@
 func (u *upload) isReceived() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return !u.reading && u.err == nil && u.conn.body.received(u.conn.nc)
+	return !u.reading && u.err == nil && u.conn.body.received(u.conn.nc, u.conn.pacing.bytes)
 }
 
 // endLocked ends the upload with err. Callers must hold u.mu.
--- a/internal/socket/receive_test.go
+++ b/internal/socket/receive_test.go
@@ -1,34 +1,13 @@
 package socket
 
 import (
-	"net"
 	"testing"
 	"time"
 )
 
-// pair returns the two ends of a TCP connection.
-func pair(t *testing.T) (a, b *net.TCPConn) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	dialed, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	accepted, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { dialed.Close(); accepted.Close() })
-	return dialed.(*net.TCPConn), accepted.(*net.TCPConn)
-}
-
 // PeekAt returns the unread bytes at any position, again and again, and nothing behind the last one.
 func TestPeekAt(t *testing.T) {
-	sender, receiver := pair(t)
+	receiver, sender := connPair(t)
 	const (
 		size      = 100_017
 		blockSize = 1000
--- a/proxy/uploadstall_test.go
+++ b/proxy/uploadstall_test.go
@@ -84,15 +84,23 @@
 	}
 }
 
-// steppingBackend is an endpoint that takes a part of a body for each step, and then answers.
-func steppingBackend(t *testing.T, steps <-chan int64) *backend {
-	return newRawBackend(t, func(c net.Conn, r *bufio.Reader, req *http.Request) {
-		for bytes := range steps {
+// stalledUpload returns a proxy and a client whose upload, to its last byte, waits for an endpoint. The endpoint takes as
+// many bytes as each step says and never answers.
+func stalledUpload(t *testing.T) (p *Proxy, c uploadingClient, steps chan<- int64) {
+	t.Helper()
+	taken := make(chan int64, 1024)
+	t.Cleanup(func() { close(taken) })
+	b := newRawBackend(t, func(_ net.Conn, r *bufio.Reader, _ *http.Request) {
+		for bytes := range taken {
 			if _, err := io.CopyN(io.Discard, r, bytes); err != nil {
 				return
 			}
 		}
 	})
+	p = run(t, withManagement(""), b.endpoint("s1", 1))
+	c = newUploadingClient(t, p.Address())
+	c.stallAtLastByte()
+	return p, c, taken
 }
 
 const (
@@ -107,12 +115,7 @@
 // the answer came 10 s after the proxy's last write, whatever the client's time.
 func TestUploadToSilentEndpointIsAnsweredInTime(t *testing.T) {
 	t.Parallel()
-	steps := make(chan int64, 1024)
-	defer close(steps)
-	b := steppingBackend(t, steps)
-	p := run(t, withManagement(""), b.endpoint("s1", 1))
-	c := newUploadingClient(t, p.Address())
-	c.stallAtLastByte()
+	p, c, _ := stalledUpload(t)
 	c.expectAnswer(http.StatusServiceUnavailable) // it never ran
 	waitUntil(t, "the request to be counted", func() bool { s := statsOf(t, p); return s.InFlight == 0 && s.Requests["pay"].Shed == 1 })
 	if got := p.activePools()[0].ends.counts().Uploads["endpoint takes no bytes"]; got != 1 {
@@ -124,12 +127,7 @@
 // and not from the last one that the proxy wrote. The endpoint is not down.
 func TestUploadToSlowEndpointIsAnsweredInTime(t *testing.T) {
 	t.Parallel()
-	steps := make(chan int64, 1024)
-	defer close(steps)
-	b := steppingBackend(t, steps)
-	p := run(t, withManagement(""), b.endpoint("s1", 1))
-	c := newUploadingClient(t, p.Address())
-	c.stallAtLastByte()
+	p, c, steps := stalledUpload(t)
 	ended := make(chan struct{})
 	defer func() { <-ended }()
 	go func() {
