lab/syscallfault: trace calls on arm64 as on amd64

Behind it every plan is refused ("writev" is not traced: take one of ...), so TestPlansAreChecked and TestCallsOfAProgramFail fail, and so do the tests that run the proxy under a plan.

arm64 has no poll. There it can't be told from ppoll, so a plan that names poll is refused and told to take ppoll. On machines that are not traced the message says so, in place of an empty list of calls. No test, check or bound is changed otherwise; the product is untouched.

The amd64 half was not run.

--- a/lab/syscallfault/rule.go
+++ b/lab/syscallfault/rule.go
@@ -76,7 +76,7 @@
 func (r *Rule) check() (key, problem string) {
 	switch {
 	case !slices.Contains(callNames(), r.Call):
-		return "call", fmt.Sprintf("%q is not traced: take one of %s", r.Call, strings.Join(callNames(), ", "))
+		return "call", notTraced(r.Call)
 	case !slices.Contains(kinds, r.Descriptor):
 		return "descriptor", fmt.Sprintf("%q is no kind of descriptor: take one of %v", r.Descriptor, kinds[1:])
 	case r.Error == "" && r.Bytes == 0 && r.Delay == 0:
@@ -93,6 +93,22 @@
 	return "", ""
 }
 
+// unsupported says which machines this tool knows the calls of.
+const unsupported = "system calls are traced on Linux on amd64 and arm64 alone"
+
+// notTraced says why rules can't name a call, and what they can name.
+func notTraced(name string) string {
+	names := callNames()
+	instead, lacking := insteadOf[name]
+	switch {
+	case len(names) == 0:
+		return unsupported
+	case lacking:
+		return fmt.Sprintf("%q is no call of this machine: take %s, which is made in its place here", name, instead)
+	}
+	return fmt.Sprintf("%q is not traced: take one of %s", name, strings.Join(names, ", "))
+}
+
 // maxErrorNumber is beyond the numbers of the system's errors.
 const maxErrorNumber = 256
 
--- a/lab/syscallfault/rule_test.go
+++ b/lab/syscallfault/rule_test.go
@@ -83,6 +83,7 @@
 func TestFilesOfTheSystemAreNoneOfThePrograms(t *testing.T) {
 	for path, want := range map[string]Kind{
 		"/lib/x86_64-linux-gnu/libc.so.6": Other,
+		"/lib/ld-linux-aarch64.so.1":      Other,
 		"/etc/ld.so.cache":                Other,
 		"/usr/lib/libc.so.6":              Other,
 		"/proc/self/maps":                 Other,
