lab/processes: a plan is handed over where the end of the one before is known

TestRolloutProcesses already waits for that before each plan; TestVersionsProcesses and TestProgramsProcesses did not.

The wait becomes a method of the test's fleet, handOver, and all three use it. Checks, bounds and the product are unchanged.

--- a/lab/processes/rollout_test.go
+++ b/lab/processes/rollout_test.go
@@ -25,13 +25,7 @@
 	const stages = "stages: [{count: 1, soak: 2s}, {part: 0.4, soak: 2s}, {part: 1, soak: 2s}]\naway: 2\nwait: 15s\n"
 	start := func(plan string) {
 		t.Helper()
-		until(t, 10*time.Second, "the end of the plan before to be known where the next is handed over", func() bool {
-			s, err := f.Replicas[1].Rollout()
-			return err == nil && (s.Plan == "" || s.Ended)
-		})
-		if _, err := f.Replicas[1].Admin("POST", "/ops/rollout", plan); err != nil {
-			t.Fatal(err)
-		}
+		f.handOver(t, f.Replicas[1], plan)
 		if _, err := f.Replicas[1].Admin("POST", "/ops/rollout", plan); err == nil || !strings.Contains(err.Error(), "stands") {
 			t.Errorf("a second plan: %v", err)
 		}
@@ -149,6 +143,19 @@
 	return "id: " + id + "\nkind: settings\n" + rest + "settings:\n  " + strings.ReplaceAll(strings.TrimSpace(string(pools)), "\n", "\n  ") + "\n"
 }
 
+// handOver gives a replica a plan once it knows that the plan before has ended: others may know
+// that earlier, and a replica rejects a plan while another stands.
+func (f *Fleet) handOver(t *testing.T, to *Replica, plan string) {
+	t.Helper()
+	until(t, 10*time.Second, "the end of the plan before to be known where the next is handed over", func() bool {
+		s, err := to.Rollout()
+		return err == nil && (s.Plan == "" || s.Ended)
+	})
+	if _, err := to.Admin("POST", "/ops/rollout", plan); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // rollout returns how the first replica that answers sees the plan.
 func (f *Fleet) rollout() (s fleet.RolloutStatus) {
 	for _, c := range f.Replicas {
--- a/lab/processes/versions_test.go
+++ b/lab/processes/versions_test.go
@@ -85,9 +85,7 @@
 	f.rates(t)
 	for i, id := range []string{"by-this", "by-later"} {
 		plan := f.plan(t, id, "stages: [{count: 2, soak: 2s}, {part: 1, soak: 2s}]\naway: 2\nwait: 15s\n", func(p *config.PoolFile) { p.Limits.MaxAttempts = 4 + i })
-		if _, err := f.Replicas[i].Admin("POST", "/ops/rollout", plan); err != nil {
-			t.Fatal(err)
-		}
+		f.handOver(t, f.Replicas[i], plan)
 		until(t, 90*time.Second, "the plan to end", func() bool { s := f.rollout(); return s.Plan == id && s.Ended })
 		if s := f.rollout(); s.Phase != "done" {
 			t.Errorf("%s: %s", s.Phase, s.Reason)
@@ -159,18 +157,14 @@
 	if _, err := f.Replicas[0].Admin("POST", "/ops/rollout", plan("deaf", "v9", "speaks: [7, 8]\n")); err == nil || !strings.Contains(err.Error(), "could not hear each other") {
 		t.Errorf("a program that nobody could understand: %v", err)
 	}
-	if _, err := f.Replicas[0].Admin("POST", "/ops/rollout", plan("later", versions[1], "speaks: [1, 2]\n")); err != nil {
-		t.Fatal(err)
-	}
+	f.handOver(t, f.Replicas[0], plan("later", versions[1], "speaks: [1, 2]\n"))
 	until(t, 120*time.Second, "the plan to end", func() bool { s := f.rollout(); return s.Plan == "later" && (s.Ended || s.Phase == "stopped") })
 	if s := f.rollout(); s.Phase != "done" || !holding(versions[1])() {
 		t.Fatalf("%s: %s\n%s", s.Phase, s.Reason, strings.Join(s.History, "\n"))
 	}
 	until(t, 20*time.Second, "all to know all", f.agree)
 	failing = "c03"
-	if _, err := f.Replicas[2].Admin("POST", "/ops/rollout", plan("earlier", versions[0], "")); err != nil {
-		t.Fatal(err)
-	}
+	f.handOver(t, f.Replicas[2], plan("earlier", versions[0], ""))
 	until(t, 120*time.Second, "the plan to go back", func() bool { s := f.rollout(); return s.Plan == "earlier" && (s.Ended || s.Phase == "stopped") })
 	if s := f.rollout(); s.Phase != "gone back" {
 		t.Errorf("%s: %s\n%s", s.Phase, s.Reason, strings.Join(s.History, "\n"))
